--- /dev/null
+++ b/fleet/rows.go
@@ -0,0 +1,290 @@
+package fleet
+
+import cs "github.com/crocusstile/crocusstile"
+
+// VM is the row of a VM, this one included. Package membership writes it.
+type VM struct {
+	cs.VM
+	// Listed is when the platform's list last showed the VM; 0 if it never did.
+	Listed cs.Instant
+	// Heard is when its last message came; 0 if none did.
+	Heard cs.Instant
+	// Linked tells whether a link is open.
+	Linked bool
+	// Broken is when the last link broke or could not be opened; 0 while linked.
+	Broken cs.Instant
+	// DialedAt is when a link was last asked for.
+	DialedAt cs.Instant
+	// Live is the verdict of package membership on this tick.
+	Live bool
+	// LiveSince is when Live last changed.
+	LiveSince cs.Instant
+	// Beat is the last heartbeat.
+	Beat cs.Heartbeat
+	// BeatAt is when Beat came.
+	BeatAt cs.Instant
+	// Backlog is the number of waiting items by shard owned, corrected between heartbeats.
+	Backlog map[cs.ShardID]cs.ItemIndex
+}
+
+// Runner is the row of a runner.
+type Runner struct {
+	cs.Runner
+	// Listed is when the platform's list last showed the runner.
+	Listed cs.Instant
+	// Online counts this VM's online requests on the runner.
+	Online cs.Slots
+	// Batch counts this VM's batch runs on the runner.
+	Batch cs.Slots
+	// Report is the newest load report, and ReportAt when it came.
+	Report   cs.LoadReport
+	ReportAt cs.Instant
+	// Answer is the load that the last answer brought, and AnswerAt when it came.
+	Answer   cs.Load
+	AnswerAt cs.Instant
+	// FirstToken and Gap are moving averages of online runs, in milliseconds.
+	FirstToken float64
+	Gap        float64
+	// Failures counts runs that failed in a row.
+	Failures int
+	// EjectedUntil bars the runner from new online work; Ejections lengthen the next ejection.
+	EjectedUntil cs.Instant
+	Ejections    int
+	// DownSince is when connections began to be refused; 0 while the runner answers.
+	DownSince cs.Instant
+	// Sender is the VM that alone sends batch to the runner, and SenderSince when that began.
+	Sender      cs.VMID
+	SenderSince cs.Instant
+	// BatchLimit is the number of batch runs allowed at once, if this VM is the sender.
+	BatchLimit float64
+	// LimitAt is when BatchLimit was last adapted.
+	LimitAt cs.Instant
+	// Offered counts slots that are offered to owners and not granted yet.
+	Offered cs.Slots
+	// YieldUntil bars new batch runs after a yield.
+	YieldUntil cs.Instant
+	// OrderAt is when the last order went out.
+	OrderAt cs.Instant
+}
+
+// Request is the row of an online request that this VM took.
+type Request struct {
+	cs.Request
+	Arrived cs.Instant
+	Phase   Phase
+	// Attempt counts dispatches.
+	Attempt cs.Attempt
+	// Runs are the dispatches in flight: one, or two with a hedge.
+	Runs []RequestRun
+	// Tried are the runners of earlier attempts.
+	Tried []cs.RunnerID
+	// RetryAt is when a request in PhaseBackoff is queued again.
+	RetryAt cs.Instant
+	// FirstTokenAt is when the first byte of the answer was passed on; 0 before.
+	FirstTokenAt cs.Instant
+	// Last is why the last attempt ended without an answer.
+	Last *cs.Refusal
+	// Order is the request's place in the fair queue; the lowest is served first.
+	Order float64
+}
+
+// RequestRun is one dispatch of a request.
+type RequestRun struct {
+	Runner  cs.RunnerID
+	Attempt cs.Attempt
+	Since   cs.Instant
+	Hedge   bool
+}
+
+//go:generate enumer -type Phase -text -transform lower -trimprefix Phase
+
+// Phase is the state of an online request.
+type Phase int
+
+// The phases of a request.
+const (
+	// PhasePermit waits for leave from the owner of the call's shard.
+	PhasePermit Phase = iota
+	PhaseQueued
+	PhaseRunning
+	// PhaseBackoff waits before a retry.
+	PhaseBackoff
+)
+
+// Tenant is the row of a tenant with requests in flight or with limits.
+type Tenant struct {
+	Limits cs.TenantLimits
+	// Online counts requests queued or running.
+	Online cs.Slots
+	// Virtual is the finish time of the tenant's last request in the fair queue.
+	Virtual float64
+	// Deficit is the tenant's credit in the round over batch items.
+	Deficit float64
+}
+
+// Ticket is the ticket in force for a scope.
+type Ticket struct {
+	cs.PlacedTicket
+	// InForce is when this VM put it in force.
+	InForce cs.Instant
+}
+
+// Filing is a ticket that was submitted here and is not yet decided.
+type Filing struct {
+	Query  uint64
+	Ticket cs.Ticket
+	Since  cs.Instant
+	Seq    cs.Seq
+	// Sent is when the append was last sent; 0 before.
+	Sent cs.Instant
+}
+
+// Shard is the row of a work stream that this VM tails.
+type Shard struct {
+	Stream cs.StreamID
+	// Next is the offset to read next; ReadAt is when the stream was last read.
+	Next   cs.Offset
+	ReadAt cs.Instant
+	// CaughtUp tells whether the end of the stream was reached once.
+	CaughtUp bool
+	// Claim is the offset of the claim in force, NoOffset if none is known.
+	Claim cs.Offset
+	// Writer and VM are who made the claim.
+	Writer cs.Incarnation
+	VM     cs.VMID
+	// LastSeq is the last batch applied of Writer.
+	LastSeq cs.Seq
+	// Released tells whether the claim was given up.
+	Released bool
+	// RenewedAt is when a valid batch was last read.
+	RenewedAt cs.Instant
+	// Synced is false between a start above offset 0 and the first checkpoint or claim.
+	Synced bool
+
+	// Owned tells whether the claim in force is this process's own.
+	Owned bool
+	// Claiming is when a claim of this process was sent; 0 if none is out.
+	Claiming cs.Instant
+	// Pending are records that wait for the next batch.
+	Pending []cs.Record
+	// Inflight is the batch that is sent and not read back, or nil.
+	Inflight *cs.LogBatch
+	// SentAt is when Inflight was last sent; Attempts counts the sends.
+	SentAt   cs.Instant
+	Attempts int
+	// RetryAt is when Inflight is sent again after a failure; 0 while the send is out.
+	RetryAt cs.Instant
+	// SnapshotAt is when the shard was last written again in whole.
+	SnapshotAt cs.Instant
+	// Standby is the VM that gets copies of unconfirmed records.
+	Standby cs.VMID
+	// CopiedRecords are unconfirmed records of another owner, kept for the case that it dies.
+	CopiedRecords []cs.Record
+}
+
+// Job is the row of a batch job.
+type Job struct {
+	cs.Job
+	Shard cs.ShardID
+	State cs.JobState
+	// Items are the job's items, at their index.
+	Items []Item
+	// Queue holds the indexes of waiting items, in order.
+	Queue []cs.ItemIndex
+	// Ended counts items in a final state, and Counts all by state.
+	Ended  cs.ItemIndex
+	Counts [cs.ItemUnknown + 1]cs.ItemIndex
+	// Undurable counts ended items whose record is not read back yet.
+	Undurable cs.ItemIndex
+	// Stopping means that a cancellation is on its way to the log.
+	Stopping bool
+	// FinishedAt is when the last item ended or the job was cancelled.
+	FinishedAt cs.Instant
+	// Waiters are queries that wait for the job to be sealed or cancelled.
+	Waiters []uint64
+}
+
+// Item is the row of a batch item.
+type Item struct {
+	cs.Item
+	State cs.ItemState
+	// Attempts counts runs that ended in failure, and the present one.
+	Attempts cs.Attempt
+	// Started tells whether ItemStarted is in the log.
+	Started bool
+	// Undurable means that ItemEnded is not read back yet.
+	Undurable bool
+	// Sender runs the item now; Granted is when it was given out.
+	Sender  cs.VMID
+	Granted cs.Instant
+	// NotBefore delays the next run after a failure.
+	NotBefore cs.Instant
+	// Partial is what earlier runs generated.
+	Partial string
+	Tokens  cs.Tokens
+	// Suspect means that the item was in flight on a crashed runner.
+	Suspect bool
+	Output  string
+	Error   string
+}
+
+// Call is the row of a keyed call that must not be repeated.
+type Call struct {
+	Shard   cs.ShardID
+	Hash    cs.ContentHash
+	VM      cs.VMID // runs the call
+	Started cs.Instant
+	// Durable tells whether CallStarted is read back.
+	Durable bool
+	Ended   bool
+	Answer  []byte
+	Refusal *cs.Refusal
+	EndedAt cs.Instant
+	// Waiters are queries that wait for the outcome; the first waits for leave to run.
+	Waiters []uint64
+}
+
+// Query is a question to the owner of a shard, asked here or forwarded by a peer.
+type Query struct {
+	Query cs.ShardQuery
+	Shard cs.ShardID
+	Since cs.Instant
+	// Deadline is when the query is answered as unavailable or unknown.
+	Deadline cs.Instant
+	// From and FromID tell where the answer goes; From is empty for a query asked here.
+	From   cs.VMID
+	FromID uint64
+	// SentTo is the VM to which the query was forwarded, at SentAt.
+	SentTo cs.VMID
+	SentAt cs.Instant
+	Hops   int
+	// Recorded means that a record for the query may have reached the log.
+	Recorded bool
+}
+
+// Run is a batch item that this VM runs as the batch sender of a runner.
+type Run struct {
+	cs.GrantedItem
+	Runner cs.RunnerID
+	Owner  cs.VMID // the VM that granted the item
+	Shard  cs.ShardID
+	Since  cs.Instant
+	// Stopping means that the run was told to stop.
+	Stopping bool
+	// Discard means that the job was cancelled and the outcome is of no use.
+	Discard bool
+	// Ended is the outcome that could not be delivered yet; EndedAt is when it came.
+	Ended   *cs.ItemReturned
+	EndedAt cs.Instant
+}
+
+// Suspect is the row of a request content that was in flight on a crashed runner.
+type Suspect struct {
+	// Crashes counts the runners that crashed with it in flight, as far as this VM knows.
+	Crashes int
+	// Runners are those runners.
+	Runners []cs.RunnerID
+	// Convicted means that it is quarantined until Until; otherwise the row is dropped then.
+	Convicted bool
+	Until     cs.Instant
+}
