Add the daemon's settings with schema and defaults

Cause: the daemon and `crocusstile settings check` need one reading of the settings file that names each wrong field and what would be right.

--- /dev/null
+++ b/setting/parse.go
@@ -0,0 +1,67 @@
+package setting
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+// Load reads the settings from a file. What is wrong with them is an Errors in the error's chain.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	s, err := Parse(data)
+	return s, errors.Wrapf(err, "settings %s", path)
+}
+
+// Parse reads the settings from JSON. What is wrong with them is an Errors.
+func Parse(data []byte) (Settings, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return Settings{}, Errors{{Message: "is not valid JSON: " + err.Error()}}
+	}
+	if errs := validate(doc); len(errs) > 0 {
+		return Settings{}, errs
+	}
+	s := Default()
+	if err := json.Unmarshal(data, &s); err != nil {
+		return Settings{}, Errors{{Message: err.Error()}}
+	}
+	if s.Advertise == "" {
+		s.Advertise = s.Listen
+	}
+	if errs := s.relations(); len(errs) > 0 {
+		return Settings{}, errs
+	}
+	return s, nil
+}
+
+// relations checks what the schema cannot express: conditions between two fields.
+func (s Settings) relations() Errors {
+	var errs Errors
+	if a, err := netip.ParseAddrPort(string(s.Advertise)); err != nil || a.Addr().IsUnspecified() {
+		errs = append(errs, Error{"advertise", `peers cannot dial ` + string(s.Advertise) +
+			`; should be an address of this VM such as "10.0.1.7:8080"`})
+	}
+	c := s.Parameters
+	errs = append(errs, shorter("control.renewal", c.Renewal, "control.lease", c.Lease)...)
+	errs = append(errs, shorter("control.heartbeat", c.Heartbeat, "control.peerTimeout", c.PeerTimeout)...)
+	errs = append(errs, shorter("control.lease", c.Lease, "control.retention", c.Retention)...)
+	return errs
+}
+
+// shorter checks that one span is shorter than another.
+func shorter(path string, s cs.Span, than string, limit cs.Span) Errors {
+	if s < limit {
+		return nil
+	}
+	return Errors{{path, "is " + s.String() + "; should be shorter than " + than + ", which is " + limit.String()}}
+}
