Add examples of settings, fleet and tickets

Cause: both sites need files to start from, and tests need them to stay valid. Ruled out: one settings file for each VM and data centre; they differ only in id and addresses. One flat list for both sites, in which the VMs of one site would link to those of the other. Change: settings of one VM and the tickets of each site, and fleet.json with one object for each site whose "vms" is an answer of the platform's list. The addresses are loopback addresses. Conclusion: the list is decoded with a type of the test until the platform client is merged.

--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,108 @@
+package examples_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/cli"
+	"github.com/crocusstile/crocusstile/setting"
+)
+
+// listEntry is an entry of the platform's list, as section 4.4 of docs/design.md defines it.
+type listEntry struct {
+	ID          string
+	Kind        string
+	Service     cs.ServiceID
+	Address     cs.Address
+	DataCentre  cs.DataCentreID
+	State       string
+	Incarnation cs.Incarnation
+	Fencing     bool
+	Slots       cs.Slots
+}
+
+// deployment is one site; its "vms" field alone makes it an answer of the platform's list.
+type deployment struct {
+	Name        string
+	Region      string
+	DataCentres []cs.DataCentreID
+	Delay       string
+	ClientDelay string
+	VMs         []listEntry
+}
+
+// TestSettings guards against example settings that the daemon would refuse, or that name a VM
+// which the fleet's list does not show at that address.
+func TestSettings(t *testing.T) {
+	for _, d := range readFleet(t) {
+		s, err := setting.Load(d.Name + ".json")
+		qt.Assert(t, err, qt.IsNil)
+		found := false
+		for _, e := range d.VMs {
+			found = found || e.ID == string(s.VM.ID) && e.Address == s.Advertise && e.DataCentre == s.VM.DataCentre
+		}
+		qt.Assert(t, found, qt.IsTrue, qt.Commentf("%s is not in the fleet of %s", s.VM.ID, d.Name))
+	}
+}
+
+// TestFleet guards against a list that differs from the sites of section 1.1 of docs/design.md, and
+// against two entries with one address.
+func TestFleet(t *testing.T) {
+	want := map[string]map[string]int{
+		"hebewerk": {"": 16, "tutor-models": 12, "records-app": 4},
+		"verein":   {"": 16, "lese-modelle": 18, "protokoll-dienst": 3},
+	}
+	taken := map[cs.Address]bool{}
+	for _, d := range readFleet(t) {
+		counts := map[string]int{}
+		centres := map[cs.DataCentreID]bool{}
+		for _, e := range d.VMs {
+			counts[string(e.Service)]++
+			if e.Kind == "entry" {
+				centres[e.DataCentre] = true
+			}
+			a, err := netip.ParseAddrPort(string(e.Address))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, a.Addr().IsLoopback(), qt.IsTrue)
+			qt.Assert(t, taken[e.Address], qt.IsFalse, qt.Commentf("%s is given twice", e.Address))
+			taken[e.Address] = true
+		}
+		qt.Assert(t, counts, qt.DeepEquals, want[d.Name])
+		qt.Assert(t, len(centres), qt.Equals, len(d.DataCentres))
+	}
+}
+
+// TestTickets guards against example tickets that no VM accepts, or that share a number, of which
+// only the first would count.
+func TestTickets(t *testing.T) {
+	files, err := filepath.Glob("tickets/*.json")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files), qt.Equals, 5)
+	numbers := map[int64]string{}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		ticket, err := cli.ParseTicket(data)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf(file))
+		qt.Assert(t, numbers[ticket.Number], qt.Equals, "", qt.Commentf(file))
+		numbers[ticket.Number] = file
+	}
+}
+
+func readFleet(t *testing.T) []deployment {
+	data, err := os.ReadFile("fleet.json")
+	qt.Assert(t, err, qt.IsNil)
+	var fleet struct{ Deployments []deployment }
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	qt.Assert(t, d.Decode(&fleet), qt.IsNil)
+	qt.Assert(t, len(fleet.Deployments), qt.Equals, 2)
+	return fleet.Deployments
+}
