--- /dev/null
+++ b/engine/call.go
@@ -0,0 +1,140 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// Call calls a plain service at addr; a non-idempotent call gets a connection of its own.
+//
+// The answer is whole only if the result is fleet.RunWhole: it bore the request's id and had the
+// announced length. timeout bounds the whole call; 0 means Config.FirstByte.
+func (c *Client) Call(ctx context.Context, addr cs.Address, id cs.RequestID, call cs.ServiceCall, key cs.IdempotencyKey, nonIdempotent bool, timeout cs.Span) ([]byte, fleet.RunResult) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if timeout <= 0 {
+		timeout = c.cfg.FirstByte
+	}
+	a := &attempt{cancel: cancel}
+	watchdog := time.AfterFunc(timeout.Std(), func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	header := http.Header{"X-Request-Id": {string(id)}}
+	if key != "" {
+		header.Set("X-Idempotency-Key", string(key))
+	}
+	client := c.pooled
+	if nonIdempotent {
+		client = c.fresh
+	}
+	began := c.cfg.Clock.Now()
+	resp, err := c.post(ctx, client, a, "http://"+string(addr)+"/v1/call/"+url.PathEscape(call.Method), call.Body, header)
+	if err != nil {
+		return nil, a.broken(ctx, err)
+	}
+	defer drain(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return nil, rejected(resp)
+	}
+	if got := resp.Header.Get("X-Request-Id"); got != string(id) {
+		return nil, fleet.RunBroken{Sent: true, Message: "answer to another request: " + got}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.cfg.MaxAnswer)+1))
+	if err != nil {
+		return nil, a.broken(ctx, err)
+	}
+	if len(body) > int(c.cfg.MaxAnswer) {
+		return nil, fleet.RunBroken{Sent: true, Message: "answer is larger than the limit"}
+	}
+	took := c.cfg.Clock.Now().Sub(began)
+	var load cs.Load
+	if err := json.Unmarshal([]byte(resp.Header.Get("X-Load")), &load); err != nil {
+		load = cs.Load{} // the load is a hint; an answer without it is whole
+	}
+	return body, fleet.RunWhole{FirstToken: took, Took: took, Load: load}
+}
+
+// loadBody is the load report of the runner protocol.
+type loadBody struct {
+	Running cs.Slots   `json:"running"`
+	Waiting cs.Slots   `json:"waiting"`
+	Slots   cs.Slots   `json:"slots"`
+	Batch   cs.Slots   `json:"batch"`
+	Leaving bool       `json:"leaving"`
+	Loaded  []string   `json:"loaded"`
+	AtMs    cs.Instant `json:"atMs"`
+}
+
+// Load reads a runner's load report.
+func (c *Client) Load(ctx context.Context, addr cs.Address) (cs.LoadReport, error) {
+	var b loadBody
+	if err := c.getJSON(ctx, "http://"+string(addr)+"/v1/load", &b); err != nil {
+		return cs.LoadReport{}, err
+	}
+	r := cs.LoadReport{
+		Load:  cs.Load{Running: b.Running, Waiting: b.Waiting, Slots: b.Slots},
+		Batch: b.Batch, Leaving: b.Leaving, At: b.AtMs,
+	}
+	for _, name := range b.Loaded {
+		if model, version, ok := cutLast(name); ok {
+			r.Loaded = append(r.Loaded, cs.LoadedModel{Model: cs.ModelID(model), Version: cs.VersionID(version)})
+		}
+	}
+	return r, nil
+}
+
+func cutLast(name string) (model, version string, ok bool) {
+	i := bytes.LastIndexByte([]byte(name), '/')
+	if i < 0 {
+		return "", "", false
+	}
+	return name[:i], name[i+1:], true
+}
+
+// Cancel tells an engine to stop a run; a run that has ended already is no error.
+func (c *Client) Cancel(ctx context.Context, addr cs.Address, id cs.RequestID) error {
+	body, err := json.Marshal(struct {
+		ID cs.RequestID `json:"id"`
+	}{id})
+	if err != nil {
+		return err
+	}
+	resp, err := c.post(ctx, c.pooled, &attempt{}, "http://"+string(addr)+"/v1/cancel", body, http.Header{})
+	if err != nil {
+		return err
+	}
+	drain(resp.Body)
+	return nil
+}
+
+// ErrStaleOrder means that the runner has seen an order with a newer fencing token.
+var ErrStaleOrder = errors.New("the runner has seen a newer fencing token")
+
+// Order sends an order to a runner.
+func (c *Client) Order(ctx context.Context, addr cs.Address, o cs.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	resp, err := c.post(ctx, c.pooled, &attempt{}, "http://"+string(addr)+"/v1/orders", body, http.Header{})
+	if err != nil {
+		return err
+	}
+	defer drain(resp.Body)
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return ErrStaleOrder
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return errors.Newf("order: %s", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/engine/generate.go
@@ -0,0 +1,205 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// Generation is a run of a prompt, or the rest of one.
+type Generation struct {
+	ID cs.RequestID
+	cs.Generation
+	// ResumeText and ResumeTokens are what earlier runs generated.
+	ResumeText   string
+	ResumeTokens cs.Tokens
+}
+
+// Sink takes the events of a stream, each with its line end; the bytes are valid during the call.
+//
+// more tells that further events are at hand, so that a writer may put off its flush. An error ends
+// the run as cancelled.
+type Sink func(event []byte, n cs.Tokens, more bool) error
+
+// generateBody is the request of the runner protocol.
+type generateBody struct {
+	ID           cs.RequestID `json:"id"`
+	Model        cs.ModelID   `json:"model"`
+	Adapter      cs.AdapterID `json:"adapter,omitempty"`
+	Version      cs.VersionID `json:"version,omitempty"`
+	Prompt       string       `json:"prompt"`
+	MaxTokens    cs.Tokens    `json:"maxTokens"`
+	ResumeText   string       `json:"resumeText,omitempty"`
+	ResumeTokens cs.Tokens    `json:"resumeTokens,omitempty"`
+}
+
+// endMarker is the last event of a whole stream.
+type endMarker struct {
+	ID     cs.RequestID `json:"id"`
+	Done   bool         `json:"done"`
+	Tokens cs.Tokens    `json:"tokens"`
+	Load   cs.Load      `json:"load"`
+}
+
+// errDone ends the reading of a stream at its end marker.
+var errDone = errors.New("end marker")
+
+// errLost says that the sink refused an event.
+var errLost = errors.New("the answer is not wanted any more")
+
+// Generate runs a prompt on the runner at addr and hands its events to sink.
+//
+// The answer is whole only if the result is fleet.RunWhole: each event bore the request's id, the
+// sequence numbers had no gap and the end marker came.
+func (c *Client) Generate(ctx context.Context, addr cs.Address, g Generation, sink Sink) fleet.RunResult {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	body, err := json.Marshal(generateBody{
+		ID: g.ID, Model: g.Model, Adapter: g.Adapter, Version: g.Version, Prompt: g.Prompt,
+		MaxTokens: g.MaxTokens, ResumeText: g.ResumeText, ResumeTokens: g.ResumeTokens,
+	})
+	if err != nil {
+		return fleet.RunRejected{NotRun: true, Invalid: true, Message: err.Error()}
+	}
+	a := &attempt{cancel: cancel}
+	watchdog := time.AfterFunc(c.cfg.FirstByte.Std(), func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	began := c.cfg.Clock.Now()
+	resp, err := c.post(ctx, c.pooled, a, "http://"+string(addr)+"/v1/generate", body, http.Header{})
+	if err != nil {
+		return a.broken(ctx, err)
+	}
+	defer drain(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return rejected(resp)
+	}
+	s := stream{client: c, attempt: a, watchdog: watchdog, sink: sink, gen: g, began: began, last: g.ResumeTokens}
+	s.prefix = append(strconv.AppendQuote([]byte(`data: {"id":`), string(g.ID)), ',')
+	if err := s.read(bufio.NewReaderSize(resp.Body, 16<<10)); !errors.Is(err, errDone) {
+		if errors.Is(err, errLost) {
+			return fleet.RunCancelled{}
+		}
+		return a.broken(ctx, err)
+	}
+	return s.whole()
+}
+
+// stream is the state of one answer while it is read.
+type stream struct {
+	client   *Client
+	attempt  *attempt
+	watchdog *time.Timer
+	sink     Sink
+	gen      Generation
+	prefix   []byte
+	began    cs.Instant
+	first    cs.Instant
+	last     cs.Tokens
+	end      endMarker
+}
+
+// read hands events on until the end marker or an error.
+func (s *stream) read(r *bufio.Reader) error {
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return errors.Wrap(err, "stream broke off")
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		if err := s.event(line, r.Buffered() > 1); err != nil {
+			return err
+		}
+	}
+}
+
+// event checks one event and hands it on.
+func (s *stream) event(line []byte, more bool) error {
+	if !bytes.HasPrefix(line, s.prefix) {
+		return errors.Newf("event of another request: %.80q", line)
+	}
+	rest := line[len(s.prefix):]
+	if bytes.HasPrefix(rest, []byte(`"done":true`)) {
+		return s.done(line)
+	}
+	n, ok := sequence(rest)
+	if !ok || n != s.last+1 {
+		return errors.Newf("event %d follows event %d", n, s.last)
+	}
+	s.last = n
+	if s.first == 0 {
+		s.first = s.client.cfg.Clock.Now()
+	}
+	s.attempt.passed = true
+	// A slow caller must not look like a silent runner.
+	s.watchdog.Stop()
+	defer s.watchdog.Reset(s.client.cfg.Progress.Std())
+	if s.sink(line, n, more) != nil {
+		return errLost
+	}
+	return nil
+}
+
+// done checks the end marker.
+func (s *stream) done(line []byte) error {
+	if err := json.Unmarshal(line[len("data: "):], &s.end); err != nil {
+		return errors.Wrap(err, "end marker")
+	}
+	if s.end.Tokens != s.last {
+		return errors.Newf("end marker tells %d tokens after event %d", s.end.Tokens, s.last)
+	}
+	return errDone
+}
+
+// whole returns the result of a stream that has ended with its marker.
+func (s *stream) whole() fleet.RunResult {
+	now := s.client.cfg.Clock.Now()
+	if s.first == 0 {
+		s.first = now
+	}
+	w := fleet.RunWhole{
+		Tokens: s.last, FirstToken: s.first.Sub(s.began), Took: now.Sub(s.began), Load: s.end.Load,
+	}
+	if n := s.last - s.gen.ResumeTokens; n > 1 {
+		w.Gap = now.Sub(s.first) / cs.Span(n-1)
+	}
+	return w
+}
+
+// sequence reads the number of `"n":N,`.
+func sequence(rest []byte) (cs.Tokens, bool) {
+	const name = `"n":`
+	if !bytes.HasPrefix(rest, []byte(name)) {
+		return 0, false
+	}
+	n := cs.Tokens(0)
+	for i := len(name); i < len(rest); i++ {
+		d := rest[i]
+		if d < '0' || d > '9' {
+			return n, i > len(name)
+		}
+		n = n*10 + cs.Tokens(d-'0')
+	}
+	return 0, false
+}
+
+// Text returns the text of an event, as Sink gets it.
+func Text(event []byte) string {
+	var e struct {
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(bytes.TrimPrefix(event, []byte("data: ")), &e) != nil {
+		return ""
+	}
+	return e.Text
+}
--- a/fleet/actions.go
+++ b/fleet/actions.go
@@ -207,4 +207,5 @@
 	CountJobsAccepted
 	CountJobsCancelled
 	CountCallsJoined
+	CountCallsUnrecorded
 )
--- a/fleet/counter_enumer.go
+++ b/fleet/counter_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CounterName = "requestsansweredrefused_not_runfailedunknownretrieshedgesretries_deniedejectionsyieldsitems_granteditems_doneitems_faileditems_requeuedtokens_wastedappendsappend_retriesclaimsclaims_lostbatches_ignoredtickets_in_forcetickets_refusedsuspectsquarantinedordersjobs_acceptedjobs_cancelledcalls_joined"
+const _CounterName = "requestsansweredrefused_not_runfailedunknownretrieshedgesretries_deniedejectionsyieldsitems_granteditems_doneitems_faileditems_requeuedtokens_wastedappendsappend_retriesclaimsclaims_lostbatches_ignoredtickets_in_forcetickets_refusedsuspectsquarantinedordersjobs_acceptedjobs_cancelledcalls_joinedcalls_unrecorded"
 
-var _CounterIndex = [...]uint16{0, 8, 16, 31, 37, 44, 51, 57, 71, 80, 86, 99, 109, 121, 135, 148, 155, 169, 175, 186, 201, 217, 232, 240, 251, 257, 270, 284, 296}
+var _CounterIndex = [...]uint16{0, 8, 16, 31, 37, 44, 51, 57, 71, 80, 86, 99, 109, 121, 135, 148, 155, 169, 175, 186, 201, 217, 232, 240, 251, 257, 270, 284, 296, 312}
 
-const _CounterLowerName = "requestsansweredrefused_not_runfailedunknownretrieshedgesretries_deniedejectionsyieldsitems_granteditems_doneitems_faileditems_requeuedtokens_wastedappendsappend_retriesclaimsclaims_lostbatches_ignoredtickets_in_forcetickets_refusedsuspectsquarantinedordersjobs_acceptedjobs_cancelledcalls_joined"
+const _CounterLowerName = "requestsansweredrefused_not_runfailedunknownretrieshedgesretries_deniedejectionsyieldsitems_granteditems_doneitems_faileditems_requeuedtokens_wastedappendsappend_retriesclaimsclaims_lostbatches_ignoredtickets_in_forcetickets_refusedsuspectsquarantinedordersjobs_acceptedjobs_cancelledcalls_joinedcalls_unrecorded"
 
 func (i Counter) String() string {
 	if i < 0 || i >= Counter(len(_CounterIndex)-1) {
@@ -52,9 +52,10 @@
 	_ = x[CountJobsAccepted-(25)]
 	_ = x[CountJobsCancelled-(26)]
 	_ = x[CountCallsJoined-(27)]
+	_ = x[CountCallsUnrecorded-(28)]
 }
 
-var _CounterValues = []Counter{CountRequests, CountAnswered, CountRefusedNotRun, CountFailed, CountUnknown, CountRetries, CountHedges, CountRetriesDenied, CountEjections, CountYields, CountItemsGranted, CountItemsDone, CountItemsFailed, CountItemsRequeued, CountTokensWasted, CountAppends, CountAppendRetries, CountClaims, CountClaimsLost, CountBatchesIgnored, CountTicketsInForce, CountTicketsRefused, CountSuspects, CountQuarantined, CountOrders, CountJobsAccepted, CountJobsCancelled, CountCallsJoined}
+var _CounterValues = []Counter{CountRequests, CountAnswered, CountRefusedNotRun, CountFailed, CountUnknown, CountRetries, CountHedges, CountRetriesDenied, CountEjections, CountYields, CountItemsGranted, CountItemsDone, CountItemsFailed, CountItemsRequeued, CountTokensWasted, CountAppends, CountAppendRetries, CountClaims, CountClaimsLost, CountBatchesIgnored, CountTicketsInForce, CountTicketsRefused, CountSuspects, CountQuarantined, CountOrders, CountJobsAccepted, CountJobsCancelled, CountCallsJoined, CountCallsUnrecorded}
 
 var _CounterNameToValueMap = map[string]Counter{
 	_CounterName[0:8]:     CountRequests,
@@ -85,6 +86,7 @@
 	_CounterName[257:270]: CountJobsAccepted,
 	_CounterName[270:284]: CountJobsCancelled,
 	_CounterName[284:296]: CountCallsJoined,
+	_CounterName[296:312]: CountCallsUnrecorded,
 }
 
 var _CounterLowerNameToValueMap = map[string]Counter{
@@ -116,6 +118,7 @@
 	_CounterLowerName[257:270]: CountJobsAccepted,
 	_CounterLowerName[270:284]: CountJobsCancelled,
 	_CounterLowerName[284:296]: CountCallsJoined,
+	_CounterLowerName[296:312]: CountCallsUnrecorded,
 }
 
 var _CounterNames = []string{
@@ -147,6 +150,7 @@
 	_CounterName[257:270],
 	_CounterName[270:284],
 	_CounterName[284:296],
+	_CounterName[296:312],
 }
 
 // CounterString retrieves an enum value from the enum constants string name.
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,129 @@
+// Package meter counts what the system does and measures how long it takes, for each tenant and
+// class, and serves the figures in the Prometheus text format.
+package meter
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+//go:generate enumer -type Timing -text -transform snake
+
+// Timing names a histogram.
+type Timing int
+
+// The histograms.
+const (
+	// QueueWait is from the arrival of a request to its first dispatch.
+	QueueWait Timing = iota
+	// FirstToken is from the arrival of a request to the first byte of its answer.
+	FirstToken
+	// TokenGap is the mean time between the tokens of an answer.
+	TokenGap
+	// Request is from the arrival of a request to the end of its answer.
+	Request
+	// BatchItem is the time of one run of a batch item.
+	BatchItem
+)
+
+// maxTenants bounds the tenants with figures of their own, so that metrics stay in bounded memory;
+// the rest is counted under "other".
+const maxTenants = 200
+
+// buckets grow by half from 1 ms to about 3 minutes.
+var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 30)
+
+// Meter counts and measures; it is safe for concurrent use.
+type Meter struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter prometheus.Reporter
+	log      zerolog.Logger
+
+	counters   sync.Map // counterKey to tally.Counter
+	histograms sync.Map // histogramKey to tally.Histogram
+	mu         sync.Mutex
+	tenants    map[cs.TenantID]bool
+}
+
+type counterKey struct {
+	counter fleet.Counter
+	tenant  cs.TenantID
+}
+
+type histogramKey struct {
+	timing Timing
+	tenant cs.TenantID
+	class  cs.Class
+}
+
+// New returns a meter that logs changes of state to log.
+func New(log zerolog.Logger) *Meter {
+	registry := prom.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "crocusstile", CachedReporter: r, Separator: prometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, time.Second)
+	return &Meter{scope: scope, closer: closer, reporter: r, log: log, tenants: map[cs.TenantID]bool{}}
+}
+
+// Close stops reporting.
+func (m *Meter) Close() error { return m.closer.Close() }
+
+// Handler serves the figures in the Prometheus text format.
+func (m *Meter) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Count adds to a counter.
+func (m *Meter) Count(c fleet.Counted) {
+	key := counterKey{c.Counter, c.Tenant}
+	if f, ok := m.counters.Load(key); ok {
+		f.(tally.Counter).Inc(c.N)
+		return
+	}
+	f := m.tagged(c.Tenant).Counter(c.Counter.String() + "_total")
+	m.counters.Store(key, f)
+	f.Inc(c.N)
+}
+
+// Time records a span.
+func (m *Meter) Time(what Timing, tenant cs.TenantID, class cs.Class, s cs.Span) {
+	key := histogramKey{what, tenant, class}
+	f, ok := m.histograms.Load(key)
+	if !ok {
+		scope := m.tagged(tenant).Tagged(map[string]string{"class": class.String()})
+		f = scope.Histogram(what.String()+"_seconds", buckets)
+		m.histograms.Store(key, f)
+	}
+	f.(tally.Histogram).RecordDuration(s.Std())
+}
+
+// Note logs a change of state.
+func (m *Meter) Note(n fleet.Noted) {
+	e := m.log.Info().Str("subject", n.Subject)
+	for _, f := range n.Fields {
+		e = e.Interface(f.Name, f.Value)
+	}
+	e.Msg(n.Change)
+}
+
+// tagged returns the scope of a tenant, or of "other" once there are many.
+func (m *Meter) tagged(tenant cs.TenantID) tally.Scope {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.tenants[tenant] && len(m.tenants) >= maxTenants {
+		tenant = "other"
+	}
+	m.tenants[tenant] = true
+	return m.scope.Tagged(map[string]string{"tenant": string(tenant)})
+}
--- /dev/null
+++ b/relay/answer.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/engine"
+)
+
+// Answer is the whole answer of a model.
+type Answer struct {
+	Text   string
+	Tokens cs.Tokens
+	// FirstToken and Took are since the arrival of the request.
+	FirstToken, Took cs.Span
+}
+
+// Answer runs a generation and returns its whole answer.
+func (r *Relay) Answer(ctx context.Context, req cs.Request) (Answer, error) {
+	s, err := r.begin(ctx, req, 0)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer s.close()
+	if err := s.wait(ctx, true); err != nil {
+		return Answer{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Answer{
+		Text: textOf(s.passed), Tokens: s.tokens,
+		FirstToken: s.first.Sub(s.arrived), Took: r.cfg.Clock.Now().Sub(s.arrived),
+	}, nil
+}
+
+// Stream runs a generation; it returns once the first event has come, or with a refusal. The reader
+// must be closed.
+func (r *Relay) Stream(ctx context.Context, req cs.Request) (io.ReadCloser, error) {
+	s, err := r.begin(ctx, req, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.wait(ctx, false); err != nil {
+		s.close()
+		return nil, err
+	}
+	return &streamBody{ctx: ctx, session: s}, nil
+}
+
+// streamBody writes the events of a session to the caller.
+type streamBody struct {
+	ctx     context.Context //nolint:containedctx // it bounds the reads of an io.Reader
+	session *session
+	pipe    *io.PipeReader
+}
+
+// WriteTo writes events until the end of the answer.
+//
+// An answer that breaks off ends with an event that has an error instead of the end marker.
+func (b *streamBody) WriteTo(w io.Writer) (int64, error) {
+	s, out := b.session, newCallerWriter(w)
+	if err := s.connect(out); err != nil {
+		return out.n, err
+	}
+	err := s.wait(b.ctx, true)
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if err == nil {
+		return out.n, out.end(s.req.ID, s.tokens)
+	}
+	if s.isGone() {
+		return out.n, err
+	}
+	return out.n, out.fail(s.req.ID, refusalOf(err))
+}
+
+// Read serves readers that do not use WriteTo.
+func (b *streamBody) Read(p []byte) (int, error) {
+	if b.pipe == nil {
+		r, w := io.Pipe()
+		b.pipe = r
+		b.session.relay.start(func() {
+			_, err := b.WriteTo(w)
+			_ = w.CloseWithError(err)
+		})
+	}
+	return b.pipe.Read(p)
+}
+
+// Close ends the session.
+func (b *streamBody) Close() error {
+	if b.pipe != nil {
+		_ = b.pipe.Close()
+	}
+	b.session.close()
+	return nil
+}
+
+// connect sends the events that have come, and from now on all others, to the caller.
+func (s *session) connect(out *callerWriter) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.mu.Lock()
+	s.out = out
+	passed := s.passed
+	s.mu.Unlock()
+	for line := range bytes.Lines(passed) {
+		if err := out.event(line, true); err != nil {
+			return err
+		}
+	}
+	return out.flush()
+}
+
+func (s *session) isGone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone
+}
+
+// textOf joins the text of events, one on a line.
+func textOf(events []byte) string {
+	if len(events) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	for line := range bytes.Lines(events) {
+		b.WriteString(engine.Text(line))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/relay/item.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/engine"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/meter"
+)
+
+// itemRun is a batch item that runs on a runner.
+type itemRun struct {
+	run
+	id cs.RequestID
+}
+
+// RunItem runs a batch item; fleet.ItemRunEnded follows.
+func (r *Relay) RunItem(a fleet.RunItem) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	x := &itemRun{run: run{cancel: cancel, address: a.Address}, id: itemRequestID(a.Item)}
+	r.mu.Lock()
+	r.items[a.Item.Key] = x
+	r.mu.Unlock()
+	r.start(func() {
+		defer cancel()
+		began := r.cfg.Clock.Now()
+		e := r.exchange(ctx, a, x.id)
+		r.mu.Lock()
+		if r.items[a.Item.Key] == x {
+			delete(r.items, a.Item.Key)
+		}
+		r.mu.Unlock()
+		if _, whole := e.Result.(fleet.RunWhole); whole {
+			r.cfg.Meter.Time(meter.BatchItem, a.Item.Tenant, cs.Batch, r.cfg.Clock.Now().Sub(began))
+		}
+		r.post(e)
+	})
+}
+
+// itemRequestID is unique for each attempt of an item, so that a late answer is told apart.
+func itemRequestID(g cs.GrantedItem) cs.RequestID {
+	return cs.RequestID("item-" + string(g.Key.Job) + "-" + strconv.Itoa(int(g.Key.Index)) +
+		"-" + strconv.Itoa(int(g.Attempt)) + "-" + strconv.Itoa(int(g.Tokens)))
+}
+
+// exchange runs an item on its runner and returns how it went.
+func (r *Relay) exchange(ctx context.Context, a fleet.RunItem, id cs.RequestID) fleet.ItemRunEnded {
+	e := fleet.ItemRunEnded{Key: a.Item.Key, Attempt: a.Item.Attempt}
+	switch t := a.Item.Item.Target.(type) {
+	case cs.Generation:
+		var text strings.Builder
+		text.WriteString(a.Item.Partial)
+		e.Tokens = a.Item.Tokens
+		g := engine.Generation{ID: id, Generation: t, ResumeText: a.Item.Partial, ResumeTokens: a.Item.Tokens}
+		e.Result = r.cfg.Engine.Generate(ctx, a.Address, g, func(event []byte, n cs.Tokens, _ bool) error {
+			text.WriteString(engine.Text(event))
+			e.Tokens = n
+			return nil
+		})
+		e.Output = text.String()
+	case cs.ServiceCall:
+		body, result := r.cfg.Engine.Call(ctx, a.Address, id, t, "", a.Item.Item.NonIdempotent, 0)
+		e.Output, e.Result = string(body), result
+	default:
+		e.Result = fleet.RunRejected{NotRun: true, Invalid: true, Message: "unknown kind of item"}
+	}
+	return e
+}
+
+// StopItem stops a run, in the engine too.
+func (r *Relay) StopItem(a fleet.StopItem) {
+	r.mu.Lock()
+	x := r.items[a.Key]
+	r.mu.Unlock()
+	if x != nil {
+		x.cancel()
+		r.cancelOn(x.address, x.id)
+	}
+}
--- /dev/null
+++ b/relay/session.go
@@ -0,0 +1,268 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/engine"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/meter"
+)
+
+// errLost ends a run whose answer is not wanted: another run was first, or the caller is gone.
+var errLost = errors.New("the answer is not wanted any more")
+
+// session is one online request.
+type session struct {
+	relay   *Relay
+	req     cs.Request
+	arrived cs.Instant
+	timeout cs.Span // of a service call
+
+	// writing is held while bytes go to the caller, who may be slow. The control loop takes only mu.
+	writing sync.Mutex
+
+	mu sync.Mutex
+	// changed wakes whoever waits for the fields below.
+	changed *sync.Cond
+	runs    map[cs.Attempt]*run
+	// winner is the run whose events are passed on; 0 before the first event.
+	winner cs.Attempt
+	// passed holds the events passed on, from which a broken stream is resumed.
+	passed []byte
+	tokens cs.Tokens
+	first  cs.Instant
+	// out is where events go once the caller reads; written with both locks held.
+	out *callerWriter
+	// ended tells that the outcome is known.
+	ended   bool
+	gone    bool
+	refusal *cs.Refusal
+	answer  []byte
+}
+
+// run is one dispatch of a session.
+type run struct {
+	cancel  context.CancelFunc
+	address cs.Address
+}
+
+// NewID returns an id for a request that this VM takes.
+func (r *Relay) NewID() cs.RequestID {
+	return cs.RequestID(r.cfg.Prefix + "-" + strconv.FormatUint(r.ids.Add(1), 36))
+}
+
+// begin opens a session and tells the loop.
+func (r *Relay) begin(ctx context.Context, req cs.Request, timeout cs.Span) (*session, error) {
+	s := &session{relay: r, req: req, timeout: timeout, arrived: r.cfg.Clock.Now(), runs: map[cs.Attempt]*run{}}
+	s.changed = sync.NewCond(&s.mu)
+	r.mu.Lock()
+	r.sessions[req.ID] = s
+	r.mu.Unlock()
+	if err := r.cfg.Post(ctx, fleet.RequestArrived{Request: req}); err != nil {
+		r.forget(req.ID)
+		return nil, cs.Refuse(cs.ReasonExpired, "the caller went away")
+	}
+	return s, nil
+}
+
+func (r *Relay) forget(id cs.RequestID) {
+	r.mu.Lock()
+	delete(r.sessions, id)
+	r.mu.Unlock()
+}
+
+func (r *Relay) session(id cs.RequestID) *session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sessions[id]
+}
+
+// Dispatch runs a request on a runner.
+func (r *Relay) Dispatch(d fleet.Dispatch) {
+	s := r.session(d.ID)
+	if s == nil {
+		r.start(func() { r.post(fleet.RequestEnded{ID: d.ID, Attempt: d.Attempt, Result: fleet.RunCancelled{}}) })
+		return
+	}
+	if d.Attempt == 1 {
+		r.cfg.Meter.Time(meter.QueueWait, s.req.Tenant, s.req.Class, r.cfg.Clock.Now().Sub(s.arrived))
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	s.mu.Lock()
+	s.runs[d.Attempt] = &run{cancel: cancel, address: d.Address}
+	s.mu.Unlock()
+	r.start(func() {
+		defer cancel()
+		result := s.run(ctx, d)
+		s.mu.Lock()
+		delete(s.runs, d.Attempt)
+		if s.winner == d.Attempt {
+			if _, whole := result.(fleet.RunWhole); whole {
+				s.end(nil, s.answer)
+			} else {
+				s.winner = 0 // the next attempt resumes the stream
+			}
+		}
+		s.mu.Unlock()
+		r.post(fleet.RequestEnded{ID: d.ID, Attempt: d.Attempt, Result: result})
+	})
+}
+
+// CancelRun stops one dispatch, in the engine too.
+func (r *Relay) CancelRun(c fleet.CancelRun) {
+	s := r.session(c.ID)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	x := s.runs[c.Attempt]
+	s.mu.Unlock()
+	if x != nil {
+		x.cancel()
+		r.cancelOn(x.address, c.ID)
+	}
+}
+
+// Finish ends a request with a refusal or with a recorded answer.
+func (r *Relay) Finish(f fleet.Finish) {
+	s := r.session(f.ID)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.end(f.Refusal, f.Answer)
+	s.mu.Unlock()
+}
+
+// end sets the outcome, once; the caller holds the lock.
+func (s *session) end(refusal *cs.Refusal, answer []byte) {
+	if s.ended {
+		return
+	}
+	s.ended, s.refusal, s.answer = true, refusal, answer
+	s.changed.Broadcast()
+}
+
+// run exchanges the request with a runner.
+func (s *session) run(ctx context.Context, d fleet.Dispatch) fleet.RunResult {
+	switch t := s.req.Target.(type) {
+	case cs.Generation:
+		s.mu.Lock()
+		g := engine.Generation{ID: s.req.ID, Generation: t, ResumeTokens: s.tokens, ResumeText: textOf(s.passed)}
+		s.mu.Unlock()
+		return s.relay.cfg.Engine.Generate(ctx, d.Address, g, func(event []byte, n cs.Tokens, more bool) error {
+			return s.emit(d.Attempt, event, n, more)
+		})
+	case cs.ServiceCall:
+		body, result := s.relay.cfg.Engine.Call(ctx, d.Address, s.req.ID, t, s.req.Key, s.req.NonIdempotent, s.timeout)
+		if _, whole := result.(fleet.RunWhole); whole {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.winner != 0 || s.ended {
+				return fleet.RunCancelled{}
+			}
+			s.winner, s.answer = d.Attempt, body
+		}
+		return result
+	}
+	return fleet.RunRejected{NotRun: true, Invalid: true, Message: "unknown kind of request"}
+}
+
+// emit passes an event on if the run is the first to bring one.
+func (s *session) emit(a cs.Attempt, event []byte, n cs.Tokens, more bool) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	first, err := s.accept(a, event, n)
+	if err != nil {
+		return err
+	}
+	if first {
+		took := s.first.Sub(s.arrived)
+		s.relay.cfg.Meter.Time(meter.FirstToken, s.req.Tenant, s.req.Class, took)
+		s.relay.post(fleet.RequestFirstToken{ID: s.req.ID, Attempt: a, Took: took})
+	}
+	if s.out == nil {
+		return nil
+	}
+	if err := s.out.event(event, more); err != nil {
+		s.leave()
+		return errLost
+	}
+	return nil
+}
+
+// accept notes an event of the run whose answer is passed on and tells whether it is the first.
+func (s *session) accept(a cs.Attempt, event []byte, n cs.Tokens) (first bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.gone || (s.winner != 0 && s.winner != a) || n <= s.tokens {
+		return false, errLost
+	}
+	s.winner = a
+	s.passed, s.tokens = append(s.passed, event...), n
+	if s.first != 0 {
+		return false, nil
+	}
+	s.first = s.relay.cfg.Clock.Now()
+	s.changed.Broadcast()
+	return true, nil
+}
+
+// leave notes that the caller does not read any more.
+func (s *session) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+	s.changed.Broadcast()
+}
+
+// wait blocks until the first event has come, or the outcome is known; with whole, until the latter.
+// It returns an error when ctx ends first.
+func (s *session) wait(ctx context.Context, whole bool) error {
+	stop := context.AfterFunc(ctx, s.leave)
+	defer stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for !s.ended && !s.gone && (whole || s.first == 0) {
+		s.changed.Wait()
+	}
+	if s.gone && !s.ended {
+		return &cs.Refusal{Reason: cs.ReasonExpired, Ran: cs.RanUnknown, Message: "the caller went away"}
+	}
+	if s.ended && s.refusal != nil && (whole || s.first == 0) {
+		return s.refusal
+	}
+	return nil
+}
+
+// close forgets the session and tells the loop if the caller left before the end.
+func (s *session) close() {
+	s.relay.forget(s.req.ID)
+	s.mu.Lock()
+	ended := s.ended
+	s.gone = true
+	runs := make([]*run, 0, len(s.runs))
+	for _, x := range s.runs {
+		runs = append(runs, x)
+	}
+	took, class := s.relay.cfg.Clock.Now().Sub(s.arrived), s.req.Class
+	if ended && s.refusal == nil {
+		s.relay.cfg.Meter.Time(meter.Request, s.req.Tenant, class, took)
+		if s.tokens > 1 {
+			s.relay.cfg.Meter.Time(meter.TokenGap, s.req.Tenant, class, (took-s.first.Sub(s.arrived))/cs.Span(s.tokens-1))
+		}
+	}
+	s.mu.Unlock()
+	for _, x := range runs {
+		x.cancel()
+		s.relay.cancelOn(x.address, s.req.ID)
+	}
+	if !ended {
+		s.relay.post(fleet.CallerGone{ID: s.req.ID})
+	}
+}
