--- /dev/null
+++ b/wire/tag.go
@@ -0,0 +1,87 @@
+package wire
+
+import (
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+// tagged assigns a CBOR tag number to a type that implements a sealed interface.
+type tagged struct {
+	number uint64
+	value  any
+}
+
+// tags lists every type that is encoded behind an interface. A number is never reused, even after
+// its type is removed, because the log and VMs of older versions still carry it. The numbers come
+// from the first come, first served range of RFC 8949, section 9.2, and take three bytes.
+var tags = []tagged{
+	// crocusstile.Record
+	{40001, cs.Claim{}},
+	{40002, cs.Released{}},
+	{40003, cs.Checkpoint{}},
+	{40004, cs.JobOpened{}},
+	{40005, cs.JobItems{}},
+	{40006, cs.JobSealed{}},
+	{40007, cs.JobStopped{}},
+	{40008, cs.ItemStarted{}},
+	{40009, cs.ItemEnded{}},
+	{40010, cs.JobSnapshot{}},
+	{40011, cs.CallStarted{}},
+	{40012, cs.CallEnded{}},
+	{40013, cs.TicketFiled{}},
+
+	// crocusstile.PeerMessage
+	{40101, cs.Hello{}},
+	{40102, cs.Heartbeat{}},
+	{40103, cs.TicketsPassed{}},
+	{40104, cs.TicketsWanted{}},
+	{40105, cs.Yield{}},
+	{40106, cs.WorkWaiting{}},
+	{40107, cs.SlotsOffered{}},
+	{40108, cs.ItemsGranted{}},
+	{40109, cs.ItemReturned{}},
+	{40110, cs.ItemsStop{}},
+	{40111, cs.SuspectNoted{}},
+	{40112, cs.Forward{}},
+	{40113, cs.Forwarded{}},
+	{40114, cs.PendingCopied{}},
+
+	// crocusstile.ShardQuery
+	{40201, cs.SubmitJob{}},
+	{40202, cs.GetJob{}},
+	{40203, cs.StopJob{}},
+	{40204, cs.GetResults{}},
+	{40205, cs.BeginCall{}},
+	{40206, cs.EndCall{}},
+
+	// crocusstile.ShardAnswer
+	{40301, cs.JobAnswer{}},
+	{40302, cs.ResultsAnswer{}},
+	{40303, cs.CallAnswer{}},
+	{40304, cs.RefusedAnswer{}},
+
+	// crocusstile.Target
+	{40401, cs.Generation{}},
+	{40402, cs.ServiceCall{}},
+
+	// crocusstile.ScopeState
+	{40501, cs.Deployment{}},
+	{40502, cs.Service{}},
+	{40503, cs.TenantLimits{}},
+}
+
+// tagSet registers the types of tags. It panics on a number or type that occurs twice, which is a
+// mistake in the table above.
+func tagSet() cbor.TagSet {
+	set := cbor.NewTagSet()
+	required := cbor.TagOptions{DecTag: cbor.DecTagRequired, EncTag: cbor.EncTagRequired}
+	for _, t := range tags {
+		if err := set.Add(required, reflect.TypeOf(t.value), t.number); err != nil {
+			panic(err)
+		}
+	}
+	return set
+}
