Add front and daemon

Cause: callers, operators and peers need one address on a VM, and all parts of a VM must stop together. Ruled out: goa's default decoder (it ignores unknown fields and rounds large numbers of a passed-on body). Change: front serves the goa services, health, metrics, OpenAPI and links; daemon builds the parts and runs them as one oklog/run group with a drain.

--- /dev/null
+++ b/control/systems.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"github.com/crocusstile/crocusstile/batch"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/job"
+	"github.com/crocusstile/crocusstile/limit"
+	"github.com/crocusstile/crocusstile/membership"
+	"github.com/crocusstile/crocusstile/placement"
+	"github.com/crocusstile/crocusstile/quarantine"
+	"github.com/crocusstile/crocusstile/routing"
+	"github.com/crocusstile/crocusstile/ticket"
+)
+
+// Systems returns the systems of a VM in the order of a tick: first what changes the picture of the
+// fleet, then what ends or begins work, last what goes to the log and to peers.
+func Systems() []fleet.System {
+	return []fleet.System{
+		membership.Track,
+		membership.Senders,
+		ticket.Decide,
+		quarantine.Watch,
+		limit.Observe,
+		routing.Settle,
+		routing.Admit,
+		batch.Settle,
+		limit.Adapt,
+		routing.Dispatch,
+		batch.Yield,
+		job.Follow,
+		job.Serve,
+		job.Grant,
+		batch.Offer,
+		placement.Order,
+		job.Commit,
+		membership.Connect,
+		membership.Beat,
+		membership.Drain,
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,179 @@
+// Package daemon builds the parts of a VM and runs them as one group that stops together.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/control"
+	"github.com/crocusstile/crocusstile/engine"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/front"
+	"github.com/crocusstile/crocusstile/link"
+	"github.com/crocusstile/crocusstile/meter"
+	"github.com/crocusstile/crocusstile/platform"
+	"github.com/crocusstile/crocusstile/relay"
+	"github.com/crocusstile/crocusstile/setting"
+)
+
+// Time limits of a daemon.
+const (
+	// appendTimeout bounds one append; a slower answer counts as lost and read-back decides.
+	appendTimeout = 3 * cs.Second
+	// orderTimeout bounds a load report or an order of a runner.
+	orderTimeout = 2 * cs.Second
+	// readHeader bounds the time in which a caller sends the header of a request.
+	readHeader = 10 * cs.Second
+	// postLimit bounds the wait of a link for room in the control loop's inbox.
+	postLimit = cs.Second
+)
+
+// Daemon is one VM of the system.
+type Daemon struct {
+	settings setting.Settings
+	self     cs.VM
+	listener net.Listener
+	loop     *control.Loop
+	relay    *relay.Relay
+	log      *platform.Log
+	list     *platform.List
+	poller   *platform.Poller
+	links    *link.Links
+	meter    *meter.Meter
+	server   *http.Server
+	left     chan struct{}
+}
+
+// New builds a daemon that serves on the listener.
+func New(s setting.Settings, listener net.Listener, log zerolog.Logger) *Daemon {
+	clock := cs.NewClock()
+	n := newIncarnation()
+	d := &Daemon{
+		settings: s, self: s.Self(n), listener: listener, meter: meter.New(log), left: make(chan struct{}),
+	}
+	if d.self.Address == "" {
+		d.self.Address = cs.Address(listener.Addr().String())
+	}
+	tables := fleet.New(s.Control(), d.self, clock.Now(), uint64(n))
+	d.loop = control.New(control.Config{Clock: clock, Tables: tables, Systems: control.Systems()})
+	d.build(clock, n)
+	d.loop.SetPorts(control.Ports{
+		Requests: d.relay, Items: d.relay, Queries: d.relay, Log: d.log, Peers: d.links,
+		Runners: d.poller, Journal: d.meter, Leave: func() { close(d.left) },
+	})
+	d.server = &http.Server{Handler: d.handler(clock), ReadHeaderTimeout: readHeader.Std()}
+	return d
+}
+
+// build makes the parts that post events to the loop.
+func (d *Daemon) build(clock *cs.Clock, n cs.Incarnation) {
+	s, post := d.settings, d.loop.Post
+	client := engine.New(engine.Config{
+		Clock: clock, DialTimeout: s.Runners.DialTimeout, FirstByte: s.Runners.FirstByte,
+		Progress: s.Runners.Progress, MaxAnswer: s.Limits.MaxAnswer,
+	})
+	d.relay = relay.New(relay.Config{
+		Clock: clock, Engine: client, Meter: d.meter, Post: post, VM: d.self.ID,
+		Prefix: string(d.self.ID) + "-" + strconv.FormatUint(uint64(n), 36),
+	})
+	d.log = platform.NewLog(platform.LogConfig{Address: s.Log.Address, AppendTimeout: appendTimeout, Post: post})
+	d.list = platform.NewList(platform.ListConfig{Address: s.List.Address, Poll: s.List.Poll, Post: post})
+	d.poller = platform.NewPoller(platform.PollerConfig{Client: client, Poll: s.Runners.LoadPoll, Timeout: orderTimeout, Post: post})
+	d.links = link.New(link.Config{Self: d.self, PeerTimeout: s.Control().PeerTimeout, Events: func(e fleet.Event) {
+		ctx, cancel := context.WithTimeout(context.Background(), postLimit.Std())
+		defer cancel()
+		_ = post(ctx, e) // a peer repeats what matters
+	}})
+}
+
+// handler serves callers, operators and peers.
+func (d *Daemon) handler(clock *cs.Clock) http.Handler {
+	return front.Handler(front.Config{
+		Clock: clock, Relay: d.relay, View: d.loop.View, Meter: d.meter, Links: d.links.Handler(),
+		Drain:  func(ctx context.Context) error { return d.loop.Post(ctx, fleet.DrainAsked{}) },
+		Shards: d.settings.Control().Shards, MaxBody: d.settings.Limits.MaxBody, MaxItems: d.settings.Limits.MaxItems,
+	})
+}
+
+// newIncarnation returns a number that no other start of a process has.
+func newIncarnation() cs.Incarnation {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return cs.Incarnation(time.Now().UnixNano())
+	}
+	return cs.Incarnation(binary.BigEndian.Uint64(b[:]) >> 1)
+}
+
+// Self returns this VM as its peers see it.
+func (d *Daemon) Self() cs.VM { return d.self }
+
+// View returns the state that the control loop last published.
+func (d *Daemon) View() *fleet.View { return d.loop.View() }
+
+// Run serves until a signal on stop has led to a complete drain, a second one comes, or ctx ends.
+//
+// The parts stop together: when one fails, all end.
+func (d *Daemon) Run(ctx context.Context, stop <-chan os.Signal) error {
+	var g run.Group
+	loopCtx, cancelLoop := context.WithCancel(context.Background())
+	g.Add(func() error { return d.loop.Run(loopCtx) }, func(error) { cancelLoop() })
+	g.Add(func() error { return d.list.Run(loopCtx) }, func(error) { cancelLoop() })
+	g.Add(func() error { return d.links.Run(loopCtx) }, func(error) { d.links.Close() })
+	g.Add(func() error { return d.server.Serve(d.listener) }, func(error) { _ = d.server.Close() })
+	waitCtx, cancelWait := context.WithCancel(ctx)
+	g.Add(func() error { return d.waitForEnd(waitCtx, stop) }, func(error) { cancelWait() })
+	err := g.Run()
+	d.poller.Close()
+	d.log.Close()
+	d.relay.Close()
+	if closeErr := d.meter.Close(); closeErr != nil && err == nil {
+		err = closeErr
+	}
+	if errors.Is(err, errLeft) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// errLeft says that the drain is complete.
+var errLeft = errors.New("the drain is complete")
+
+// shutdownLimit bounds the time in which the last answers are written after a drain.
+const shutdownLimit = 5 * cs.Second
+
+// waitForEnd starts a drain on a signal and returns when it is over.
+func (d *Daemon) waitForEnd(ctx context.Context, stop <-chan os.Signal) error {
+	draining := false
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stop:
+			if draining {
+				return errors.New("stopped before the end of the drain")
+			}
+			draining = true
+			if err := d.loop.Post(ctx, fleet.DrainAsked{}); err != nil {
+				return err
+			}
+		case <-d.left:
+			down, cancel := context.WithTimeout(ctx, shutdownLimit.Std())
+			defer cancel()
+			if err := d.server.Shutdown(down); err != nil {
+				return errors.Wrap(err, "answers were still being written")
+			}
+			return errLeft
+		}
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -4,8 +4,9 @@
 
 // View is what traffic goroutines and operators read; it does not change once published.
 type View struct {
-	At      cs.Instant
-	Self    cs.VM
+	At   cs.Instant
+	Self cs.VM
+	// Ready means that the platform's list is read and that the VM is not leaving.
 	Ready   bool
 	Drain   DrainPhase
 	LogAge  cs.Span
@@ -51,7 +52,7 @@
 func NewView(t *Tables, now cs.Instant) *View {
 	v := &View{
 		At: now, Self: t.Self, Drain: t.Drain.Phase, LogAge: t.Log.Age(now),
-		Ready:  t.Drain.Phase == DrainNone,
+		Ready:  t.Drain.Phase == DrainNone && t.Runners.Len() > 0,
 		Online: t.Requests.Len(), Batch: t.Runs.Len(),
 	}
 	for _, vm := range t.VMs.All() {
--- /dev/null
+++ b/front/call.go
@@ -0,0 +1,41 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gen/services"
+	"github.com/crocusstile/crocusstile/relay"
+)
+
+// serviceCalls serves calls of plain services.
+type serviceCalls struct{ *Front }
+
+// Call passes a call on to a plain service.
+func (f serviceCalls) Call(ctx context.Context, p *services.CallPayload) (*services.CallResult, error) {
+	body, err := json.Marshal(p.Body)
+	if err != nil {
+		return nil, servicesError(cs.Invalid("body", "%v", err))
+	}
+	state := f.serviceInForce(cs.ServiceID(p.Service))
+	nonIdempotent := p.NonIdempotent || slices.Contains(state.NonIdempotent, p.Method)
+	req := f.request(
+		caller{p.Tenant, p.Class, p.DeadlineMs, p.IdempotencyKey, nonIdempotent},
+		cs.ServiceCall{Service: cs.ServiceID(p.Service), Method: p.Method, Body: body},
+	)
+	a, err := f.cfg.Relay.Call(ctx, req, relay.CallConfig{Timeout: state.Timeout, Shards: f.cfg.Shards, Limit: queryLimit})
+	if err != nil {
+		return nil, servicesError(err)
+	}
+	return &services.CallResult{ID: string(req.ID), Answer: jsonValue(a.Body), Joined: a.Joined}, nil
+}
+
+// jsonValue returns a JSON answer as it came, and any other as a string.
+func jsonValue(body []byte) any {
+	if json.Valid(body) {
+		return json.RawMessage(body)
+	}
+	return string(body)
+}
--- /dev/null
+++ b/front/error.go
@@ -0,0 +1,125 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gen/inference"
+	"github.com/crocusstile/crocusstile/gen/jobs"
+	"github.com/crocusstile/crocusstile/gen/operations"
+	"github.com/crocusstile/crocusstile/gen/services"
+)
+
+// refusalBody has the fields that goa generates for the error of each service.
+type refusalBody struct {
+	Name    string
+	Message string
+	Field   *string
+	Ran     string
+}
+
+// toBody returns an error as callers get it.
+func toBody(err error) *refusalBody {
+	var r *cs.Refusal
+	if !errors.As(err, &r) {
+		r = &cs.Refusal{Reason: cs.ReasonUnavailable, Ran: cs.RanUnknown, Message: err.Error()}
+	}
+	b := &refusalBody{Name: r.Reason.String(), Message: r.Message, Ran: r.Ran.String()}
+	if r.Field != "" {
+		b.Field = &r.Field
+	}
+	return b
+}
+
+func inferenceError(err error) error  { return (*inference.Refusal)(toBody(err)) }
+func servicesError(err error) error   { return (*services.Refusal)(toBody(err)) }
+func jobsError(err error) error       { return (*jobs.Refusal)(toBody(err)) }
+func operationsError(err error) error { return (*operations.Refusal)(toBody(err)) }
+
+// inputError is the error of a request that goa did not accept.
+type inputError struct {
+	Name    string `json:"name"`
+	Message string `json:"message"`
+	Field   string `json:"field,omitempty"`
+	Ran     string `json:"ran"`
+	status  int
+}
+
+// StatusCode returns the HTTP status.
+func (e inputError) StatusCode() int { return e.status }
+
+// format gives errors of goa's own the form of all others.
+func format(_ context.Context, err error) goahttp.Statuser {
+	e := inputError{Name: cs.ReasonInvalid.String(), Message: err.Error(), Ran: cs.RanNotRun.String(), status: http.StatusBadRequest}
+	var g *goa.ServiceError
+	switch {
+	case !errors.As(err, &g):
+		e.Name, e.Ran, e.status = "internal", cs.RanUnknown.String(), http.StatusInternalServerError
+	case g.Name == tooLarge:
+		e.status = http.StatusRequestEntityTooLarge
+	case g.Fault:
+		e.Name, e.Ran, e.status = "internal", cs.RanUnknown.String(), http.StatusInternalServerError
+	}
+	if g != nil && g.Field != nil {
+		e.Field = strings.TrimPrefix(*g.Field, "body.")
+	}
+	return e
+}
+
+// tooLarge names the error of a body above the limit.
+const tooLarge = "too_large"
+
+// decoder reads a JSON body; it refuses unknown fields and keeps numbers as they are written.
+func (f *Front) decoder(r *http.Request) goahttp.Decoder { return bodyDecoder{r.Body} }
+
+type bodyDecoder struct{ body io.Reader }
+
+// Decode reads one JSON value and names the field that is wrong.
+func (d bodyDecoder) Decode(v any) error {
+	dec := json.NewDecoder(d.body)
+	dec.DisallowUnknownFields()
+	dec.UseNumber()
+	err := dec.Decode(v)
+	if err == nil && dec.More() {
+		err = errors.New("more than one JSON value in the body")
+	}
+	if err == nil || errors.Is(err, io.EOF) {
+		return err
+	}
+	return decodeError(err)
+}
+
+// decodeError returns what is wrong with a body as an error that goa passes on.
+func decodeError(err error) error {
+	name, field := goa.DecodePayload, ""
+	var (
+		wrongType *json.UnmarshalTypeError
+		large     *http.MaxBytesError
+	)
+	message := err.Error()
+	switch {
+	case errors.As(err, &large):
+		name, message = tooLarge, "the body is larger than the limit"
+	case errors.As(err, &wrongType):
+		field = wrongType.Field
+		message = "must be of type " + wrongType.Type.String() + ", not " + wrongType.Value
+	case strings.HasPrefix(message, "json: unknown field "):
+		field = strings.Trim(strings.TrimPrefix(message, "json: unknown field "), `"`)
+		message = "is not a known field"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		message = "the JSON value breaks off"
+	}
+	e := goa.NewServiceError(errors.New(message), name, false, false, false)
+	if field != "" {
+		e.Field = &field
+	}
+	return e
+}
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,157 @@
+// Package front serves callers and operators over HTTP with goa, and the health and metrics
+// addresses.
+package front
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"net/http"
+
+	goahttp "goa.design/goa/v3/http"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+	inferencehttp "github.com/crocusstile/crocusstile/gen/http/inference/server"
+	jobshttp "github.com/crocusstile/crocusstile/gen/http/jobs/server"
+	operationshttp "github.com/crocusstile/crocusstile/gen/http/operations/server"
+	serviceshttp "github.com/crocusstile/crocusstile/gen/http/services/server"
+	"github.com/crocusstile/crocusstile/gen/inference"
+	"github.com/crocusstile/crocusstile/gen/jobs"
+	"github.com/crocusstile/crocusstile/gen/operations"
+	"github.com/crocusstile/crocusstile/gen/services"
+	"github.com/crocusstile/crocusstile/meter"
+	"github.com/crocusstile/crocusstile/relay"
+)
+
+// openapi is a copy of gen/http/openapi3.json, made by .ci/generate.
+//
+//go:embed openapi.json
+var openapi []byte
+
+// defaultDeadline bounds an online request that names no deadline.
+const defaultDeadline = 2 * cs.Minute
+
+// queryLimit bounds the wait for the owner of a shard.
+const queryLimit = 15 * cs.Second
+
+// Config holds what a Front needs.
+type Config struct {
+	// Clock tells the time.
+	Clock *cs.Clock
+	// Relay carries requests.
+	Relay *relay.Relay
+	// View returns the state that the control loop last published.
+	View func() *fleet.View
+	// Drain tells the control loop to leave.
+	Drain func(context.Context) error
+	// Meter serves the metrics.
+	Meter *meter.Meter
+	// Links serves the links of peers.
+	Links http.Handler
+	// Shards is the number of work streams.
+	Shards int
+	// MaxBody bounds a request's body.
+	MaxBody cs.Bytes
+	// MaxItems bounds the items of a job.
+	MaxItems int
+}
+
+// Front serves callers and operators.
+type Front struct{ cfg Config }
+
+// Handler returns the handler for all addresses of a daemon.
+func Handler(c Config) http.Handler {
+	f := &Front{cfg: c}
+	mux := goahttp.NewMuxer()
+	decode, encode := f.decoder, goahttp.ResponseEncoder
+	inferencehttp.Mount(mux, inferencehttp.New(inference.NewEndpoints(f), mux, decode, encode, nil, format))
+	serviceshttp.Mount(mux, serviceshttp.New(services.NewEndpoints(serviceCalls{f}), mux, decode, encode, nil, format))
+	jobshttp.Mount(mux, jobshttp.New(jobs.NewEndpoints(batchJobs{f}), mux, decode, encode, nil, format))
+	operationshttp.Mount(mux, operationshttp.New(operations.NewEndpoints(operator{f}), mux, decode, encode, nil, format))
+	mux.Handle(http.MethodGet, "/livez", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "live") })
+	mux.Handle(http.MethodGet, "/readyz", f.ready)
+	mux.Handle(http.MethodGet, "/metrics", c.Meter.Handler().ServeHTTP)
+	mux.Handle(http.MethodGet, "/openapi.json", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(openapi)
+	})
+	if c.Links != nil {
+		mux.Handle(http.MethodGet, "/v1/link", c.Links.ServeHTTP)
+	}
+	return http.MaxBytesHandler(mux, int64(c.MaxBody))
+}
+
+// ready tells the balancer whether this VM takes requests.
+func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
+	v := f.cfg.View()
+	switch {
+	case v.Drain != fleet.DrainNone:
+		writeJSON(w, http.StatusServiceUnavailable, "leaving")
+	case !v.Ready:
+		writeJSON(w, http.StatusServiceUnavailable, "the platform's list is not read yet")
+	default:
+		writeJSON(w, http.StatusOK, "ready")
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller may be gone
+}
+
+// caller holds the attributes that all online requests share.
+type caller struct {
+	tenant        string
+	class         *string
+	deadlineMs    *int64
+	key           *string
+	nonIdempotent bool
+}
+
+// request returns a request of a caller.
+func (f *Front) request(c caller, target cs.Target) cs.Request {
+	req := cs.Request{
+		ID: f.cfg.Relay.NewID(), Tenant: cs.TenantID(c.tenant), Target: target,
+		Key: cs.IdempotencyKey(deref(c.key)), NonIdempotent: c.nonIdempotent, Hash: cs.HashTarget(target),
+	}
+	if deref(c.class) == cs.Batch.String() {
+		req.Class = cs.Batch
+	}
+	limit := defaultDeadline
+	if c.deadlineMs != nil {
+		limit = cs.Span(*c.deadlineMs)
+	}
+	req.Deadline = f.cfg.Clock.Now().Add(limit)
+	return req
+}
+
+// deref returns what p points to, or the zero value.
+func deref[T any](p *T) T {
+	if p == nil {
+		var zero T
+		return zero
+	}
+	return *p
+}
+
+// versionInForce returns the version of a model that the deployment tickets name, or "".
+func (f *Front) versionInForce(m cs.ModelID) cs.VersionID {
+	for _, t := range f.cfg.View().Tickets {
+		if d, ok := t.Ticket.State.(cs.Deployment); ok && d.Model == m {
+			return d.Version
+		}
+	}
+	return ""
+}
+
+// serviceInForce returns the state of a service that the tickets name.
+func (f *Front) serviceInForce(s cs.ServiceID) cs.Service {
+	for _, t := range f.cfg.View().Tickets {
+		if x, ok := t.Ticket.State.(cs.Service); ok && x.Name == s {
+			return x
+		}
+	}
+	return cs.Service{Name: s}
+}
--- /dev/null
+++ b/front/inference.go
@@ -0,0 +1,44 @@
+package front
+
+import (
+	"context"
+	"io"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gen/inference"
+)
+
+// generation returns the request of an ask or answer.
+func (f *Front) generation(p *inference.Ask2) cs.Request {
+	g := cs.Generation{
+		Model: cs.ModelID(p.Model), Adapter: cs.AdapterID(deref(p.Adapter)),
+		Version: cs.VersionID(deref(p.Version)), Prompt: p.Prompt, MaxTokens: cs.Tokens(p.MaxTokens),
+	}
+	if g.Version == "" {
+		g.Version = f.versionInForce(g.Model)
+	}
+	return f.request(caller{p.Tenant, p.Class, p.DeadlineMs, p.IdempotencyKey, p.NonIdempotent}, g)
+}
+
+// Ask streams an answer.
+func (f *Front) Ask(ctx context.Context, p *inference.Ask2) (*inference.AskResult, io.ReadCloser, error) {
+	req := f.generation(p)
+	body, err := f.cfg.Relay.Stream(ctx, req)
+	if err != nil {
+		return nil, nil, inferenceError(err)
+	}
+	return &inference.AskResult{ContentType: "text/event-stream", RequestID: string(req.ID)}, body, nil
+}
+
+// Answer returns a whole answer.
+func (f *Front) Answer(ctx context.Context, p *inference.Ask2) (*inference.AnswerResult, error) {
+	req := f.generation(p)
+	a, err := f.cfg.Relay.Answer(ctx, req)
+	if err != nil {
+		return nil, inferenceError(err)
+	}
+	return &inference.AnswerResult{
+		ID: string(req.ID), Text: a.Text, Tokens: int32(a.Tokens),
+		FirstTokenMs: int64(a.FirstToken), TookMs: int64(a.Took),
+	}, nil
+}
--- /dev/null
+++ b/front/job.go
@@ -0,0 +1,157 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gen/jobs"
+)
+
+// defaultDue is when a job is due that names no time.
+const defaultDue = 12 * cs.Hour
+
+// batchJobs serves batch jobs.
+type batchJobs struct{ *Front }
+
+// Submit submits a job and answers once it is durable.
+func (f batchJobs) Submit(ctx context.Context, p *jobs.SubmitPayload) (*jobs.Job, error) {
+	if len(p.Items) > f.cfg.MaxItems {
+		return nil, jobsError(cs.Invalid("items", "%d items are more than the limit of %d", len(p.Items), f.cfg.MaxItems))
+	}
+	items, content, err := toItems(p.Items)
+	if err != nil {
+		return nil, jobsError(err)
+	}
+	now, due := f.cfg.Clock.Now(), defaultDue
+	if p.DueMs != nil {
+		due = cs.Span(*p.DueMs)
+	}
+	job := cs.Job{
+		ID:     cs.NewJobID(cs.TenantID(p.Tenant), cs.IdempotencyKey(p.Key)),
+		Tenant: cs.TenantID(p.Tenant), Key: cs.IdempotencyKey(p.Key), Content: content,
+		Count: cs.ItemIndex(len(items)), Due: now.Add(due), Opened: now,
+	}
+	return f.ask(ctx, job.ID, cs.SubmitJob{Job: job, Items: items})
+}
+
+// Status returns a job's state.
+func (f batchJobs) Status(ctx context.Context, p *jobs.StatusPayload) (*jobs.Job, error) {
+	return f.ask(ctx, cs.JobID(p.ID), cs.GetJob{Job: cs.JobID(p.ID), Tenant: cs.TenantID(p.Tenant)})
+}
+
+// Cancel stops a job.
+func (f batchJobs) Cancel(ctx context.Context, p *jobs.CancelPayload) (*jobs.Job, error) {
+	return f.ask(ctx, cs.JobID(p.ID), cs.StopJob{Job: cs.JobID(p.ID), Tenant: cs.TenantID(p.Tenant)})
+}
+
+// ask sends a query about a job to the owner of its shard.
+func (f batchJobs) ask(ctx context.Context, id cs.JobID, q cs.ShardQuery) (*jobs.Job, error) {
+	a, err := f.cfg.Relay.Query(ctx, cs.ShardOf(string(id), f.cfg.Shards), q, queryLimit)
+	if err != nil {
+		return nil, jobsError(err)
+	}
+	j, ok := a.(cs.JobAnswer)
+	if !ok {
+		return nil, jobsError(fmt.Errorf("the owner of the shard answered with %T", a))
+	}
+	return toJob(j.Status, j.Joined), nil
+}
+
+// Results returns ended items.
+func (f batchJobs) Results(ctx context.Context, p *jobs.ResultsPayload) (*jobs.ResultsResult, error) {
+	q := cs.GetResults{
+		Job: cs.JobID(p.ID), Tenant: cs.TenantID(p.Tenant), From: cs.ItemIndex(p.After), Limit: int(p.Limit),
+	}
+	a, err := f.cfg.Relay.Query(ctx, cs.ShardOf(p.ID, f.cfg.Shards), q, queryLimit)
+	if err != nil {
+		return nil, jobsError(err)
+	}
+	r, ok := a.(cs.ResultsAnswer)
+	if !ok {
+		return nil, jobsError(fmt.Errorf("the owner of the shard answered with %T", a))
+	}
+	res := &jobs.ResultsResult{Results: []*jobs.ItemResult{}, Next: int32(r.Next), State: r.State.String()}
+	for _, x := range r.Results {
+		res.Results = append(res.Results, toResult(x))
+	}
+	return res, nil
+}
+
+// List returns the jobs whose shards this VM owns.
+func (f batchJobs) List(context.Context) ([]*jobs.Job, error) {
+	list := []*jobs.Job{}
+	for _, s := range f.cfg.View().Jobs {
+		list = append(list, toJob(s, false))
+	}
+	return list, nil
+}
+
+func toJob(s cs.JobStatus, joined bool) *jobs.Job {
+	return &jobs.Job{
+		ID: string(s.Job.ID), Tenant: string(s.Job.Tenant), Key: string(s.Job.Key), State: s.State.String(),
+		DueMs: int64(s.Job.Due), Count: int32(s.Job.Count), Waiting: int32(s.Waiting), Running: int32(s.Running),
+		Done: int32(s.Done), Failed: int32(s.Failed), Cancelled: int32(s.Cancelled),
+		Unknown: int32(s.Unknown), Undurable: int32(s.Undurable), Joined: joined,
+	}
+}
+
+func toResult(x cs.ItemResult) *jobs.ItemResult {
+	r := &jobs.ItemResult{Index: int32(x.Index), State: x.State.String(), Attempts: int32(x.Attempts)}
+	if x.Output != "" {
+		r.Output = &x.Output
+	}
+	if x.Error != "" {
+		r.Error = &x.Error
+	}
+	return r
+}
+
+// toItems returns the items of a job and the hash of their content.
+func toItems(in []*jobs.Item) ([]cs.Item, cs.ContentHash, error) {
+	items := make([]cs.Item, len(in))
+	var hash xxhash.Digest
+	hash.Reset()
+	for i, x := range in {
+		if x == nil {
+			return nil, 0, cs.Invalid(fmt.Sprintf("items[%d]", i), "must be an object")
+		}
+		target, field, problem := toTarget(x)
+		if problem != "" {
+			return nil, 0, cs.Invalid(fmt.Sprintf("items[%d].%s", i, field), "%s", problem)
+		}
+		items[i] = cs.Item{Target: target, NonIdempotent: x.NonIdempotent}
+		_, _ = fmt.Fprintf(&hash, "%d %t %d\n", cs.HashTarget(target), x.NonIdempotent, x.MaxTokens)
+	}
+	return items, cs.ContentHash(hash.Sum64()), nil
+}
+
+// toTarget returns what an item asks for, or the field that is wrong and why.
+func toTarget(x *jobs.Item) (target cs.Target, field, problem string) {
+	if x.Service != nil {
+		switch {
+		case x.Model != nil || x.Prompt != nil:
+			return nil, "service", "an item has either a service or a model"
+		case deref(x.Method) == "":
+			return nil, "method", "names the method of the service"
+		}
+		body, err := json.Marshal(x.Body)
+		if err != nil {
+			return nil, "body", err.Error()
+		}
+		return cs.ServiceCall{Service: cs.ServiceID(*x.Service), Method: *x.Method, Body: body}, "", ""
+	}
+	switch {
+	case deref(x.Model) == "":
+		return nil, "model", "an item names a model or a service"
+	case deref(x.Prompt) == "":
+		return nil, "prompt", "must not be empty"
+	}
+	return cs.Generation{
+		Model: cs.ModelID(*x.Model), Adapter: cs.AdapterID(deref(x.Adapter)), Version: cs.VersionID(deref(x.Version)),
+		Prompt: *x.Prompt, MaxTokens: cs.Tokens(x.MaxTokens),
+	}, "", ""
+}
--- /dev/null
+++ b/front/operator.go
@@ -0,0 +1,147 @@
+package front
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/gen/operations"
+)
+
+// operator serves what operators do and see.
+type operator struct{ *Front }
+
+// File files a ticket and answers once it is in force on this VM.
+func (f operator) File(ctx context.Context, p *operations.FilePayload) (*operations.Ticket, error) {
+	ticket, err := toTicket(p)
+	if err != nil {
+		return nil, operationsError(err)
+	}
+	if err := f.cfg.Relay.File(ctx, ticket); err != nil {
+		return nil, operationsError(err)
+	}
+	for _, t := range f.cfg.View().Tickets {
+		if t.Ticket.Number == ticket.Number {
+			return fromTicket(t), nil
+		}
+	}
+	return fromTicket(fleet.Ticket{PlacedTicket: cs.PlacedTicket{Ticket: ticket}, InForce: f.cfg.Clock.Now()}), nil
+}
+
+// Tickets lists the tickets in force.
+func (f operator) Tickets(_ context.Context, p *operations.TicketsPayload) ([]*operations.Ticket, error) {
+	list := []*operations.Ticket{}
+	for _, t := range f.cfg.View().Tickets {
+		if p.Scope == nil || string(t.Ticket.State.Scope()) == *p.Scope {
+			list = append(list, fromTicket(t))
+		}
+	}
+	slices.SortFunc(list, func(a, b *operations.Ticket) int { return strings.Compare(a.Scope, b.Scope) })
+	return list, nil
+}
+
+// Vms lists the VMs that this one knows.
+func (f operator) Vms(context.Context) ([]*operations.VM, error) {
+	v, list := f.cfg.View(), []*operations.VM{}
+	for _, x := range v.VMs {
+		list = append(list, &operations.VM{
+			ID: string(x.ID), Incarnation: strconv.FormatUint(uint64(x.Incarnation), 16),
+			DataCentre: string(x.DataCentre), Address: string(x.Address), Leaving: x.Leaving,
+			Live: x.Live, Linked: x.Linked, Self: x.ID == v.Self.ID,
+		})
+	}
+	slices.SortFunc(list, func(a, b *operations.VM) int { return strings.Compare(a.ID, b.ID) })
+	return list, nil
+}
+
+// Runners lists the runners that this VM knows.
+func (f operator) Runners(context.Context) ([]*operations.Runner, error) {
+	list := []*operations.Runner{}
+	for _, x := range f.cfg.View().Runners {
+		r := &operations.Runner{
+			ID: string(x.ID), Kind: x.Kind.String(), Service: string(x.Service), DataCentre: string(x.DataCentre),
+			Address: string(x.Address), Leaving: x.Leaving, Down: x.Down, Ejected: x.Ejected,
+			Slots: int32(x.Slots), Running: int32(x.Report.Running), Online: int32(x.Online),
+			Batch: int32(x.Batch), Sender: string(x.Sender), BatchLimit: x.BatchLimit, Loaded: []string{},
+		}
+		for _, m := range x.Report.Loaded {
+			r.Loaded = append(r.Loaded, string(m.Model)+"/"+string(m.Version))
+		}
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *operations.Runner) int { return strings.Compare(a.ID, b.ID) })
+	return list, nil
+}
+
+// Drain tells this VM to leave.
+func (f operator) Drain(ctx context.Context) (*operations.DrainResult, error) {
+	if err := f.cfg.Drain(ctx); err != nil {
+		return nil, operationsError(err)
+	}
+	return &operations.DrainResult{Phase: fleet.DrainWaiting.String()}, nil
+}
+
+// toTicket returns a ticket with the one state that the payload carries.
+func toTicket(p *operations.FilePayload) (cs.Ticket, error) {
+	t := cs.Ticket{Number: cs.TicketNumber(p.Number), Operator: p.Operator}
+	states := 0
+	if d := p.Deployment; d != nil {
+		states++
+		state := cs.Deployment{
+			Name: d.Name, Service: cs.ServiceID(d.Service), Model: cs.ModelID(d.Model),
+			Version: cs.VersionID(d.Version), MinRunners: deref(d.MinRunners),
+		}
+		for _, a := range d.Adapters {
+			state.Adapters = append(state.Adapters, cs.AdapterID(a))
+		}
+		t.State = state
+	}
+	if s := p.Service; s != nil {
+		states++
+		t.State = cs.Service{
+			Name: cs.ServiceID(s.Name), NonIdempotent: s.NonIdempotent, Timeout: cs.Span(deref(s.TimeoutMs)),
+		}
+	}
+	if l := p.Tenant; l != nil {
+		states++
+		t.State = cs.TenantLimits{
+			Tenant: cs.TenantID(l.Tenant), MaxOnline: cs.Slots(deref(l.MaxOnline)), Weight: cs.Ratio(deref(l.Weight)),
+		}
+	}
+	if states != 1 {
+		return t, cs.Invalid("deployment", "a ticket carries exactly one of deployment, service and tenant, not %d", states)
+	}
+	if refusal := t.Validate(); refusal != nil {
+		return t, refusal
+	}
+	return t, nil
+}
+
+// fromTicket returns a ticket as operators see it.
+func fromTicket(t fleet.Ticket) *operations.Ticket {
+	r := &operations.Ticket{
+		Number: int64(t.Ticket.Number), Operator: t.Ticket.Operator,
+		Scope: string(t.Ticket.State.Scope()), InForceMs: int64(t.InForce),
+	}
+	switch s := t.Ticket.State.(type) {
+	case cs.Deployment:
+		d := &operations.Deployment{
+			Name: s.Name, Service: string(s.Service), Model: string(s.Model), Version: string(s.Version),
+			MinRunners: &s.MinRunners,
+		}
+		for _, a := range s.Adapters {
+			d.Adapters = append(d.Adapters, string(a))
+		}
+		r.Deployment = d
+	case cs.Service:
+		timeout := int64(s.Timeout)
+		r.Service = &operations.ServiceState{Name: string(s.Name), NonIdempotent: s.NonIdempotent, TimeoutMs: &timeout}
+	case cs.TenantLimits:
+		online, weight := int32(s.MaxOnline), float64(s.Weight)
+		r.Tenant = &operations.TenantLimits{Tenant: string(s.Tenant), MaxOnline: &online, Weight: &weight}
+	}
+	return r
+}
