Add the stand-ins of runner, service, log and list

Ruled out: state behind a mutex in each stand-in (the code base keeps control state in one goroutine; traffic goroutines ask it); a goroutine for each run (the batch advances in steps, so one timer serves all runs).

--- /dev/null
+++ b/standin/block.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"encoding/binary"
+	"net/http"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// maxBlocks is the number of exportable KV cache blocks kept; the oldest one makes room.
+const maxBlocks = 256
+
+// blockTable holds KV cache blocks by request id.
+type blockTable struct {
+	rows  *fleet.Table[cs.RequestID, []byte]
+	order []cs.RequestID
+}
+
+func newBlockTable() *blockTable {
+	return &blockTable{rows: fleet.NewTable[cs.RequestID, []byte]()}
+}
+
+func (t *blockTable) put(id cs.RequestID, block []byte) {
+	if t.rows.Get(id) == nil {
+		t.order = append(t.order, id)
+	}
+	t.rows.Insert(id, block)
+	if len(t.order) > maxBlocks {
+		t.rows.Delete(t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+// export returns the block of a request that ran here or was imported, or nil.
+func (g *engine) export(id cs.RequestID) []byte {
+	if block := g.blocks.rows.Get(id); block != nil {
+		return *block
+	}
+	return nil
+}
+
+// importBlock stores a block; the prefix that an exported one holds is cached from now on.
+func (g *engine) importBlock(now cs.Instant, id cs.RequestID, block []byte) {
+	g.blocks.put(id, block)
+	if len(block) >= 8 {
+		g.cache.use(prefixKey(binary.BigEndian.Uint64(block)), now)
+	}
+}
+
+func (r *Runner) handleExport(w http.ResponseWriter, q *http.Request) {
+	block, ok := ask(q.Context(), &r.inbox, func(reply chan<- []byte) runnerEvent {
+		return exportAsked{id: cs.RequestID(q.PathValue("id")), reply: reply}
+	})
+	if !ok {
+		abort()
+	}
+	if block == nil {
+		writeError(w, http.StatusNotFound, "no KV cache for %q", q.PathValue("id"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(block)
+}
+
+func (r *Runner) handleImport(w http.ResponseWriter, q *http.Request) {
+	block, ok := readBody(w, q, maxBody)
+	if !ok {
+		return
+	}
+	if !r.inbox.send(q.Context(), blockImported{id: cs.RequestID(q.PathValue("id")), block: block}) {
+		abort()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,256 @@
+package standin
+
+import (
+	"strings"
+	"time"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// runKey numbers the runs of a runner, since clients may send an id twice.
+type runKey uint64
+
+// run is the row of a request on a runner.
+type run struct {
+	id     cs.RequestID
+	target cs.Generation
+	hash   cs.ContentHash
+	// tokens is the number of the last token generated; it starts above 0 on a resumed stream.
+	tokens  cs.Tokens
+	running bool
+	// progress holds the newest progress; an older one that was not received is replaced.
+	progress chan runProgress
+}
+
+// runProgress is what a request's goroutine is told of its run.
+type runProgress struct {
+	tokens cs.Tokens
+	state  runState
+	load   cs.Load // with runEnded
+}
+
+// runState tells whether a run goes on.
+type runState int
+
+const (
+	runGoing runState = iota
+	runEnded
+	runStopped
+)
+
+// tell replaces the progress that the run's goroutine has not received yet.
+func (x *run) tell(p runProgress) {
+	select {
+	case <-x.progress:
+	default:
+	}
+	x.progress <- p
+}
+
+// admission is a runner's answer to a new request.
+type admission interface{ isAdmission() }
+
+type (
+	admitted        struct{ key runKey }
+	refusedNotRun   struct{ message string }
+	refusedUnloaded struct{}
+)
+
+func (admitted) isAdmission()        {}
+func (refusedNotRun) isAdmission()   {}
+func (refusedUnloaded) isAdmission() {}
+
+// engine is the state of a runner: tables and the steps over them. It does no I/O.
+type engine struct {
+	config  RunnerConfig
+	runs    *fleet.Table[runKey, run]
+	lastKey runKey
+	// waiting holds the runs without a slot, in the order of their arrival.
+	waiting  []runKey
+	running  cs.Slots
+	stepping bool
+	crashed  bool
+	leaving  bool
+	loaded   *fleet.Table[cs.LoadedModel, loadedRow]
+	cache    prefixCache
+	blocks   *blockTable
+	orders   orderBook
+	reports  loadHistory
+}
+
+// loadedRow tells whether a model is ready; before that, it is being loaded.
+type loadedRow struct{ ready bool }
+
+func newEngine(c RunnerConfig) engine {
+	g := engine{
+		config: c,
+		runs:   fleet.NewTable[runKey, run](),
+		loaded: fleet.NewTable[cs.LoadedModel, loadedRow](),
+		cache:  newPrefixCache(c),
+		blocks: newBlockTable(),
+		orders: orderBook{fence: cs.NoOffset},
+	}
+	for _, m := range c.Loaded {
+		g.loaded.Insert(m, loadedRow{ready: true})
+	}
+	g.report(c.Clock.Now())
+	return g
+}
+
+// arrive puts a request behind those that wait.
+func (g *engine) arrive(now cs.Instant, x run) admission {
+	switch {
+	case g.leaving:
+		return refusedNotRun{message: "the runner is leaving"}
+	case !g.holds(x.target):
+		return refusedUnloaded{}
+	case len(g.waiting) >= g.config.MaxWaiting:
+		return refusedNotRun{message: "too many requests are waiting"}
+	}
+	g.lastKey++
+	g.runs.Insert(g.lastKey, x)
+	g.waiting = append(g.waiting, g.lastKey)
+	g.report(now)
+	return admitted{key: g.lastKey}
+}
+
+// holds tells whether the target's model is loaded; an empty version stands for any.
+func (g *engine) holds(target cs.Generation) bool {
+	for m, row := range g.loaded.All() {
+		if row.ready && m.Model == target.Model && (target.Version == "" || m.Version == target.Version) {
+			return true
+		}
+	}
+	return false
+}
+
+// startStep fills the free slots and returns the time of the step that begins, or 0 if a step is
+// under way or nothing runs. The prefill of the requests that enter extends the step, as it does
+// in engines without chunked prefill.
+func (g *engine) startStep(now cs.Instant, j *journal) time.Duration {
+	if g.stepping {
+		return 0
+	}
+	prefill := g.fillSlots(now, j)
+	if g.running == 0 || g.crashed {
+		return 0
+	}
+	g.stepping = true
+	return (g.config.StepBase + g.config.StepPerRequest*cs.Span(g.running)).Std() + prefill
+}
+
+// fillSlots starts the requests that waited longest and returns the time of their prefill.
+func (g *engine) fillSlots(now cs.Instant, j *journal) time.Duration {
+	var prefill time.Duration
+	entered := false
+	for g.running < g.config.Slots && len(g.waiting) > 0 && !g.crashed {
+		x := g.runs.Get(g.waiting[0])
+		g.waiting = g.waiting[1:]
+		x.running = true
+		g.running++
+		entered = true
+		j.add(x.entry(JournalStart, now))
+		if strings.Contains(x.target.Prompt, MarkCrash) {
+			j.add(x.entry(JournalCrash, now))
+			g.crashed = true
+		}
+		prefill += g.prefill(now, x)
+	}
+	if entered {
+		g.report(now)
+	}
+	return prefill
+}
+
+// prefill looks up and stores the prompt's prefix and returns the time for the bytes not cached.
+func (g *engine) prefill(now cs.Instant, x *run) time.Duration {
+	key, length := prefixOf(x.target, g.config.PrefixBytes)
+	todo := len(x.target.Prompt)
+	if g.cache.use(key, now) {
+		todo -= length
+	}
+	g.blocks.put(x.id, key.block())
+	return time.Duration(float64(todo) / float64(g.config.PrefillRate) * float64(time.Second))
+}
+
+// finishStep gives each run its next token and ends the runs that are complete.
+func (g *engine) finishStep(now cs.Instant, silent bool, j *journal) {
+	g.stepping = false
+	if silent {
+		return
+	}
+	var ended []runKey
+	for key, x := range g.runs.All() {
+		if !x.running {
+			continue
+		}
+		if x.tokens < x.target.MaxTokens {
+			x.tokens++
+		}
+		if x.tokens >= x.target.MaxTokens {
+			ended = append(ended, key)
+			continue
+		}
+		x.tell(runProgress{tokens: x.tokens})
+	}
+	g.running -= cs.Slots(len(ended))
+	for _, key := range ended {
+		x := g.runs.Get(key)
+		j.add(x.entry(JournalEnd, now))
+		x.tell(runProgress{tokens: x.tokens, state: runEnded, load: g.load()})
+		g.runs.Delete(key)
+	}
+	if len(ended) > 0 {
+		g.report(now)
+	}
+}
+
+// stop ends the matching runs and returns their number.
+func (g *engine) stop(now cs.Instant, j *journal, match func(runKey, *run) bool) int {
+	var stopped []runKey
+	for key, x := range g.runs.All() {
+		if match(key, x) {
+			stopped = append(stopped, key)
+		}
+	}
+	for _, key := range stopped {
+		x := g.runs.Get(key)
+		if x.running {
+			g.running--
+		} else {
+			g.unqueue(key)
+		}
+		j.add(x.entry(JournalCancel, now))
+		x.tell(runProgress{tokens: x.tokens, state: runStopped})
+		g.runs.Delete(key)
+	}
+	if len(stopped) > 0 {
+		g.report(now)
+	}
+	return len(stopped)
+}
+
+func (g *engine) unqueue(key runKey) {
+	for i, k := range g.waiting {
+		if k == key {
+			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// setLoaded records that a model is ready or, otherwise, being loaded.
+func (g *engine) setLoaded(now cs.Instant, m cs.LoadedModel, ready bool) {
+	g.loaded.Insert(m, loadedRow{ready: ready})
+	g.report(now)
+}
+
+// load returns the present load.
+func (g *engine) load() cs.Load {
+	return cs.Load{Running: g.running, Waiting: cs.Slots(len(g.waiting)), Slots: g.config.Slots}
+}
+
+func (x *run) entry(e JournalEvent, now cs.Instant) JournalEntry {
+	return JournalEntry{ID: x.id, Hash: x.hash, Body: x.target.Prompt, Event: e, At: now}
+}
--- /dev/null
+++ b/standin/faults.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"sync"
+)
+
+// faults holds the settings of a stand-in that can change at run time. It is guarded by a mutex
+// because traffic goroutines read and count down settings without asking the owner of the state.
+type faults[F any] struct {
+	mu  sync.Mutex
+	set F
+}
+
+// get returns the present settings.
+func (f *faults[F]) get() F {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.set
+}
+
+// update changes the settings.
+func (f *faults[F]) update(set func(*F)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	set(&f.set)
+}
+
+// take counts down the field that the function selects; it returns false if it is 0.
+func (f *faults[F]) take(field func(*F) *int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := field(&f.set)
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// ServeHTTP sets the fields named in the body and leaves the others; unknown fields are refused.
+func (f *faults[F]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, maxBody)
+	if !ok {
+		return
+	}
+	f.mu.Lock()
+	set := f.set
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&set)
+	if err == nil {
+		f.set = set
+	}
+	f.mu.Unlock()
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "cannot set the faults: %v", err)
+		return
+	}
+	writeJSON(w, http.StatusOK, set)
+}
--- /dev/null
+++ b/standin/generate.go
@@ -0,0 +1,219 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+// generateBody is the JSON of a request to generate text.
+type generateBody struct {
+	ID cs.RequestID `json:"id"`
+	cs.Generation
+	ResumeText   string    `json:"resumeText"`
+	ResumeTokens cs.Tokens `json:"resumeTokens"`
+}
+
+// endBody is the JSON of a stream's end marker.
+type endBody struct {
+	ID     cs.RequestID `json:"id"`
+	Done   bool         `json:"done"`
+	Tokens cs.Tokens    `json:"tokens"`
+	Load   cs.Load      `json:"load"`
+}
+
+// maxTokens bounds the tokens of one request.
+const maxTokens cs.Tokens = 1 << 20
+
+// streamFault is what goes wrong with a stream after its first token.
+type streamFault int
+
+const (
+	streamWhole streamFault = iota
+	streamBreaks
+	streamTruncated
+)
+
+func (r *Runner) handleGenerate(w http.ResponseWriter, q *http.Request) {
+	var body generateBody
+	if !readJSON(w, q, &body) || !r.accept(w, &body) {
+		return
+	}
+	x := run{
+		id: body.ID, target: body.Generation, hash: cs.HashTarget(body.Generation),
+		tokens: body.ResumeTokens, progress: make(chan runProgress, 1),
+	}
+	// A client that goes away meanwhile must not leave a run behind that nobody stops.
+	answer, ok := ask(context.WithoutCancel(q.Context()), &r.inbox, func(reply chan<- admission) runnerEvent {
+		return generateAsked{run: x, reply: reply}
+	})
+	if !ok {
+		abort()
+	}
+	switch a := answer.(type) {
+	case admitted:
+		r.stream(w, q, a.key, x)
+	case refusedNotRun:
+		refuseNotRun(w, a.message)
+	case refusedUnloaded:
+		writeError(w, http.StatusNotFound, "model %s/%s is not loaded", x.target.Model, x.target.Version)
+	}
+}
+
+// accept checks a request before the engine sees it; if it returns false, it is answered.
+func (r *Runner) accept(w http.ResponseWriter, b *generateBody) bool {
+	set := r.faults.get()
+	switch {
+	case b.ID == "" || b.Model == "" || b.MaxTokens < 1 || b.MaxTokens > maxTokens:
+		writeError(w, http.StatusBadRequest, "id, model and maxTokens (1 to %d) are required", maxTokens)
+	case b.ResumeTokens < 0 || b.ResumeTokens > b.MaxTokens:
+		writeError(w, http.StatusBadRequest, "resumeTokens is not between 0 and maxTokens")
+	case b.ResumeText != b.text(b.ResumeTokens):
+		writeError(w, http.StatusBadRequest, "resumeText is not the text of the first %d tokens", b.ResumeTokens)
+	case set.Refuse:
+		refuseNotRun(w, "the runner refuses requests")
+	case r.faults.take(func(f *RunnerFaults) *int { return &f.ErrorNext }):
+		writeError(w, http.StatusInternalServerError, "the request failed")
+	case strings.Contains(b.Prompt, MarkPoison):
+		writeError(w, http.StatusUnprocessableEntity, "the prompt cannot be processed")
+	default:
+		return true
+	}
+	return false
+}
+
+func (b *generateBody) text(n cs.Tokens) string {
+	return ExpectedText(string(b.Model), string(b.Adapter), string(b.Version), b.Prompt, int(n))
+}
+
+// streamFaultFor counts down the faults of streams.
+func (r *Runner) streamFaultFor() streamFault {
+	switch {
+	case r.faults.take(func(f *RunnerFaults) *int { return &f.BreakNext }):
+		return streamBreaks
+	case r.faults.take(func(f *RunnerFaults) *int { return &f.TruncateNext }):
+		return streamTruncated
+	}
+	return streamWhole
+}
+
+// stream writes the tokens of a run until it ends or the client is gone.
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, key runKey, x run) {
+	// No effect on a run that has ended.
+	defer r.inbox.send(context.WithoutCancel(q.Context()), clientGone{key: key})
+	out := newTokenWriter(w, x)
+	if r.faults.take(func(f *RunnerFaults) *int { return &f.CrossNext }) {
+		out.cross()
+	}
+	fault := r.streamFaultFor()
+	for {
+		var p runProgress
+		select {
+		case p = <-x.progress:
+		case <-q.Context().Done():
+			return
+		case <-r.inbox.done:
+			abort()
+		}
+		if !out.tokens(p.tokens) || p.state == runStopped {
+			return
+		}
+		if fault == streamBreaks {
+			abort()
+		}
+		if fault == streamTruncated {
+			return
+		}
+		if p.state == runEnded {
+			out.end(p)
+			return
+		}
+	}
+}
+
+// tokenWriter writes a run's events, each with one write and one flush.
+type tokenWriter struct {
+	w     http.ResponseWriter
+	flush http.Flusher
+	id    cs.RequestID
+	head  string // of each event, up to the token's number
+	seed  uint64
+	sent  cs.Tokens
+	line  []byte
+}
+
+func newTokenWriter(w http.ResponseWriter, x run) *tokenWriter {
+	flush, _ := w.(http.Flusher)
+	t := &tokenWriter{w: w, flush: flush, sent: x.tokens}
+	g := x.target
+	t.seed = textSeed(string(g.Model), string(g.Adapter), string(g.Version), g.Prompt)
+	t.setID(x.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	return t
+}
+
+func (t *tokenWriter) setID(id cs.RequestID) {
+	quoted, _ := json.Marshal(id) // a string always encodes
+	t.id = id
+	t.head = `data: {"id":` + string(quoted) + `,"n":`
+}
+
+// cross makes the stream that of another request.
+func (t *tokenWriter) cross() {
+	t.setID(t.id + "-crossed")
+	t.seed++
+}
+
+// tokens writes the events of the tokens up to n; it returns false if the client is gone.
+func (t *tokenWriter) tokens(n cs.Tokens) bool {
+	for t.sent < n {
+		t.sent++
+		t.line = append(t.line[:0], t.head...)
+		t.line = strconv.AppendInt(t.line, int64(t.sent), 10)
+		t.line = append(t.line, `,"text":"`...)
+		t.line = appendToken(t.line, t.seed, int(t.sent))
+		t.line = append(t.line, "\"}\n\n"...)
+		if !t.write() {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *tokenWriter) end(p runProgress) {
+	marker, _ := json.Marshal(endBody{ID: t.id, Done: true, Tokens: p.tokens, Load: p.load})
+	t.line = append(append(append(t.line[:0], "data: "...), marker...), "\n\n"...)
+	t.write()
+}
+
+func (t *tokenWriter) write() bool {
+	if _, err := t.w.Write(t.line); err != nil {
+		return false
+	}
+	t.flush.Flush()
+	return true
+}
+
+// handleCancel stops all runs with an id.
+func (r *Runner) handleCancel(w http.ResponseWriter, q *http.Request) {
+	var body struct {
+		ID cs.RequestID `json:"id"`
+	}
+	if !readJSON(w, q, &body) {
+		return
+	}
+	n, ok := ask(q.Context(), &r.inbox, func(reply chan<- int) runnerEvent {
+		return cancelAsked{id: body.ID, reply: reply}
+	})
+	if !ok {
+		abort()
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Cancelled int `json:"cancelled"`
+	}{n})
+}
--- /dev/null
+++ b/standin/inbox.go
@@ -0,0 +1,54 @@
+package standin
+
+import "context"
+
+// inbox passes events to the goroutine that owns a stand-in's state.
+type inbox[E any] struct {
+	events chan E
+	done   chan struct{}
+}
+
+func newInbox[E any]() inbox[E] {
+	return inbox[E]{events: make(chan E), done: make(chan struct{})}
+}
+
+// send delivers an event; it returns false if the owner or ctx ended first.
+func (b *inbox[E]) send(ctx context.Context, e E) bool {
+	select {
+	case b.events <- e:
+		return true
+	case <-b.done:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// receive applies each event until ctx ends.
+func (b *inbox[E]) receive(ctx context.Context, apply func(E)) error {
+	defer close(b.done)
+	for {
+		select {
+		case e := <-b.events:
+			apply(e)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// ask delivers an event that carries a reply channel and returns the reply; it returns false if the
+// owner or ctx ended first.
+func ask[E, R any](ctx context.Context, b *inbox[E], event func(reply chan<- R) E) (R, bool) {
+	var none R
+	reply := make(chan R, 1)
+	if !b.send(ctx, event(reply)) {
+		return none, false
+	}
+	select {
+	case r := <-reply:
+		return r, true
+	case <-b.done:
+	case <-ctx.Done():
+	}
+	return none, false
+}
--- /dev/null
+++ b/standin/list.go
@@ -0,0 +1,234 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+//go:generate enumer -type EntryKind -json -text -transform lower -trimprefix Kind
+//go:generate enumer -type EntryState -json -text -transform lower -trimprefix State
+
+// EntryKind is the kind of an entry of the list.
+type EntryKind int
+
+// The kinds of entry.
+const (
+	// KindEntry is an entry VM of crocusstile.
+	KindEntry EntryKind = iota
+	// KindRunner is a model runner.
+	KindRunner
+	// KindService is an instance of a plain service.
+	KindService
+)
+
+// EntryState is the state of an entry of the list.
+type EntryState int
+
+// The states of an entry.
+const (
+	StateLive EntryState = iota
+	StateLeaving
+)
+
+// Entry is a VM as the list shows it.
+type Entry struct {
+	ID          string          `json:"id"`
+	Kind        EntryKind       `json:"kind"`
+	Service     cs.ServiceID    `json:"service"`
+	Address     cs.Address      `json:"address"`
+	DataCentre  cs.DataCentreID `json:"dataCentre"`
+	State       EntryState      `json:"state"`
+	Incarnation cs.Incarnation  `json:"incarnation"`
+	// ChecksFence tells whether a runner refuses orders with an old fencing token.
+	ChecksFence bool     `json:"fencing"`
+	Slots       cs.Slots `json:"slots"`
+}
+
+// ListConfig configures a List.
+type ListConfig struct {
+	// Entries are shown from the start.
+	Entries []Entry
+	// Faults are the settings at the start.
+	Faults ListFaults
+	// Clock tells the time of changes; nil stands for the machine's clock.
+	Clock *cs.Clock
+}
+
+// ListFaults are the settings of a List that POST /standin/faults changes.
+type ListFaults struct {
+	// Lag is the time after which a change is shown; it applies to later changes.
+	Lag cs.Span `json:"lag"`
+	// Outage answers 503 to reads of the list.
+	Outage bool `json:"outage"`
+	// Delay passes before each read of the list is answered.
+	Delay cs.Span `json:"delay"`
+}
+
+// List is the platform's list of live and leaving VMs, which lags.
+type List struct {
+	mux     *http.ServeMux
+	faults  faults[ListFaults]
+	inbox   inbox[listEvent]
+	clock   *cs.Clock
+	shown   *fleet.Table[string, Entry]
+	pending []listChange
+}
+
+// NewList returns a list that shows the configured entries.
+func NewList(c ListConfig) *List {
+	if c.Clock == nil {
+		c.Clock = cs.NewClock()
+	}
+	l := &List{
+		mux: http.NewServeMux(), faults: faults[ListFaults]{set: c.Faults}, inbox: newInbox[listEvent](), clock: c.Clock,
+		shown: fleet.NewTable[string, Entry](),
+	}
+	for _, e := range c.Entries {
+		l.shown.Insert(e.ID, e)
+	}
+	l.mux.HandleFunc("GET /v1/vms", l.handleRead)
+	l.mux.HandleFunc("POST /standin/vms", l.handlePut)
+	l.mux.HandleFunc("DELETE /standin/vms/{id}", l.handleRemove)
+	l.mux.Handle("POST /standin/faults", &l.faults)
+	return l
+}
+
+// ServeHTTP answers requests; it needs Run.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
+
+// SetFaults changes the settings.
+func (l *List) SetFaults(set func(*ListFaults)) { l.faults.update(set) }
+
+// Faults returns the present settings.
+func (l *List) Faults() ListFaults { return l.faults.get() }
+
+// Run owns the entries until ctx ends.
+func (l *List) Run(ctx context.Context) error { return l.inbox.receive(ctx, l.apply) }
+
+// Put inserts or replaces entries by id; it returns false if Run or ctx ended first.
+func (l *List) Put(ctx context.Context, entries ...Entry) bool {
+	return l.inbox.send(ctx, entriesPut{entries: entries})
+}
+
+// Replace puts the entries in place of all others; it returns false if Run or ctx ended first.
+func (l *List) Replace(ctx context.Context, entries ...Entry) bool {
+	return l.inbox.send(ctx, entriesPut{entries: entries, replace: true})
+}
+
+// Remove removes an entry; it returns false if Run or ctx ended first.
+func (l *List) Remove(ctx context.Context, id string) bool {
+	return l.inbox.send(ctx, entryRemoved{id: id})
+}
+
+// listEvent is a message to the owner of the entries.
+type listEvent interface{ isListEvent() }
+
+type (
+	entriesPut struct {
+		entries []Entry
+		replace bool
+	}
+	entryRemoved struct{ id string }
+	listAsked    struct{ reply chan<- []Entry }
+)
+
+func (entriesPut) isListEvent()   {}
+func (entryRemoved) isListEvent() {}
+func (listAsked) isListEvent()    {}
+
+// listChange is a change that is shown from due on.
+type listChange struct {
+	due    cs.Instant
+	change listEvent
+}
+
+func (l *List) apply(e listEvent) {
+	now := l.clock.Now()
+	if asked, ok := e.(listAsked); ok {
+		l.showDue(now)
+		asked.reply <- l.entries()
+		return
+	}
+	l.pending = append(l.pending, listChange{due: now.Add(l.faults.get().Lag), change: e})
+}
+
+// showDue applies the changes that are due, in the order in which they came.
+func (l *List) showDue(now cs.Instant) {
+	for len(l.pending) > 0 && l.pending[0].due <= now {
+		l.show(l.pending[0].change)
+		l.pending = l.pending[1:]
+	}
+}
+
+func (l *List) show(change listEvent) {
+	switch c := change.(type) {
+	case entriesPut:
+		if c.replace {
+			l.shown.DeleteFunc(func(string, *Entry) bool { return true })
+		}
+		for _, e := range c.entries {
+			l.shown.Insert(e.ID, e)
+		}
+	case entryRemoved:
+		l.shown.Delete(c.id)
+	case listAsked:
+	}
+}
+
+// entries returns the shown entries by id.
+func (l *List) entries() []Entry {
+	entries := make([]Entry, 0, l.shown.Len())
+	for _, e := range l.shown.All() {
+		entries = append(entries, *e)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	return entries
+}
+
+// listBody is the JSON of the list and of a change to it.
+type listBody struct {
+	VMs []Entry `json:"vms"`
+	// Replace removes the entries that a change does not name.
+	Replace bool `json:"replace,omitempty"`
+}
+
+func (l *List) handleRead(w http.ResponseWriter, r *http.Request) {
+	set := l.faults.get()
+	if !pause(r.Context().Done(), set.Delay) {
+		abort()
+	}
+	if set.Outage {
+		writeError(w, http.StatusServiceUnavailable, "the list is unavailable")
+		return
+	}
+	entries, ok := ask(r.Context(), &l.inbox, func(reply chan<- []Entry) listEvent {
+		return listAsked{reply: reply}
+	})
+	if !ok {
+		abort()
+	}
+	writeJSON(w, http.StatusOK, listBody{VMs: entries})
+}
+
+func (l *List) handlePut(w http.ResponseWriter, r *http.Request) {
+	var body listBody
+	if !readJSON(w, r, &body) {
+		return
+	}
+	if !l.inbox.send(r.Context(), entriesPut{entries: body.VMs, replace: body.Replace}) {
+		abort()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) handleRemove(w http.ResponseWriter, r *http.Request) {
+	if !l.Remove(r.Context(), r.PathValue("id")) {
+		abort()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/load.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+// loadReport is the JSON of a load report.
+type loadReport struct {
+	cs.Load
+	Batch   cs.Slots   `json:"batch"`
+	Leaving bool       `json:"leaving"`
+	Loaded  []string   `json:"loaded"`
+	At      cs.Instant `json:"atMs"`
+}
+
+// loadHistory holds reports in the order of their time, so that a late one can be answered.
+type loadHistory struct{ reports []loadReport }
+
+// maxReports bounds the history of a runner whose load nobody asks for.
+const maxReports = 4096
+
+func (h *loadHistory) add(r loadReport) {
+	h.reports = append(h.reports, r)
+	if n := len(h.reports); n > maxReports {
+		h.reports = slices.Clone(h.reports[n/2:])
+	}
+}
+
+// at returns the state as it was the lag ago and forgets older ones.
+func (h *loadHistory) at(now cs.Instant, lag cs.Span) loadReport {
+	then, i := now.Add(-lag), 0
+	for i+1 < len(h.reports) && h.reports[i+1].At <= then {
+		i++
+	}
+	h.reports = h.reports[i:]
+	r := h.reports[0]
+	r.At = max(r.At, then)
+	return r
+}
+
+// report notes a change of the load.
+func (g *engine) report(now cs.Instant) {
+	loaded := []string{}
+	for m, row := range g.loaded.All() {
+		if row.ready {
+			loaded = append(loaded, string(m.Model)+"/"+string(m.Version))
+		}
+	}
+	slices.Sort(loaded)
+	g.reports.add(loadReport{Load: g.load(), Batch: g.running, Leaving: g.leaving, Loaded: loaded, At: now})
+}
+
+func (r *Runner) handleLoad(w http.ResponseWriter, q *http.Request) {
+	report, ok := ask(q.Context(), &r.inbox, func(reply chan<- loadReport) runnerEvent {
+		return loadAsked{reply: reply}
+	})
+	if !ok {
+		abort()
+	}
+	writeJSON(w, http.StatusOK, report)
+}
+
+// handleLeaving makes the runner leave: it takes no new requests and finishes those it has.
+func (r *Runner) handleLeaving(w http.ResponseWriter, q *http.Request) {
+	if !r.Leave(q.Context()) {
+		abort()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,257 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+
+	cs "github.com/crocusstile/crocusstile"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// maxPayload bounds a record's payload, in bytes.
+	maxPayload = 1 << 20
+	// defaultAppendRate is the number of appends a second over all streams.
+	defaultAppendRate cs.PerSecond = 400
+	// appendBurst is the share of a second's appends that may come at once.
+	appendBurst = 0.1
+	// defaultReadMax bounds the records of a read that names no maximum.
+	defaultReadMax = 1000
+	// maxWait bounds a long poll.
+	maxWait = 30 * cs.Second
+)
+
+// LogConfig configures a Log.
+type LogConfig struct {
+	// Faults are the settings at the start; an AppendRate of 0 stands for 400.
+	Faults LogFaults
+	// Seed determines which answers LoseRate loses.
+	Seed uint64
+	// Clock tells the time of records; nil stands for the machine's clock.
+	Clock *cs.Clock
+}
+
+// LogFaults are the settings of a Log that POST /standin/faults changes.
+type LogFaults struct {
+	// Outage answers 503 to everything.
+	Outage bool `json:"outage"`
+	// Delay passes before each request takes effect, even if its client is gone by then.
+	Delay cs.Span `json:"delay"`
+	// LoseNext is the number of coming appends that take effect but get no answer.
+	LoseNext int `json:"loseNext"`
+	// LoseRate is the share of appends that take effect but get no answer.
+	LoseRate cs.Ratio `json:"loseRate"`
+	// AppendRate is the number of appends a second over all streams; more are answered 429.
+	AppendRate cs.PerSecond `json:"appendRate"`
+	// Retention is the age at which records are dropped; 0 keeps them.
+	Retention cs.Span `json:"retention"`
+}
+
+// Log is an append-only log with streams of records at dense offsets.
+type Log struct {
+	mux     *http.ServeMux
+	faults  faults[LogFaults]
+	inbox   inbox[logEvent]
+	clock   *cs.Clock
+	streams streamTable
+	limiter *rate.Limiter
+	random  *rand.Rand
+}
+
+// NewLog returns a log without streams; a stream exists from its first append.
+func NewLog(c LogConfig) *Log {
+	if c.Faults.AppendRate == 0 {
+		c.Faults.AppendRate = defaultAppendRate
+	}
+	if c.Clock == nil {
+		c.Clock = cs.NewClock()
+	}
+	burst := max(1, int(float64(c.Faults.AppendRate)*appendBurst))
+	l := &Log{
+		mux: http.NewServeMux(), faults: faults[LogFaults]{set: c.Faults}, inbox: newInbox[logEvent](), clock: c.Clock,
+		streams: newStreamTable(),
+		limiter: rate.NewLimiter(rate.Limit(c.Faults.AppendRate), burst),
+		random:  rand.New(rand.NewPCG(c.Seed, 0)),
+	}
+	l.mux.HandleFunc("POST /v1/streams/{stream}/records", l.handleAppend)
+	l.mux.HandleFunc("GET /v1/streams/{stream}/records", l.handleRead)
+	l.mux.Handle("POST /standin/faults", &l.faults)
+	l.mux.HandleFunc("GET /standin/journal/{stream}", l.handleJournal)
+	return l
+}
+
+// ServeHTTP answers requests; it needs Run.
+func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
+
+// SetFaults changes the settings.
+func (l *Log) SetFaults(set func(*LogFaults)) { l.faults.update(set) }
+
+// Faults returns the present settings.
+func (l *Log) Faults() LogFaults { return l.faults.get() }
+
+// Run owns the streams until ctx ends.
+func (l *Log) Run(ctx context.Context) error { return l.inbox.receive(ctx, l.apply) }
+
+// logEvent is a message to the owner of the streams.
+type logEvent interface{ isLogEvent() }
+
+type (
+	appendAsked struct {
+		stream  cs.StreamID
+		payload []byte
+		reply   chan<- appendReply
+	}
+	readAsked struct {
+		stream cs.StreamID
+		from   cs.Offset
+		max    int
+		reply  chan<- readReply
+	}
+	historyAsked struct {
+		stream cs.StreamID
+		reply  chan<- []LogRecord
+	}
+)
+
+func (appendAsked) isLogEvent()  {}
+func (readAsked) isLogEvent()    {}
+func (historyAsked) isLogEvent() {}
+
+// appendReply says where a record was appended, or that the rate was exceeded.
+type appendReply struct {
+	offset   cs.Offset
+	overRate bool
+	lost     bool
+}
+
+func (l *Log) apply(e logEvent) {
+	now, set := l.clock.Now(), l.faults.get()
+	l.streams.retain(now, set.Retention)
+	switch e := e.(type) {
+	case appendAsked:
+		e.reply <- l.append(e, now, set)
+	case readAsked:
+		e.reply <- l.streams.read(e.stream, e.from, e.max)
+	case historyAsked:
+		e.reply <- l.streams.history(e.stream)
+	}
+}
+
+func (l *Log) append(e appendAsked, now cs.Instant, set LogFaults) appendReply {
+	if limit := rate.Limit(set.AppendRate); l.limiter.Limit() != limit {
+		l.limiter.SetLimit(limit)
+	}
+	if !l.limiter.Allow() {
+		return appendReply{overRate: true}
+	}
+	offset := l.streams.append(e.stream, now, e.payload)
+	return appendReply{offset: offset, lost: l.random.Float64() < float64(set.LoseRate)}
+}
+
+// admit applies outage and delay; if it returns false, the request is answered.
+func (l *Log) admit(w http.ResponseWriter) bool {
+	set := l.faults.get()
+	if !set.Outage && set.Delay > 0 {
+		pause(l.inbox.done, set.Delay)
+		set = l.faults.get()
+	}
+	if set.Outage {
+		writeError(w, http.StatusServiceUnavailable, "the log is unavailable")
+		return false
+	}
+	return true
+}
+
+func (l *Log) handleAppend(w http.ResponseWriter, r *http.Request) {
+	payload, ok := readBody(w, r, maxPayload)
+	if !ok || !l.admit(w) {
+		return
+	}
+	ctx := context.WithoutCancel(r.Context())
+	got, ok := ask(ctx, &l.inbox, func(reply chan<- appendReply) logEvent {
+		return appendAsked{stream: cs.StreamID(r.PathValue("stream")), payload: payload, reply: reply}
+	})
+	if !ok {
+		abort()
+	}
+	if got.overRate {
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusTooManyRequests, "more than %v appends a second", l.faults.get().AppendRate)
+		return
+	}
+	if got.lost || l.faults.take(func(f *LogFaults) *int { return &f.LoseNext }) {
+		abort()
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Offset cs.Offset `json:"offset"`
+	}{got.offset})
+}
+
+// handleRead waits for a record at or after the offset, until the wait is over.
+func (l *Log) handleRead(w http.ResponseWriter, r *http.Request) {
+	q, err := parseRead(r)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), q.wait.Std())
+	defer cancel()
+	for {
+		if !l.admit(w) {
+			return
+		}
+		got, ok := ask(r.Context(), &l.inbox, func(reply chan<- readReply) logEvent {
+			return readAsked{stream: cs.StreamID(r.PathValue("stream")), from: q.from, max: q.max, reply: reply}
+		})
+		if !ok {
+			abort()
+		}
+		if len(got.page.Records) > 0 || ctx.Err() != nil {
+			writeJSON(w, http.StatusOK, got.page)
+			return
+		}
+		select {
+		case <-got.grown:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (l *Log) handleJournal(w http.ResponseWriter, r *http.Request) {
+	records, ok := ask(r.Context(), &l.inbox, func(reply chan<- []LogRecord) logEvent {
+		return historyAsked{stream: cs.StreamID(r.PathValue("stream")), reply: reply}
+	})
+	if !ok {
+		abort()
+	}
+	writeLines(w, records)
+}
+
+// readQuery is the query of a read.
+type readQuery struct {
+	from cs.Offset
+	max  int
+	wait cs.Span
+}
+
+func parseRead(r *http.Request) (readQuery, error) {
+	q := readQuery{max: defaultReadMax}
+	values := r.URL.Query()
+	for name, set := range map[string]func(int64){
+		"from":   func(n int64) { q.from = cs.Offset(max(0, n)) },
+		"max":    func(n int64) { q.max = max(1, int(n)) },
+		"waitMs": func(n int64) { q.wait = min(cs.Span(max(0, n)), maxWait) },
+	} {
+		if !values.Has(name) {
+			continue
+		}
+		n, err := strconv.ParseInt(values.Get(name), 10, 64)
+		if err != nil {
+			return q, err
+		}
+		set(n)
+	}
+	return q, nil
+}
--- /dev/null
+++ b/standin/prefix.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"container/list"
+	"encoding/binary"
+	"net/http"
+	"strconv"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+// prefixKey is the hash of a model, an adapter, a version and the beginning of a prompt.
+type prefixKey cs.ContentHash
+
+// prefixOf returns the key of a prompt's prefix and the prefix's length in bytes.
+func prefixOf(g cs.Generation, limit cs.Bytes) (prefixKey, int) {
+	length := min(len(g.Prompt), int(limit))
+	g.Prompt = g.Prompt[:length]
+	return prefixKey(cs.HashTarget(g)), length
+}
+
+func (k prefixKey) String() string { return strconv.FormatUint(uint64(k), 16) }
+
+// block returns the key as the bytes of an exported KV cache block.
+func (k prefixKey) block() []byte { return binary.BigEndian.AppendUint64(nil, uint64(k)) }
+
+// CacheEvent says that a prefix was stored or evicted. The prefix is the hexadecimal hash that
+// cs.HashTarget returns for the model, adapter and version with the beginning of the prompt.
+type CacheEvent struct {
+	Seq    cs.Seq `json:"seq"`
+	Prefix string `json:"prefix"`
+	Stored bool   `json:"stored"`
+	due    cs.Instant
+}
+
+// cachePage is the answer to a read of cache events.
+type cachePage struct {
+	Next   cs.Seq       `json:"next"`
+	Events []CacheEvent `json:"events"`
+}
+
+// maxCacheEvents is the number of cache events kept for readers.
+const maxCacheEvents = 4096
+
+// prefixCache holds the least recently used prefixes and the events of its changes.
+type prefixCache struct {
+	limit   int
+	lag     cs.Span
+	gap     cs.Seq
+	recent  *list.List // of prefixKey, the most recently used one first
+	entries map[prefixKey]*list.Element
+	seq     cs.Seq
+	events  []CacheEvent
+}
+
+func newPrefixCache(c RunnerConfig) prefixCache {
+	return prefixCache{
+		limit: c.Prefixes, lag: c.CacheEventLag, gap: cs.Seq(c.CacheEventGap),
+		recent: list.New(), entries: make(map[prefixKey]*list.Element),
+	}
+}
+
+// use tells whether a prefix was cached, and caches it.
+func (c *prefixCache) use(key prefixKey, now cs.Instant) bool {
+	if e, ok := c.entries[key]; ok {
+		c.recent.MoveToFront(e)
+		return true
+	}
+	c.entries[key] = c.recent.PushFront(key)
+	c.note(key, true, now)
+	if c.recent.Len() > c.limit {
+		oldest := c.recent.Remove(c.recent.Back()).(prefixKey)
+		delete(c.entries, oldest)
+		c.note(oldest, false, now)
+	}
+	return false
+}
+
+// note records an event, except each one that falls into a gap.
+func (c *prefixCache) note(key prefixKey, stored bool, now cs.Instant) {
+	c.seq++
+	if c.seq%c.gap == 0 {
+		return
+	}
+	c.events = append(c.events, CacheEvent{Seq: c.seq, Prefix: key.String(), Stored: stored, due: now.Add(c.lag)})
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[len(c.events)-maxCacheEvents:]
+	}
+}
+
+// page returns the events from a number on whose lag has passed.
+func (c *prefixCache) page(from cs.Seq, now cs.Instant) cachePage {
+	p := cachePage{Next: max(from, 1), Events: []CacheEvent{}}
+	for _, e := range c.events {
+		if e.due > now {
+			break
+		}
+		if e.Seq >= from {
+			p.Events = append(p.Events, e)
+			p.Next = e.Seq + 1
+		}
+	}
+	return p
+}
+
+func (r *Runner) handleCacheEvents(w http.ResponseWriter, q *http.Request) {
+	var from uint64
+	if text := q.URL.Query().Get("from"); text != "" {
+		var err error
+		if from, err = strconv.ParseUint(text, 10, 64); err != nil {
+			writeError(w, http.StatusBadRequest, "from is not a number")
+			return
+		}
+	}
+	page, ok := ask(q.Context(), &r.inbox, func(reply chan<- cachePage) runnerEvent {
+		return cacheAsked{from: cs.Seq(from), reply: reply}
+	})
+	if !ok {
+		abort()
+	}
+	writeJSON(w, http.StatusOK, page)
+}
--- /dev/null
+++ b/standin/stream.go
@@ -0,0 +1,88 @@
+package standin
+
+import (
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// LogRecord is a record of a stream, as the log answers it.
+type LogRecord struct {
+	Offset  cs.Offset  `json:"offset"`
+	Time    cs.Instant `json:"timeMs"`
+	Payload []byte     `json:"payload"`
+}
+
+// LogPage is the log's answer to a read.
+type LogPage struct {
+	First   cs.Offset   `json:"first"`
+	Next    cs.Offset   `json:"next"`
+	Records []LogRecord `json:"records"`
+}
+
+// readReply is a page and a channel that is closed by the stream's next append.
+type readReply struct {
+	page  LogPage
+	grown <-chan struct{}
+}
+
+// streamRow holds all records ever appended to a stream; those before first are dropped for readers.
+type streamRow struct {
+	first   cs.Offset
+	records []LogRecord
+	grown   chan struct{}
+}
+
+// streamTable holds the streams of a log.
+type streamTable struct {
+	rows *fleet.Table[cs.StreamID, streamRow]
+}
+
+func newStreamTable() streamTable {
+	return streamTable{rows: fleet.NewTable[cs.StreamID, streamRow]()}
+}
+
+func (t streamTable) get(id cs.StreamID) *streamRow {
+	if s := t.rows.Get(id); s != nil {
+		return s
+	}
+	return t.rows.Insert(id, streamRow{grown: make(chan struct{})})
+}
+
+// retain drops the records that are older than the retention.
+func (t streamTable) retain(now cs.Instant, retention cs.Span) {
+	if retention <= 0 {
+		return
+	}
+	for _, s := range t.rows.All() {
+		for int(s.first) < len(s.records) && now.Sub(s.records[s.first].Time) > retention {
+			s.first++
+		}
+	}
+}
+
+func (t streamTable) append(id cs.StreamID, now cs.Instant, payload []byte) cs.Offset {
+	s := t.get(id)
+	offset := cs.Offset(len(s.records))
+	s.records = append(s.records, LogRecord{Offset: offset, Time: now, Payload: payload})
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
+func (t streamTable) read(id cs.StreamID, from cs.Offset, limit int) readReply {
+	s := t.get(id)
+	from = max(from, s.first)
+	page := LogPage{First: s.first, Next: from, Records: []LogRecord{}}
+	if int(from) < len(s.records) {
+		end := min(len(s.records), int(from)+limit)
+		page.Records = s.records[from:end:end]
+		page.Next = cs.Offset(end)
+	}
+	return readReply{page: page, grown: s.grown}
+}
+
+// history returns all records, those that retention dropped included.
+func (t streamTable) history(id cs.StreamID) []LogRecord {
+	records := t.get(id).records
+	return records[:len(records):len(records)]
+}
--- /dev/null
+++ b/standin/text.go
@@ -0,0 +1,35 @@
+package standin
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ExpectedText returns the whole text that a runner generates for a prompt: maxTokens tokens, each
+// a function of the arguments and its number from 1.
+func ExpectedText(model, adapter, version, prompt string, maxTokens int) string {
+	seed := textSeed(model, adapter, version, prompt)
+	var text []byte
+	for i := 1; i <= maxTokens; i++ {
+		text = appendToken(text, seed, i)
+	}
+	return string(text)
+}
+
+// textSeed hashes what all tokens of a prompt depend on.
+func textSeed(model, adapter, version, prompt string) uint64 {
+	return xxhash.Sum64String(model + "\x00" + adapter + "\x00" + version + "\x00" + prompt)
+}
+
+// appendToken appends token i, from 1: a word and, except for the first, a space before it.
+func appendToken(dst []byte, seed uint64, i int) []byte {
+	if i > 1 {
+		dst = append(dst, ' ')
+	}
+	dst = append(dst, 'w')
+	dst = strconv.AppendInt(dst, int64(i), 10)
+	dst = append(dst, '-')
+	mixed := (seed ^ uint64(i)) * 0x9E3779B97F4A7C15 // the multiplier of Fibonacci hashing
+	return strconv.AppendUint(dst, mixed>>32, 16)
+}
