--- /dev/null
+++ b/batch/grant.go
@@ -0,0 +1,150 @@
+package batch
+
+import (
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/limit"
+	"github.com/crocusstile/crocusstile/quarantine"
+)
+
+// declinedFor is the time for which an owner without fitting items gets no offer for a runner,
+// unless it says that more work waits.
+const declinedFor = cs.Second
+
+// take handles what owners said: work that waits, and items granted for offers.
+func take(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	for _, e := range t.Events {
+		p, ok := e.(fleet.PeerSaid)
+		if !ok {
+			continue
+		}
+		switch m := p.Message.(type) {
+		case cs.Heartbeat:
+			if vm := t.VMs.Get(p.From); vm != nil {
+				backlog(vm, m.Owned)
+			}
+		case cs.WorkWaiting:
+			workWaiting(t, p.From, m, now)
+		case cs.ItemsGranted:
+			granted(t, p.From, m, now, out)
+		default:
+		}
+	}
+}
+
+// backlog takes over the waiting items of a heartbeat.
+func backlog(vm *fleet.VM, owned []cs.OwnedShard) {
+	clear(vm.Backlog)
+	for _, o := range owned {
+		if o.Waiting == 0 {
+			continue
+		}
+		if vm.Backlog == nil {
+			vm.Backlog = make(map[cs.ShardID]cs.ItemIndex)
+		}
+		vm.Backlog[o.Shard] = o.Waiting
+	}
+}
+
+func workWaiting(t *fleet.Tables, from cs.VMID, m cs.WorkWaiting, now cs.Instant) {
+	vm := t.VMs.Get(from)
+	if vm == nil {
+		return
+	}
+	if vm.Backlog == nil {
+		vm.Backlog = make(map[cs.ShardID]cs.ItemIndex)
+	}
+	vm.Backlog[m.Shard] = m.Waiting
+	list, _ := limit.Sending(t, now)
+	for _, id := range list {
+		if r := t.Runners.Get(id); r != nil {
+			delete(r.Declined, from)
+		}
+	}
+}
+
+// granted starts the items that an owner granted, and returns those that no longer fit.
+func granted(t *fleet.Tables, from cs.VMID, m cs.ItemsGranted, now cs.Instant, out *fleet.Actions) {
+	r := t.Runners.Get(m.Runner)
+	var offered cs.Slots
+	if r != nil {
+		offered = closeOffer(r, m.Offer)
+		if cs.Slots(len(m.Items)) < offered {
+			decline(r, from, now)
+		}
+	}
+	if len(m.Items) == 0 {
+		return
+	}
+	out.Count(fleet.CountItemsGranted, m.Items[0].Tenant, int64(len(m.Items)))
+	for _, item := range m.Items {
+		run := fleet.Run{GrantedItem: item, Runner: m.Runner, Owner: from, Shard: m.Shard, Since: now}
+		if !accepts(t, r, now) || !start(t, r, run, now, out) {
+			giveBack(t, run, nil, out)
+		}
+	}
+}
+
+// closeOffer forgets an offer and returns its slots, 0 if it has expired.
+func closeOffer(r *fleet.Runner, id uint64) cs.Slots {
+	i := slices.IndexFunc(r.Offers, func(o fleet.SlotOffer) bool { return o.ID == id })
+	if i < 0 {
+		return 0
+	}
+	n := r.Offers[i].Slots
+	r.Offers = slices.Delete(r.Offers, i, i+1)
+	r.Offered -= n
+	return n
+}
+
+func decline(r *fleet.Runner, owner cs.VMID, now cs.Instant) {
+	if r.Declined == nil {
+		r.Declined = make(map[cs.VMID]cs.Instant)
+	}
+	r.Declined[owner] = now.Add(declinedFor)
+}
+
+// accepts reports whether a granted item still fits on the runner.
+func accepts(t *fleet.Tables, r *fleet.Runner, now cs.Instant) bool {
+	if r == nil || r.Sender != t.Self.ID || t.Drain.Phase >= fleet.DrainFinishing || !healthy(r, now) {
+		return false
+	}
+	if t.Config.Policy.NoClasses {
+		return r.Batch < limit.Slots(r)
+	}
+	return r.Batch+limit.Needed(r, now) < limit.Slots(r)
+}
+
+// start runs an item unless quarantine bars it from the runner.
+func start(t *fleet.Tables, r *fleet.Runner, run fleet.Run, now cs.Instant, out *fleet.Actions) bool {
+	if old := t.Runs.Get(run.Key); old != nil && old.Ended == nil {
+		// The same grant came twice, or a new owner granted an item that still runs here.
+		return old.Attempt == run.Attempt
+	}
+	h := cs.HashTarget(run.Item.Target)
+	if run.Suspect {
+		quarantine.Mark(t, h, now)
+	}
+	if quarantine.Blocked(t, h, now) {
+		giveBack(t, run, cs.Refuse(cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners"), out)
+		return true
+	}
+	if !quarantine.Placeable(t, h, run.Item.Target, r.ID, now) {
+		return false
+	}
+	t.Runs.Insert(run.Key, run)
+	r.Batch++
+	out.Add(fleet.RunItem{Item: run.GrantedItem, Runner: r.ID, Address: r.Address})
+	return true
+}
+
+// giveBack returns an item that did not run. Without a refusal it counts as stopped.
+func giveBack(t *fleet.Tables, run fleet.Run, refusal *cs.Refusal, out *fleet.Actions) {
+	run.Ended = &cs.ItemReturned{
+		Key: run.Key, Attempt: run.Attempt, Stopped: refusal == nil,
+		Output: run.Partial, Tokens: run.Tokens, Refusal: refusal,
+	}
+	deliver(t, &run, out)
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -38,6 +38,8 @@
 	RetryBudget cs.Ratio
 	// Quarantine is the time for which a request that crashed runners is refused.
 	Quarantine cs.Span
+	// LoadsAtOnce bounds the runners that load one deployment at the same time.
+	LoadsAtOnce int
 	// DrainWait is the time between becoming not ready and refusing new requests.
 	DrainWait cs.Span
 	// DrainLimit bounds the time a drain waits for requests in flight.
@@ -68,6 +70,6 @@
 		GroupCommit: 50 * cs.Millisecond, Retention: 24 * cs.Hour, ResultsKept: 24 * cs.Hour,
 		ItemAttempts: 3, MaxQueued: 512, MaxItems: 400_000,
 		FirstToken: 1600 * cs.Millisecond, TokenGap: 69 * cs.Millisecond, RetryBudget: 0.1,
-		Quarantine: 10 * cs.Minute, DrainWait: 3 * cs.Second, DrainLimit: cs.Minute,
+		LoadsAtOnce: 2, Quarantine: 10 * cs.Minute, DrainWait: 3 * cs.Second, DrainLimit: cs.Minute,
 	}
 }
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -25,6 +25,14 @@
 	BeatAt cs.Instant
 	// Backlog is the number of waiting items by shard owned, corrected between heartbeats.
 	Backlog map[cs.ShardID]cs.ItemIndex
+	// Counted is the part of Beat.Online that is contained in Runner.Peers.
+	Counted []cs.RunnerCount
+	// OfferedAt is when batch slots were last offered to the VM.
+	OfferedAt cs.Instant
+	// Sending lists the runners of which the VM is the batch sender, as of SendingAt; it is kept for
+	// this VM only.
+	Sending   []cs.RunnerID
+	SendingAt cs.Instant
 }
 
 // Runner is the row of a runner.
@@ -42,9 +50,28 @@
 	// Answer is the load that the last answer brought, and AnswerAt when it came.
 	Answer   cs.Load
 	AnswerAt cs.Instant
+	// LoadOnline and LoadBatch are Online and Batch when the newest of Report and Answer came.
+	LoadOnline cs.Slots
+	LoadBatch  cs.Slots
+	// Peers counts the online requests of other VMs on the runner, by their last heartbeats.
+	Peers cs.Slots
+	// Claimed counts online requests that peers announced by Yield since the last report.
+	Claimed cs.Slots
+	// Dispatched counts this VM's online dispatches to the runner.
+	Dispatched int64
 	// FirstToken and Gap are moving averages of online runs, in milliseconds.
 	FirstToken float64
 	Gap        float64
+	// Took is the moving average of the whole time of online runs, in milliseconds.
+	Took float64
+	// BaseFirstToken and BaseGap are the averages of runs without batch beside them, in milliseconds.
+	BaseFirstToken float64
+	BaseGap        float64
+	// Samples counts first tokens since the start or the last ejection; SampledAt is the last one.
+	Samples   int
+	SampledAt cs.Instant
+	// CheckedAt is when the runner was last compared with the others of its model.
+	CheckedAt cs.Instant
 	// Failures counts runs that failed in a row.
 	Failures int
 	// EjectedUntil bars the runner from new online work; Ejections lengthen the next ejection.
@@ -61,10 +88,26 @@
 	LimitAt cs.Instant
 	// Offered counts slots that are offered to owners and not granted yet.
 	Offered cs.Slots
+	// Offers are the offers that Offered sums up.
+	Offers []SlotOffer
+	// Declined holds, by owner, until when it is not offered slots after it had no fitting items.
+	Declined map[cs.VMID]cs.Instant
+	// YieldWanted counts slots that this VM's own online requests need back on this tick.
+	YieldWanted cs.Slots
 	// YieldUntil bars new batch runs after a yield.
 	YieldUntil cs.Instant
 	// OrderAt is when the last order went out.
 	OrderAt cs.Instant
+	// OrderOut tells whether the last order is unanswered.
+	OrderOut bool
+}
+
+// SlotOffer is an offer of batch slots that is not answered yet.
+type SlotOffer struct {
+	ID    uint64
+	To    cs.VMID
+	Slots cs.Slots
+	At    cs.Instant
 }
 
 // Request is the row of an online request that this VM took.
@@ -84,6 +127,14 @@
 	FirstTokenAt cs.Instant
 	// Last is why the last attempt ended without an answer.
 	Last *cs.Refusal
+	// Unsure means that an earlier attempt may have run, without a definite outcome.
+	Unsure bool
+	// Failed means that an earlier attempt ran and failed.
+	Failed bool
+	// Free means that the next attempt does not draw on the retry budget.
+	Free bool
+	// HedgeAt is when a second dispatch may start; 0 if none may.
+	HedgeAt cs.Instant
 	// Order is the request's place in the fair queue; the lowest is served first.
 	Order float64
 }
@@ -118,6 +169,8 @@
 	Online cs.Slots
 	// Virtual is the finish time of the tenant's last request in the fair queue.
 	Virtual float64
+	// Pending lists the tenant's requests without a first token, in order of arrival.
+	Pending []cs.RequestID
 	// Deficit is the tenant's credit in the round over batch items.
 	Deficit float64
 }
@@ -276,12 +329,16 @@
 	// Ended is the outcome that could not be delivered yet; EndedAt is when it came.
 	Ended   *cs.ItemReturned
 	EndedAt cs.Instant
+	// RetryAt is when Ended is sent again.
+	RetryAt cs.Instant
 }
 
 // Suspect is the row of a request content that was in flight on a crashed runner.
 type Suspect struct {
 	// Crashes counts the runners that crashed with it in flight, as far as this VM knows.
 	Crashes int
+	// CrashedAt is when the last of them became known.
+	CrashedAt cs.Instant
 	// Runners are those runners.
 	Runners []cs.RunnerID
 	// Convicted means that it is quarantined until Until; otherwise the row is dropped then.
--- /dev/null
+++ b/limit/eject.go
@@ -0,0 +1,103 @@
+package limit
+
+import (
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+const (
+	// ejectFailures is the number of failures in a row that ejects a runner.
+	ejectFailures = 3
+	// ejectSlow is the ratio of a runner's first-token time to the median that ejects it.
+	ejectSlow = 2.0
+	// ejectSamples is the number of samples needed to call a runner slow.
+	ejectSamples = 3
+	// slowFloor keeps differences of a few milliseconds from ejecting a runner.
+	slowFloor = 20.0
+	// ejectFirst and ejectLongest bound the time of an ejection, which doubles each time.
+	ejectFirst   = cs.Second
+	ejectLongest = cs.Minute
+	// checkEvery spaces the comparisons of a runner with the others of its model.
+	checkEvery = 100 * cs.Millisecond
+)
+
+// Sample adds a first-token time to the runner's average and ejects the runner if it is far above
+// the median of its model's runners.
+func Sample(t *fleet.Tables, r *fleet.Runner, took cs.Span, now cs.Instant, out *fleet.Actions) {
+	x := max(float64(took), 1)
+	r.FirstToken = average(r.FirstToken, x)
+	if r.Batch == 0 {
+		r.BaseFirstToken = average(r.BaseFirstToken, x)
+	}
+	r.Samples++
+	r.SampledAt = now
+	if r.Ejections == 0 && (r.Samples < ejectSamples || now.Sub(r.CheckedAt) < checkEvery) {
+		return
+	}
+	r.CheckedAt = now
+	median := medianFirstToken(t, r)
+	slow := median > 0 && r.FirstToken > ejectSlow*median && r.FirstToken > median+slowFloor
+	switch {
+	case slow:
+		eject(t, r, now, out)
+	case now >= r.EjectedUntil:
+		r.Ejections = 0
+	}
+}
+
+// medianFirstToken returns the median over the other runners that share a model with r, or 0.
+func medianFirstToken(t *fleet.Tables, r *fleet.Runner) float64 {
+	var all []float64
+	for _, o := range t.Runners.All() {
+		if o.FirstToken > 0 && o.ID != r.ID && sameModel(o, r) {
+			all = append(all, o.FirstToken)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// sameModel reports whether two runners can stand in for each other.
+func sameModel(a, b *fleet.Runner) bool {
+	if a.Kind != b.Kind || a.Service != b.Service {
+		return false
+	}
+	if a.Kind == cs.KindService {
+		return true
+	}
+	return slices.ContainsFunc(a.Report.Loaded, func(m cs.LoadedModel) bool {
+		return slices.Contains(b.Report.Loaded, m)
+	})
+}
+
+// eject bars the runner for a time that doubles with each ejection, unless a third of its model's
+// runners are ejected already.
+func eject(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
+	if now < r.EjectedUntil {
+		return
+	}
+	all, ejected := 1, 0
+	for _, o := range t.Runners.All() {
+		if o.ID == r.ID || !sameModel(o, r) {
+			continue
+		}
+		all++
+		if now < o.EjectedUntil {
+			ejected++
+		}
+	}
+	if 3*(ejected+1) > all {
+		return
+	}
+	span := min(ejectFirst<<min(r.Ejections, 6), ejectLongest)
+	r.EjectedUntil = now.Add(span)
+	r.Ejections++
+	r.Failures, r.Samples, r.FirstToken = 0, 0, 0
+	out.Count(fleet.CountEjections, "", 1)
+	out.Note("runner", "ejected", fleet.Field{Name: "runner", Value: r.ID}, fleet.Field{Name: "for", Value: span})
+}
--- /dev/null
+++ b/limit/observe.go
@@ -0,0 +1,193 @@
+package limit
+
+import (
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// smoothing is the weight of a new sample in a moving average.
+const smoothing = 0.2
+
+// Observe updates the statistics of runners from the events, and ejects outliers.
+func Observe(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	for _, e := range t.Events {
+		switch e := e.(type) {
+		case fleet.RequestFirstToken:
+			if r := runnerOf(t, e.ID, e.Attempt); r != nil {
+				Sample(t, r, e.Took, now, out)
+			}
+		case fleet.RequestEnded:
+			observeEnd(t, e, now, out)
+		case fleet.ItemRunEnded:
+			if run := t.Runs.Get(e.Key); run != nil && run.Attempt == e.Attempt {
+				observeItem(t, run.Runner, e.Result, now, out)
+			}
+		case fleet.LoadReported:
+			observeReport(t, e, now)
+		case fleet.LoadFailed:
+			if r := t.Runners.Get(e.Runner); r != nil && e.Refused {
+				markDown(r, now, out)
+			}
+		case fleet.PeerSaid:
+			if _, ok := e.Message.(cs.Heartbeat); ok {
+				countPeer(t, t.VMs.Get(e.From))
+			}
+		case fleet.LinkClosed:
+			dropPeer(t, t.VMs.Get(e.VM))
+		default:
+		}
+	}
+}
+
+// runnerOf returns the runner of an attempt that is in flight, or nil.
+func runnerOf(t *fleet.Tables, id cs.RequestID, a cs.Attempt) *fleet.Runner {
+	q := t.Requests.Get(id)
+	if q == nil {
+		return nil
+	}
+	for _, run := range q.Runs {
+		if run.Attempt == a {
+			return t.Runners.Get(run.Runner)
+		}
+	}
+	return nil
+}
+
+func observeEnd(t *fleet.Tables, e fleet.RequestEnded, now cs.Instant, out *fleet.Actions) {
+	r := runnerOf(t, e.ID, e.Attempt)
+	if r == nil {
+		return
+	}
+	switch x := e.Result.(type) {
+	case fleet.RunWhole:
+		if t.Requests.Get(e.ID).FirstTokenAt == 0 {
+			Sample(t, r, x.FirstToken, now, out)
+		}
+		r.Took = average(r.Took, float64(x.Took))
+		observeGap(r, x)
+		answered(r, x.Load, now, 1, 0)
+	case fleet.RunBroken:
+		observeBroken(t, r, x, now, out)
+	case fleet.RunRejected:
+		observeRejected(t, r, x, now, out)
+	case fleet.RunCancelled:
+	}
+}
+
+// observeItem takes the runner's load and failures from a batch run. Its first token does not
+// count: the averages are those of online requests.
+func observeItem(t *fleet.Tables, id cs.RunnerID, res fleet.RunResult, now cs.Instant, out *fleet.Actions) {
+	r := t.Runners.Get(id)
+	if r == nil {
+		return
+	}
+	switch x := res.(type) {
+	case fleet.RunWhole:
+		observeGap(r, x)
+		answered(r, x.Load, now, 0, 1)
+	case fleet.RunBroken:
+		observeBroken(t, r, x, now, out)
+	case fleet.RunRejected:
+		observeRejected(t, r, x, now, out)
+	case fleet.RunCancelled:
+	}
+}
+
+func observeGap(r *fleet.Runner, x fleet.RunWhole) {
+	if x.Tokens < 2 {
+		return
+	}
+	r.Gap = average(r.Gap, float64(x.Gap))
+	if r.Batch == 0 {
+		r.BaseGap = average(r.BaseGap, float64(x.Gap))
+	}
+}
+
+// answered notes the load that an answer brought. The ended run is still counted in the row, so
+// online or batch is 1 for it.
+func answered(r *fleet.Runner, l cs.Load, now cs.Instant, online, batch cs.Slots) {
+	r.Failures = 0
+	r.DownSince = 0
+	if l.Slots == 0 {
+		return
+	}
+	r.Answer, r.AnswerAt = l, now
+	r.LoadOnline, r.LoadBatch = max(r.Online-online, 0), max(r.Batch-batch, 0)
+}
+
+func observeBroken(t *fleet.Tables, r *fleet.Runner, x fleet.RunBroken, now cs.Instant, out *fleet.Actions) {
+	r.Failures++
+	if x.Crashed {
+		markDown(r, now, out)
+	}
+	if r.Failures >= ejectFailures {
+		eject(t, r, now, out)
+	}
+}
+
+func observeRejected(t *fleet.Tables, r *fleet.Runner, x fleet.RunRejected, now cs.Instant, out *fleet.Actions) {
+	if x.Leaving {
+		r.Report.Leaving = true
+		return
+	}
+	if x.Invalid {
+		return
+	}
+	r.Failures++
+	if r.Failures >= ejectFailures {
+		eject(t, r, now, out)
+	}
+}
+
+func observeReport(t *fleet.Tables, e fleet.LoadReported, now cs.Instant) {
+	r := t.Runners.Get(e.Runner)
+	if r == nil {
+		return
+	}
+	r.Report, r.ReportAt = e.Report, now
+	r.LoadOnline, r.LoadBatch = r.Online, r.Batch
+	r.Claimed = 0
+	r.DownSince = 0
+}
+
+func markDown(r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
+	if r.DownSince == 0 {
+		r.DownSince = now
+		out.Note("runner", "down", fleet.Field{Name: "runner", Value: r.ID})
+	}
+}
+
+// countPeer replaces what a peer's former heartbeat added to the runners.
+func countPeer(t *fleet.Tables, vm *fleet.VM) {
+	if vm == nil || vm.ID == t.Self.ID {
+		return
+	}
+	dropPeer(t, vm)
+	vm.Counted = vm.Beat.Online
+	for _, c := range vm.Counted {
+		if r := t.Runners.Get(c.Runner); r != nil {
+			r.Peers += c.Count
+		}
+	}
+}
+
+// dropPeer takes a peer's requests off the runners.
+func dropPeer(t *fleet.Tables, vm *fleet.VM) {
+	if vm == nil {
+		return
+	}
+	for _, c := range vm.Counted {
+		if r := t.Runners.Get(c.Runner); r != nil {
+			r.Peers = max(r.Peers-c.Count, 0)
+		}
+	}
+	vm.Counted = nil
+}
+
+// average moves an average towards a sample; an average of 0 has no sample yet.
+func average(avg, x float64) float64 {
+	if avg == 0 {
+		return x
+	}
+	return avg + smoothing*(x-avg)
+}
--- /dev/null
+++ b/limit/serve.go
@@ -0,0 +1,42 @@
+package limit
+
+import (
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// Serves reports whether a runner holds what the target asks for.
+func Serves(r *fleet.Runner, target cs.Target) bool {
+	switch x := target.(type) {
+	case cs.Generation:
+		return r.Kind == cs.KindEngine && slices.ContainsFunc(r.Report.Loaded, func(m cs.LoadedModel) bool {
+			return m.Model == x.Model && (x.Version == "" || m.Version == x.Version)
+		})
+	case cs.ServiceCall:
+		return r.Kind == cs.KindService && r.Service == x.Service
+	}
+	return false
+}
+
+// Sending lists the runners of which this VM is the batch sender. The list is renewed at most every
+// 100 ms, so that a tick does not walk all runners; fresh tells whether it was on this tick.
+func Sending(t *fleet.Tables, now cs.Instant) (list []cs.RunnerID, fresh bool) {
+	self := t.VMs.Get(t.Self.ID)
+	if self != nil && self.SendingAt != 0 && now != self.SendingAt && now.Sub(self.SendingAt) < adaptEvery {
+		return self.Sending, false
+	}
+	if self != nil && self.SendingAt == now && now != 0 {
+		return self.Sending, true
+	}
+	for id, r := range t.Runners.All() {
+		if r.Sender == t.Self.ID {
+			list = append(list, id)
+		}
+	}
+	if self != nil {
+		self.Sending, self.SendingAt = list, now
+	}
+	return list, true
+}
--- /dev/null
+++ b/routing/dispatch.go
@@ -0,0 +1,153 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/limit"
+	"github.com/crocusstile/crocusstile/quarantine"
+)
+
+// Dispatch sends queued requests to runners in weighted fair order across tenants, ends those whose
+// deadline has passed, and hedges those without a first token.
+func Dispatch(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	d := &round{t: t, now: now, out: out}
+	d.collect()
+	for _, id := range d.expired {
+		refuse(t, t.Requests.Get(id), cs.ReasonExpired, "the deadline passed", out)
+	}
+	slices.SortFunc(d.ready, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.id, b.id))
+	})
+	for _, p := range d.ready {
+		d.send(t.Requests.Get(p.id))
+	}
+	for _, id := range d.slow {
+		d.hedge(t.Requests.Get(id))
+	}
+}
+
+// place is a request's place in the fair queue.
+type place struct {
+	order float64
+	id    cs.RequestID
+}
+
+// round is the state of one pass of Dispatch.
+type round struct {
+	t   *fleet.Tables
+	now cs.Instant
+	out *fleet.Actions
+	// ready waits for a runner, expired is past its deadline, and slow may be hedged.
+	ready   []place
+	expired []cs.RequestID
+	slow    []cs.RequestID
+	pools   []*pool
+}
+
+// collect walks the requests without a first token.
+func (d *round) collect() {
+	for _, tenant := range d.t.Tenants.All() {
+		kept := tenant.Pending[:0]
+		for _, id := range tenant.Pending {
+			q := d.t.Requests.Get(id)
+			if q == nil || q.Phase == fleet.PhaseRunning && q.FirstTokenAt != 0 {
+				continue
+			}
+			kept = append(kept, id)
+			d.sort(q)
+		}
+		clear(tenant.Pending[len(kept):])
+		tenant.Pending = kept
+	}
+}
+
+// sort decides what to do with one request on this tick, or when to look at it again.
+func (d *round) sort(q *fleet.Request) {
+	if d.now >= q.Deadline {
+		d.expired = append(d.expired, q.ID)
+		return
+	}
+	d.out.WakeAt(q.Deadline)
+	switch q.Phase {
+	case fleet.PhaseQueued:
+		d.ready = append(d.ready, place{q.Order, q.ID})
+	case fleet.PhaseBackoff:
+		if d.now >= q.RetryAt {
+			d.ready = append(d.ready, place{q.Order, q.ID})
+			return
+		}
+		d.out.WakeAt(q.RetryAt)
+	case fleet.PhaseRunning:
+		if q.HedgeAt == 0 {
+			return
+		}
+		if d.now >= q.HedgeAt {
+			d.slow = append(d.slow, q.ID)
+			return
+		}
+		d.out.WakeAt(q.HedgeAt)
+	case fleet.PhasePermit:
+	}
+}
+
+// send dispatches a request if a runner has room for it.
+func (d *round) send(q *fleet.Request) {
+	if quarantine.Blocked(d.t, q.Hash, d.now) {
+		refuse(d.t, q, cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners", d.out)
+		return
+	}
+	p := d.pool(q.Target)
+	c := d.choose(p, q)
+	if c == nil {
+		return
+	}
+	if q.Attempt > 0 && !q.Free {
+		if !limit.Spend(d.t) {
+			d.out.Count(fleet.CountRetriesDenied, q.Tenant, 1)
+			q.Phase, q.RetryAt = fleet.PhaseBackoff, d.now.Add(backoffLongest)
+			d.out.WakeAt(q.RetryAt)
+			return
+		}
+		d.out.Count(fleet.CountRetries, q.Tenant, 1)
+	}
+	q.Free = false
+	q.Phase = fleet.PhaseRunning
+	if !q.NonIdempotent && !quarantine.Suspect(d.t, q.Hash, d.now) {
+		q.HedgeAt = d.now.Add(d.hedgeAfter(p))
+		d.out.WakeAt(q.HedgeAt)
+	}
+	d.start(q, c, false)
+}
+
+// start dispatches a request to a runner.
+func (d *round) start(q *fleet.Request, c *candidate, hedge bool) {
+	r := c.row
+	q.Attempt++
+	q.Runs = append(q.Runs, fleet.RequestRun{Runner: r.ID, Attempt: q.Attempt, Since: d.now, Hedge: hedge})
+	r.Online++
+	r.Dispatched++
+	c.measure(d.now)
+	c.group.online++
+	d.out.Add(fleet.Dispatch{ID: q.ID, Attempt: q.Attempt, Runner: r.ID, Address: r.Address, Hedge: hedge})
+	d.claim(c)
+}
+
+// claim tells the runner's batch sender of a request that takes a slot which batch holds or leaves
+// free, so that the sender gives up a run or lets its free slots grow again. Other VMs may count on
+// the same free slot, and only the sender can tell.
+func (d *round) claim(c *candidate) {
+	room := float64(c.slots - limit.Headroom(d.t.Config, c.row, c.online))
+	if d.t.Config.Policy.NoClasses || c.total <= room || c.online > c.slots {
+		return
+	}
+	switch c.row.Sender {
+	case "":
+	case d.t.Self.ID:
+		c.row.YieldWanted++
+	default:
+		d.out.Add(fleet.Send{To: c.row.Sender, Message: cs.Yield{Runner: c.row.ID, Slots: 1}})
+	}
+}
--- /dev/null
+++ b/routing/finish.go
@@ -0,0 +1,85 @@
+package routing
+
+import (
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// ranOf says what is known about the effect of a request that ends without an answer.
+func ranOf(q *fleet.Request) cs.Ran {
+	switch {
+	case q.Unsure || len(q.Runs) > 0:
+		return cs.RanUnknown
+	case q.Failed:
+		return cs.RanFailed
+	}
+	return cs.RanNotRun
+}
+
+// refuse ends a request without an answer, with the truth about whether it ran.
+func refuse(t *fleet.Tables, q *fleet.Request, reason cs.Reason, message string, out *fleet.Actions) {
+	f := &cs.Refusal{Reason: reason, Ran: ranOf(q), Message: message}
+	counter := fleet.CountRefusedNotRun
+	switch f.Ran {
+	case cs.RanFailed:
+		counter = fleet.CountFailed
+	case cs.RanUnknown:
+		counter = fleet.CountUnknown
+	case cs.RanNotRun:
+	}
+	out.Count(counter, q.Tenant, 1)
+	out.Add(fleet.Finish{ID: q.ID, Refusal: f})
+	drop(t, q.ID, out)
+}
+
+// drop cancels what still runs of a request and removes its row.
+func drop(t *fleet.Tables, id cs.RequestID, out *fleet.Actions) {
+	q := t.Requests.Get(id)
+	if q == nil {
+		return
+	}
+	cancelOthers(t, q, 0, out)
+	tenant := t.Tenants.Get(q.Tenant)
+	owner := q.Tenant
+	t.Requests.Delete(id)
+	if tenant == nil {
+		return
+	}
+	tenant.Online = max(tenant.Online-1, 0)
+	if tenant.Online == 0 && tenant.Deficit == 0 {
+		t.Tenants.Delete(owner)
+	}
+}
+
+// cancelOthers cancels all runs of a request but one; 0 cancels all.
+func cancelOthers(t *fleet.Tables, q *fleet.Request, keep cs.Attempt, out *fleet.Actions) {
+	for _, run := range q.Runs {
+		if run.Attempt == keep {
+			continue
+		}
+		out.Add(fleet.CancelRun{ID: q.ID, Attempt: run.Attempt})
+		release(t, run.Runner)
+	}
+	q.Runs = slices.DeleteFunc(q.Runs, func(run fleet.RequestRun) bool { return run.Attempt != keep })
+}
+
+// takeRun removes a run from a request and returns it; ok is false if it is not in flight.
+func takeRun(t *fleet.Tables, q *fleet.Request, a cs.Attempt) (run fleet.RequestRun, ok bool) {
+	i := slices.IndexFunc(q.Runs, func(run fleet.RequestRun) bool { return run.Attempt == a })
+	if i < 0 {
+		return run, false
+	}
+	run = q.Runs[i]
+	q.Runs = slices.Delete(q.Runs, i, i+1)
+	release(t, run.Runner)
+	return run, true
+}
+
+// release frees an online slot of a runner.
+func release(t *fleet.Tables, id cs.RunnerID) {
+	if r := t.Runners.Get(id); r != nil {
+		r.Online = max(r.Online-1, 0)
+	}
+}
