--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -180,6 +180,65 @@
 	Standby cs.VMID
 	// CopiedRecords are unconfirmed records of another owner, kept for the case that it dies.
 	CopiedRecords []cs.Record
+
+	// Gapped tells that reading began above offset 0, so that earlier claims are not known.
+	Gapped bool
+	// Proved tells whether a batch written under Claim was read; it matters only if Gapped.
+	Proved bool
+	// Unranked is when this VM ceased to be ranked for the shard; 0 while it is.
+	Unranked cs.Instant
+	// OwnSeq is the last sequence number that this process used in the stream.
+	OwnSeq cs.Seq
+	// Releasing means that a Released record of this process is on its way to the log.
+	Releasing bool
+	// SweepAt is when the shard's running and delayed items are next looked through.
+	SweepAt cs.Instant
+	// Told tells whether senders were told of waiting items, and TellAt when to tell them again.
+	Told   bool
+	TellAt cs.Instant
+	// Active lists the open jobs of an owned shard; ended ones are removed by the next sweep.
+	Active []cs.JobID
+	// OpenCalls lists the calls of an owned shard that have not ended.
+	OpenCalls []cs.CallID
+	// Orphans are non-idempotent items that an earlier owner started; they end as unknown at GraceAt.
+	Orphans []cs.ItemKey
+	GraceAt cs.Instant
+	// ItemTime is the moving average of an item's run, in milliseconds.
+	ItemTime float64
+	// Turn counts granted items; it sets aside a share of the grants for jobs that are not urgent.
+	Turn int
+	// CarryAt is when jobs and calls are next checked for rewriting.
+	CarryAt cs.Instant
+	// Carry lists the jobs to be rewritten; CarryNext is the next item of the first one.
+	Carry     []cs.JobID
+	CarryNext cs.ItemIndex
+	// CarryCalls lists the calls to be rewritten.
+	CarryCalls []cs.CallID
+	// InflightSince is when Inflight was composed.
+	InflightSince cs.Instant
+	// CopyMark counts the unconfirmed ends that Standby has, and CopyAt is when the last copy went out.
+	CopyMark int
+	CopyAt   cs.Instant
+}
+
+// Lane is the queue of a job's waiting items that the same runners can run.
+type Lane struct {
+	Service       cs.ServiceID // of a plain service; empty for a model
+	Model         cs.ModelID
+	Version       cs.VersionID // empty: the version in force
+	NonIdempotent bool
+	// Front holds items that came back, the last one first in turn; Queue holds the others in order.
+	Front, Queue []cs.ItemIndex
+	// Starting counts non-idempotent items whose ItemStarted is not read back yet.
+	Starting int
+}
+
+// RunningItem is an item that was granted; it is out of date once the item's Grants differ.
+type RunningItem struct {
+	Index       cs.ItemIndex
+	Grant       cs.Attempt
+	Incarnation cs.Incarnation // of the sender
+	Until       cs.Instant     // when the item is taken back
 }
 
 // Job is the row of a batch job.
@@ -202,6 +261,19 @@
 	FinishedAt cs.Instant
 	// Waiters are queries that wait for the job to be sealed or cancelled.
 	Waiters []uint64
+
+	// Filled counts the items that are known; it is below Count while the job is being read.
+	Filled cs.ItemIndex
+	// Lanes hold the waiting items of an owned job by target; Delayed holds those with NotBefore.
+	Lanes   []Lane
+	Delayed []cs.ItemIndex
+	// Running lists granted items of an owned job.
+	Running []RunningItem
+	// WrittenAt is when the oldest record that the job depends on was read.
+	WrittenAt cs.Instant
+	// SnapStart and SnapNext follow a rewriting of the job through the log.
+	SnapStart cs.Instant
+	SnapNext  cs.ItemIndex
 }
 
 // Item is the row of a batch item.
@@ -226,6 +298,13 @@
 	Suspect bool
 	Output  string
 	Error   string
+
+	// Known tells whether the item was read; it is false in a job that is only partly restored.
+	Known bool
+	// Starting means that an ItemStarted record is on its way to the log.
+	Starting bool
+	// Grants counts how often this owner gave the item out, so that returns of each can be told apart.
+	Grants cs.Attempt
 }
 
 // Call is the row of a keyed call that must not be repeated.
@@ -242,6 +321,15 @@
 	EndedAt cs.Instant
 	// Waiters are queries that wait for the outcome; the first waits for leave to run.
 	Waiters []uint64
+
+	// Incarnation is that of VM, or 0 if it is not known.
+	Incarnation cs.Incarnation
+	// Opener is the query that waits for leave to run, or 0.
+	Opener uint64
+	// Ending means that a CallEnded record is on its way to the log.
+	Ending bool
+	// WrittenAt is when the call's records were last read.
+	WrittenAt cs.Instant
 }
 
 // Query is a question to the owner of a shard, asked here or forwarded by a peer.
@@ -260,6 +348,13 @@
 	Hops   int
 	// Recorded means that a record for the query may have reached the log.
 	Recorded bool
+
+	// Sends counts how often the query was forwarded.
+	Sends int
+	// Waiting means that a job or call of this VM answers the query when its record is read back.
+	Waiting bool
+	// CheckAt is when the query is next looked at.
+	CheckAt cs.Instant
 }
 
 // Run is a batch item that this VM runs as the batch sender of a runner.
