--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -25,6 +25,14 @@
 	BeatAt cs.Instant
 	// Backlog is the number of waiting items by shard owned, corrected between heartbeats.
 	Backlog map[cs.ShardID]cs.ItemIndex
+	// Counted is the part of Beat.Online that is contained in Runner.Peers.
+	Counted []cs.RunnerCount
+	// OfferedAt is when batch slots were last offered to the VM.
+	OfferedAt cs.Instant
+	// Sending lists the runners of which the VM is the batch sender, as of SendingAt; it is kept for
+	// this VM only.
+	Sending   []cs.RunnerID
+	SendingAt cs.Instant
 }
 
 // Runner is the row of a runner.
@@ -42,9 +50,28 @@
 	// Answer is the load that the last answer brought, and AnswerAt when it came.
 	Answer   cs.Load
 	AnswerAt cs.Instant
+	// LoadOnline and LoadBatch are Online and Batch when the newest of Report and Answer came.
+	LoadOnline cs.Slots
+	LoadBatch  cs.Slots
+	// Peers counts the online requests of other VMs on the runner, by their last heartbeats.
+	Peers cs.Slots
+	// Claimed counts online requests that peers announced by Yield since the last report.
+	Claimed cs.Slots
+	// Dispatched counts this VM's online dispatches to the runner.
+	Dispatched int64
 	// FirstToken and Gap are moving averages of online runs, in milliseconds.
 	FirstToken float64
 	Gap        float64
+	// Took is the moving average of the whole time of online runs, in milliseconds.
+	Took float64
+	// BaseFirstToken and BaseGap are the averages of runs without batch beside them, in milliseconds.
+	BaseFirstToken float64
+	BaseGap        float64
+	// Samples counts first tokens since the start or the last ejection; SampledAt is the last one.
+	Samples   int
+	SampledAt cs.Instant
+	// CheckedAt is when the runner was last compared with the others of its model.
+	CheckedAt cs.Instant
 	// Failures counts runs that failed in a row.
 	Failures int
 	// EjectedUntil bars the runner from new online work; Ejections lengthen the next ejection.
@@ -61,10 +88,26 @@
 	LimitAt cs.Instant
 	// Offered counts slots that are offered to owners and not granted yet.
 	Offered cs.Slots
+	// Offers are the offers that Offered sums up.
+	Offers []SlotOffer
+	// Declined holds, by owner, until when it is not offered slots after it had no fitting items.
+	Declined map[cs.VMID]cs.Instant
+	// YieldWanted counts slots that this VM's own online requests need back on this tick.
+	YieldWanted cs.Slots
 	// YieldUntil bars new batch runs after a yield.
 	YieldUntil cs.Instant
 	// OrderAt is when the last order went out.
 	OrderAt cs.Instant
+	// OrderOut tells whether the last order is unanswered.
+	OrderOut bool
+}
+
+// SlotOffer is an offer of batch slots that is not answered yet.
+type SlotOffer struct {
+	ID    uint64
+	To    cs.VMID
+	Slots cs.Slots
+	At    cs.Instant
 }
 
 // Request is the row of an online request that this VM took.
@@ -84,6 +127,14 @@
 	FirstTokenAt cs.Instant
 	// Last is why the last attempt ended without an answer.
 	Last *cs.Refusal
+	// Unsure means that an earlier attempt may have run, without a definite outcome.
+	Unsure bool
+	// Failed means that an earlier attempt ran and failed.
+	Failed bool
+	// Free means that the next attempt does not draw on the retry budget.
+	Free bool
+	// HedgeAt is when a second dispatch may start; 0 if none may.
+	HedgeAt cs.Instant
 	// Order is the request's place in the fair queue; the lowest is served first.
 	Order float64
 }
@@ -118,6 +169,8 @@
 	Online cs.Slots
 	// Virtual is the finish time of the tenant's last request in the fair queue.
 	Virtual float64
+	// Pending lists the tenant's requests without a first token, in order of arrival.
+	Pending []cs.RequestID
 	// Deficit is the tenant's credit in the round over batch items.
 	Deficit float64
 }
@@ -180,6 +233,65 @@
 	Standby cs.VMID
 	// CopiedRecords are unconfirmed records of another owner, kept for the case that it dies.
 	CopiedRecords []cs.Record
+
+	// Gapped tells that reading began above offset 0, so that earlier claims are not known.
+	Gapped bool
+	// Proved tells whether a batch written under Claim was read; it matters only if Gapped.
+	Proved bool
+	// Unranked is when this VM ceased to be ranked for the shard; 0 while it is.
+	Unranked cs.Instant
+	// OwnSeq is the last sequence number that this process used in the stream.
+	OwnSeq cs.Seq
+	// Releasing means that a Released record of this process is on its way to the log.
+	Releasing bool
+	// SweepAt is when the shard's running and delayed items are next looked through.
+	SweepAt cs.Instant
+	// Told tells whether senders were told of waiting items, and TellAt when to tell them again.
+	Told   bool
+	TellAt cs.Instant
+	// Active lists the open jobs of an owned shard; ended ones are removed by the next sweep.
+	Active []cs.JobID
+	// OpenCalls lists the calls of an owned shard that have not ended.
+	OpenCalls []cs.CallID
+	// Orphans are non-idempotent items that an earlier owner started; they end as unknown at GraceAt.
+	Orphans []cs.ItemKey
+	GraceAt cs.Instant
+	// ItemTime is the moving average of an item's run, in milliseconds.
+	ItemTime float64
+	// Turn counts granted items; it sets aside a share of the grants for jobs that are not urgent.
+	Turn int
+	// CarryAt is when jobs and calls are next checked for rewriting.
+	CarryAt cs.Instant
+	// Carry lists the jobs to be rewritten; CarryNext is the next item of the first one.
+	Carry     []cs.JobID
+	CarryNext cs.ItemIndex
+	// CarryCalls lists the calls to be rewritten.
+	CarryCalls []cs.CallID
+	// InflightSince is when Inflight was composed.
+	InflightSince cs.Instant
+	// CopyMark counts the unconfirmed ends that Standby has, and CopyAt is when the last copy went out.
+	CopyMark int
+	CopyAt   cs.Instant
+}
+
+// Lane is the queue of a job's waiting items that the same runners can run.
+type Lane struct {
+	Service       cs.ServiceID // of a plain service; empty for a model
+	Model         cs.ModelID
+	Version       cs.VersionID // empty: the version in force
+	NonIdempotent bool
+	// Front holds items that came back, the last one first in turn; Queue holds the others in order.
+	Front, Queue []cs.ItemIndex
+	// Starting counts non-idempotent items whose ItemStarted is not read back yet.
+	Starting int
+}
+
+// RunningItem is an item that was granted; it is out of date once the item's Grants differ.
+type RunningItem struct {
+	Index       cs.ItemIndex
+	Grant       cs.Attempt
+	Incarnation cs.Incarnation // of the sender
+	Until       cs.Instant     // when the item is taken back
 }
 
 // Job is the row of a batch job.
@@ -202,6 +314,19 @@
 	FinishedAt cs.Instant
 	// Waiters are queries that wait for the job to be sealed or cancelled.
 	Waiters []uint64
+
+	// Filled counts the items that are known; it is below Count while the job is being read.
+	Filled cs.ItemIndex
+	// Lanes hold the waiting items of an owned job by target; Delayed holds those with NotBefore.
+	Lanes   []Lane
+	Delayed []cs.ItemIndex
+	// Running lists granted items of an owned job.
+	Running []RunningItem
+	// WrittenAt is when the oldest record that the job depends on was read.
+	WrittenAt cs.Instant
+	// SnapStart and SnapNext follow a rewriting of the job through the log.
+	SnapStart cs.Instant
+	SnapNext  cs.ItemIndex
 }
 
 // Item is the row of a batch item.
@@ -226,6 +351,13 @@
 	Suspect bool
 	Output  string
 	Error   string
+
+	// Known tells whether the item was read; it is false in a job that is only partly restored.
+	Known bool
+	// Starting means that an ItemStarted record is on its way to the log.
+	Starting bool
+	// Grants counts how often this owner gave the item out, so that returns of each can be told apart.
+	Grants cs.Attempt
 }
 
 // Call is the row of a keyed call that must not be repeated.
@@ -242,6 +374,15 @@
 	EndedAt cs.Instant
 	// Waiters are queries that wait for the outcome; the first waits for leave to run.
 	Waiters []uint64
+
+	// Incarnation is that of VM, or 0 if it is not known.
+	Incarnation cs.Incarnation
+	// Opener is the query that waits for leave to run, or 0.
+	Opener uint64
+	// Ending means that a CallEnded record is on its way to the log.
+	Ending bool
+	// WrittenAt is when the call's records were last read.
+	WrittenAt cs.Instant
 }
 
 // Query is a question to the owner of a shard, asked here or forwarded by a peer.
@@ -260,6 +401,13 @@
 	Hops   int
 	// Recorded means that a record for the query may have reached the log.
 	Recorded bool
+
+	// Sends counts how often the query was forwarded.
+	Sends int
+	// Waiting means that a job or call of this VM answers the query when its record is read back.
+	Waiting bool
+	// CheckAt is when the query is next looked at.
+	CheckAt cs.Instant
 }
 
 // Run is a batch item that this VM runs as the batch sender of a runner.
@@ -276,12 +424,16 @@
 	// Ended is the outcome that could not be delivered yet; EndedAt is when it came.
 	Ended   *cs.ItemReturned
 	EndedAt cs.Instant
+	// RetryAt is when Ended is sent again.
+	RetryAt cs.Instant
 }
 
 // Suspect is the row of a request content that was in flight on a crashed runner.
 type Suspect struct {
 	// Crashes counts the runners that crashed with it in flight, as far as this VM knows.
 	Crashes int
+	// CrashedAt is when the last of them became known.
+	CrashedAt cs.Instant
 	// Runners are those runners.
 	Runners []cs.RunnerID
 	// Convicted means that it is quarantined until Until; otherwise the row is dropped then.
