--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -13,21 +13,9 @@
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/cli"
 	"github.com/crocusstile/crocusstile/setting"
+	"github.com/crocusstile/crocusstile/standin"
 )
 
-// listEntry is an entry of the platform's list, as section 4.4 of docs/design.md defines it.
-type listEntry struct {
-	ID          string
-	Kind        string
-	Service     cs.ServiceID
-	Address     cs.Address
-	DataCentre  cs.DataCentreID
-	State       string
-	Incarnation cs.Incarnation
-	Fencing     bool
-	Slots       cs.Slots
-}
-
 // deployment is one site; its "vms" field alone makes it an answer of the platform's list.
 type deployment struct {
 	Name        string
@@ -35,7 +23,7 @@
 	DataCentres []cs.DataCentreID
 	Delay       string
 	ClientDelay string
-	VMs         []listEntry
+	VMs         []standin.Entry
 }
 
 // TestSettings guards against example settings that the daemon would refuse, or that name a VM
@@ -65,7 +53,7 @@
 		centres := map[cs.DataCentreID]bool{}
 		for _, e := range d.VMs {
 			counts[string(e.Service)]++
-			if e.Kind == "entry" {
+			if e.Kind == standin.KindEntry {
 				centres[e.DataCentre] = true
 			}
 			a, err := netip.ParseAddrPort(string(e.Address))
@@ -79,6 +67,18 @@
 	}
 }
 
+// TestLocal guards against files of the README's example that do not fit together.
+func TestLocal(t *testing.T) {
+	s, err := setting.Load("local/settings.json")
+	qt.Assert(t, err, qt.IsNil)
+	data, err := os.ReadFile("local/list.json")
+	qt.Assert(t, err, qt.IsNil)
+	var list struct{ VMs []standin.Entry }
+	qt.Assert(t, json.Unmarshal(data, &list), qt.IsNil)
+	qt.Assert(t, list.VMs[0].ID, qt.Equals, string(s.VM.ID))
+	qt.Assert(t, list.VMs[0].Address, qt.Equals, s.Listen)
+}
+
 // TestTickets guards against example tickets that no VM accepts, or that share a number, of which
 // only the first would count.
 func TestTickets(t *testing.T) {
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -66,7 +66,6 @@
 }
 
 func check(t *testing.T, path string, v reflect.Value, s *jsonschema.Schema) {
-	qt.Assert(t, len(s.Properties), qt.Equals, v.NumField(), qt.Commentf("fields of %q in schema.json", path))
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
@@ -89,4 +88,5 @@
 		qt.Assert(t, json.Unmarshal(want, got.Interface()), qt.IsNil)
 		qt.Assert(t, got.Elem().Interface(), qt.Equals, v.Field(i).Interface(), qt.Commentf("default of %s%s", path, name))
 	}
+	qt.Assert(t, len(s.Properties), qt.Equals, v.NumField(), qt.Commentf("fields of %q in schema.json", path))
 }
