--- /dev/null
+++ b/e2e/drain_test.go
@@ -0,0 +1,65 @@
+package e2e
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestDrainUnderLoad guards against a graceful shutdown that cuts off a request or loses an item.
+func TestDrainUnderLoad(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, twoSites())
+	c := newCaller(t, s)
+	c.setUp()
+	j := newJob("drained", 200, 20)
+	_, err := c.submit(s.vms()[0], j)
+	qt.Assert(t, err, qt.IsNil)
+	owner, other := s.owner(j)
+	var wg sync.WaitGroup
+	errs := make(chan error, 40)
+	for i := range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := c.stream(owner, "hebewerk", "long question "+string(rune('a'+i)), 100)
+			errs <- err
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	took, err := owner.terminate(40 * time.Second)
+	qt.Assert(t, err, qt.IsNil)
+	t.Logf("drain took %v", took)
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		qt.Check(t, err, qt.IsNil)
+	}
+	allDone(t, c.waitFinished(other, j, 60*time.Second), j)
+	c.check(false)
+}
+
+// TestDrainHandsOver guards against shards without an owner for a whole lease after a drain.
+func TestDrainHandsOver(t *testing.T) {
+	t.Parallel()
+	cfg := twoSites()
+	cfg.control = map[string]any{"lease": "20s"}
+	s := newSite(t, cfg)
+	c := newCaller(t, s)
+	c.setUp()
+	j := newJob("handed-over", 400, 20)
+	_, err := c.submit(s.vms()[0], j)
+	qt.Assert(t, err, qt.IsNil)
+	owner, other := s.owner(j)
+	_, err = owner.terminate(40 * time.Second)
+	qt.Assert(t, err, qt.IsNil)
+	began := time.Now()
+	s.owner(j)
+	took := time.Since(began)
+	t.Logf("shard owned again %v after the drain", took)
+	qt.Assert(t, took < 5*time.Second, qt.IsTrue)
+	allDone(t, c.waitFinished(other, j, 60*time.Second), j)
+	c.check(false)
+}
