--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -53,7 +53,7 @@
 		centres := map[cs.DataCentreID]bool{}
 		for _, e := range d.VMs {
 			counts[string(e.Service)]++
-			if e.Kind == standin.KindEntry {
+			if e.Kind.String() == "entry" {
 				centres[e.DataCentre] = true
 			}
 			a, err := netip.ParseAddrPort(string(e.Address))
