Add the links between VMs

Cause: VMs exchange heartbeats, tickets, slots and forwarded queries, and a connection that goes silent has to be found out within seconds. Ruled out: one queue (a job of 32 MiB holds up heartbeats); encoding in Send (the control loop would encode whole jobs); TCP keep-alive (too slow and not seen by the reader); a text and a binary frame type in place of a kind byte. Change: package link with one WebSocket for each pair, Hello both ways, a control and a bulk queue bounded by bytes, chunks of 64 KiB, pings each second and read and write deadlines of 3 s. Conclusion: events of a link come once and in order, also when it is replaced.

--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,303 @@
+package link
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// node is a VM with links over real sockets; it collects the events.
+type node struct {
+	*Links
+	vm     cs.VM
+	events chan fleet.Event
+}
+
+func newNode(t *testing.T, id cs.VMID, change func(*Config)) *node {
+	n := &node{events: make(chan fleet.Event, 1000)}
+	server := httptest.NewUnstartedServer(nil)
+	n.vm = cs.VM{ID: id, Incarnation: 10, DataCentre: "a", Address: cs.Address(server.Listener.Addr().String())}
+	c := Config{Self: n.vm, Events: func(e fleet.Event) { n.events <- e }}
+	if change != nil {
+		change(&c)
+	}
+	n.Links, n.vm = New(c), c.Self
+	mux := http.NewServeMux()
+	mux.Handle(Path, n.Handler())
+	server.Config.Handler = mux
+	server.Start()
+	t.Cleanup(func() {
+		n.Close()
+		server.Close()
+	})
+	return n
+}
+
+// next returns the next event, or fails after 2 s.
+func (n *node) next(t *testing.T) fleet.Event {
+	t.Helper()
+	select {
+	case e := <-n.events:
+		return e
+	case <-time.After(2 * time.Second):
+		t.Fatalf("%s: no event", n.vm.ID)
+		return nil
+	}
+}
+
+func fast(c *Config) {
+	c.PeerTimeout, c.PingEvery, c.WriteTimeout = 300, 100, 300
+	c.HandshakeTimeout = 300
+}
+
+// TestExchange guards against lost messages, a missing event and a link that stays after HangUp.
+func TestExchange(t *testing.T) {
+	a, b := newNode(t, "a", nil), newNode(t, "b", nil)
+	a.Send("b", cs.TicketsWanted{})
+	qt.Check(t, a.Stats().Unlinked, qt.Equals, int64(1))
+	a.Dial(b.vm)
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: a.vm}))
+	yield := cs.Yield{Runner: "r", Slots: 2}
+	returned := cs.ItemReturned{Output: strings.Repeat("x", 200_000)} // four chunks
+	a.Send("b", yield)
+	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.PeerSaid{From: "a", Message: yield}))
+	b.Send("a", returned)
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.PeerSaid{From: "b", Message: returned}))
+	a.HangUp("b")
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "b", Incarnation: 10}))
+	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "a", Incarnation: 10}))
+}
+
+// TestDialBothWays guards against two links between a pair, or none, after simultaneous dials.
+func TestDialBothWays(t *testing.T) {
+	for range 20 {
+		a, b := newNode(t, "a", nil), newNode(t, "b", nil)
+		a.Dial(b.vm)
+		b.Dial(a.vm)
+		one := func() bool { return oneLink(a, b) }
+		waitFor(t, one)
+		time.Sleep(5 * time.Millisecond) // time for a second link to disturb the first
+		qt.Assert(t, one(), qt.IsTrue)
+		for _, n := range []*node{a, b} {
+			n.Close()
+			qt.Check(t, opened(n), qt.Equals, 0)
+		}
+	}
+}
+
+// oneLink reports whether both ends hold the same link, dialled by the lower id if there were two.
+func oneLink(lower, higher *node) bool {
+	p, q := lower.linkTo(higher.vm.ID), higher.linkTo(lower.vm.ID)
+	if p == nil || q == nil || p.conn.LocalAddr().String() != q.conn.RemoteAddr().String() {
+		return false
+	}
+	return p.dialled || lower.Stats().Opened == 1
+}
+
+// linkTo returns the link to a VM, or nil if there is none or a dial is in progress.
+func (n *node) linkTo(id cs.VMID) *peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.dials) > 0 {
+		return nil
+	}
+	return n.peers[id]
+}
+
+// opened returns the number of links that opened without closing, from the events so far.
+func opened(n *node) int {
+	count := 0
+	for {
+		select {
+		case e := <-n.events:
+			switch e := e.(type) {
+			case fleet.LinkOpened:
+				count++
+			case fleet.LinkClosed:
+				if e.Incarnation != 0 {
+					count--
+				}
+			}
+		default:
+			return count
+		}
+	}
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("not reached in 2 s")
+}
+
+// TestDialOfAnotherVM guards against a link to a process other than the one that was meant.
+func TestDialOfAnotherVM(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*cs.VM)
+		opens  bool
+	}{
+		{"nobody listens", func(vm *cs.VM) { vm.Address = "127.0.0.1:1" }, false},
+		{"address of another VM", func(vm *cs.VM) { vm.ID = "c" }, false},
+		{"older process answers", func(vm *cs.VM) { vm.Incarnation = 11 }, false},
+		{"replacement answers", func(vm *cs.VM) { vm.Incarnation = 9 }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := newNode(t, "a", nil), newNode(t, "b", nil)
+			want := b.vm
+			c.change(&want)
+			a.Dial(want)
+			if c.opens {
+				qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+				return
+			}
+			qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: want.ID}))
+			qt.Check(t, a.Stats().DialsFailed, qt.Equals, int64(1))
+		})
+	}
+}
+
+// TestReplacedVM guards against events that mix up a VM with its replacement.
+func TestReplacedVM(t *testing.T) {
+	a, b := newNode(t, "a", nil), newNode(t, "b", nil)
+	second := newNode(t, "b", func(c *Config) { c.Self.Incarnation = 11 })
+	a.Dial(b.vm)
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+	second.Dial(a.vm)
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "b", Incarnation: 10}))
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: second.vm}))
+}
+
+// relay passes bytes between a link's ends until it is frozen; then it reads no more, as a network
+// does that drops all packets.
+type relay struct {
+	net.Listener
+	frozen chan struct{}
+	// pause follows each read of at most 32 KiB.
+	pause time.Duration
+}
+
+func newRelay(t *testing.T, to cs.Address, pause time.Duration) *relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	r := &relay{Listener: listener, frozen: make(chan struct{}), pause: pause}
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", string(to))
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { in.Close(); out.Close() })
+			go r.copy(in, out)
+			go r.copy(out, in)
+		}
+	}()
+	t.Cleanup(func() { listener.Close() })
+	return r
+}
+
+func (r *relay) copy(to io.Writer, from io.Reader) {
+	buffer := make([]byte, 32<<10)
+	for {
+		select {
+		case <-r.frozen:
+			return
+		default:
+		}
+		time.Sleep(r.pause)
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		select {
+		case <-r.frozen:
+			return
+		default:
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+// TestSilentPeer guards against a link that stays open while the network carries nothing, and
+// against a Send that blocks or a queue without bound meanwhile.
+func TestSilentPeer(t *testing.T) {
+	a, b := newNode(t, "a", fast), newNode(t, "b", fast)
+	r := newRelay(t, b.vm.Address, 0)
+	via := b.vm
+	via.Address = cs.Address(r.Addr().String())
+	a.Dial(via)
+	a.next(t)
+	b.next(t)
+	time.Sleep(500 * time.Millisecond) // pings alone keep the link open
+	qt.Assert(t, len(a.events)+len(b.events), qt.Equals, 0)
+
+	frozen := time.Now()
+	close(r.frozen)
+	big := cs.ItemReturned{Output: strings.Repeat("x", 10<<20)}
+	for range 8 {
+		a.Send("b", big)
+	}
+	qt.Check(t, time.Since(frozen) < 100*time.Millisecond, qt.IsTrue)
+	qt.Check(t, a.Stats().Full >= 3, qt.IsTrue, qt.Commentf("%+v", a.Stats()))
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "b", Incarnation: 10}))
+	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "a", Incarnation: 10}))
+	qt.Check(t, time.Since(frozen) < time.Second, qt.IsTrue)
+
+	a.Dial(b.vm) // a new connection works
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+}
+
+// TestControlOvertakesBulk guards against a heartbeat that waits behind a whole job. The job is
+// longer than what the sockets on the way hold, and takes about 0.5 s through the relay.
+func TestControlOvertakesBulk(t *testing.T) {
+	a, b := newNode(t, "a", nil), newNode(t, "b", nil)
+	via := b.vm
+	via.Address = cs.Address(newRelay(t, b.vm.Address, time.Millisecond).Addr().String())
+	a.Dial(via)
+	a.next(t)
+	b.next(t)
+	job := cs.SubmitJob{Items: make([]cs.Item, 500)}
+	for i := range job.Items {
+		job.Items[i].Target = cs.Generation{Model: "m", Prompt: strings.Repeat("p", 32_000)}
+	}
+	a.Send("b", cs.Forward{ID: 1, Query: job})
+	waitFor(t, func() bool { return a.Stats().Sent > 0 })
+	a.Send("b", cs.Heartbeat{Tickets: 5})
+	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.PeerSaid{From: "a", Message: cs.Heartbeat{Tickets: 5}}))
+	said := b.next(t).(fleet.PeerSaid).Message.(cs.Forward)
+	qt.Assert(t, len(said.Query.(cs.SubmitJob).Items), qt.Equals, len(job.Items))
+}
+
+// TestCloseEndsGoroutines guards against goroutines that outlive their links.
+func TestCloseEndsGoroutines(t *testing.T) {
+	before := runtime.NumGoroutine()
+	t.Run("links", func(t *testing.T) {
+		a := newNode(t, "a", nil)
+		for _, id := range []cs.VMID{"b", "c", "d"} {
+			a.Dial(newNode(t, id, nil).vm)
+			a.next(t)
+		}
+		a.Dial(cs.VM{ID: "e", Address: "127.0.0.1:1"})
+	})
+	waitFor(t, func() bool { return runtime.NumGoroutine() <= before })
+}
--- /dev/null
+++ b/link/peer.go
@@ -0,0 +1,222 @@
+package link
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/websocket"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/wire"
+)
+
+// frameKind is the first byte of each frame after Hello.
+type frameKind byte
+
+// The kinds of frame.
+const (
+	// frameWhole carries a whole message.
+	frameWhole frameKind = iota
+	// frameMore carries a part of a message that is continued in a later frame.
+	frameMore
+	// frameLast carries the last part of a message.
+	frameLast
+)
+
+// peer is the link to one VM.
+type peer struct {
+	links *Links
+	vm    cs.VM
+	conn  *websocket.Conn
+	// dialled tells whether this VM dialled the link.
+	dialled bool
+	queue   *queue
+	// done is closed after LinkClosed was posted.
+	done chan struct{}
+}
+
+func (l *Links) newPeer(conn *websocket.Conn, vm cs.VM, dialled bool) *peer {
+	return &peer{
+		links: l, vm: vm, conn: conn, dialled: dialled,
+		queue: newQueue(l.config), done: make(chan struct{}),
+	}
+}
+
+// close breaks the connection, upon which serve returns.
+func (p *peer) close() { _ = p.conn.Close() }
+
+// serve runs an admitted link until it breaks. It waits for the end of the link that it replaces,
+// so that the events of the two do not mix.
+func (l *Links) serve(p, replaced *peer) {
+	defer close(p.done)
+	defer l.remove(p)
+	defer p.close()
+	stop := context.AfterFunc(l.ctx, p.close)
+	defer stop()
+	if replaced != nil {
+		<-replaced.done
+	}
+	if !p.dialled {
+		if err := l.sayHello(p.conn); err != nil {
+			return
+		}
+	}
+	l.stats.opened.Add(1)
+	l.post(fleet.LinkOpened{VM: p.vm})
+	ended, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(written)
+		defer p.close()
+		p.write(ended)
+	}()
+	p.read()
+	p.close()
+	close(ended)
+	<-written
+	l.remove(p)
+	l.post(fleet.LinkClosed{VM: p.vm.ID, Incarnation: p.vm.Incarnation})
+}
+
+// read posts the peer's messages until the link breaks or is silent for PeerTimeout.
+func (p *peer) read() {
+	extend := func(string) error {
+		return p.conn.SetReadDeadline(time.Now().Add(p.links.config.PeerTimeout.Std()))
+	}
+	p.conn.SetPingHandler(extend) // each side sends pings, so none needs an answer
+	var partial []byte
+	for {
+		if err := extend(""); err != nil {
+			return
+		}
+		_, frame, err := p.conn.ReadMessage()
+		if err != nil || len(frame) == 0 {
+			return
+		}
+		partial, err = p.take(partial, frameKind(frame[0]), frame[1:])
+		if err != nil {
+			return
+		}
+	}
+}
+
+// take adds a frame to what came of a message, and posts the message if it is whole.
+func (p *peer) take(partial []byte, kind frameKind, data []byte) ([]byte, error) {
+	p.links.stats.received.Add(int64(len(data)))
+	if kind == frameWhole {
+		p.deliver(data)
+		return partial, nil
+	}
+	if len(partial)+len(data) > int(wire.MaxMessage) {
+		return nil, errors.Wrapf(wire.ErrTooLarge, "message of %s", p.vm.ID)
+	}
+	partial = append(partial, data...)
+	if kind == frameMore {
+		return partial, nil
+	}
+	p.deliver(partial)
+	return nil, nil
+}
+
+// deliver drops a message that it cannot decode, because a peer of a newer version may send types
+// that this one does not know.
+func (p *peer) deliver(data []byte) {
+	m, err := wire.DecodeMessage(data)
+	if err != nil {
+		p.links.stats.invalid.Add(1)
+		return
+	}
+	p.links.post(fleet.PeerSaid{From: p.vm.ID, Message: m})
+}
+
+// write sends queued messages until ended is closed or a write fails.
+func (p *peer) write(ended <-chan struct{}) {
+	every := p.links.config.PingEvery.Std()
+	idle := time.NewTimer(every)
+	defer idle.Stop()
+	var rest []byte // of the bulk message that is being sent
+	for {
+		wrote, err := p.writeNext(&rest)
+		if err != nil {
+			return
+		}
+		if wrote {
+			idle.Reset(every)
+			continue
+		}
+		select {
+		case <-ended:
+			return
+		case <-p.queue.wake:
+		case <-idle.C:
+			if err := p.ping(); err != nil {
+				return
+			}
+			idle.Reset(every)
+		}
+	}
+}
+
+// writeNext writes a control message, else the next chunk of a bulk message. It returns false if
+// there was neither.
+func (p *peer) writeNext(rest *[]byte) (bool, error) {
+	if m := p.queue.pop(laneControl); m != nil {
+		return true, p.writeFrame(frameWhole, p.encode(m))
+	}
+	kind := frameMore
+	if *rest == nil {
+		m := p.queue.pop(laneBulk)
+		if m == nil {
+			return false, nil
+		}
+		*rest = p.encode(m)
+		kind = frameWhole
+	}
+	chunk := *rest
+	if limit := int(p.links.config.ChunkBytes); len(chunk) > limit {
+		chunk, *rest = chunk[:limit], chunk[limit:]
+		return true, p.writeFrame(frameMore, chunk)
+	}
+	if kind == frameMore {
+		kind = frameLast
+	}
+	*rest = nil
+	return true, p.writeFrame(kind, chunk)
+}
+
+// encode returns nil for a message that cannot be encoded.
+func (p *peer) encode(m cs.PeerMessage) []byte {
+	data, err := wire.EncodeMessage(m)
+	if err != nil {
+		p.links.stats.invalid.Add(1)
+		return nil
+	}
+	return data
+}
+
+func (p *peer) writeFrame(kind frameKind, data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if err := p.conn.SetWriteDeadline(time.Now().Add(p.links.config.WriteTimeout.Std())); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	w, err := p.conn.NextWriter(websocket.BinaryMessage)
+	if err != nil {
+		return errors.Wrap(err, "write")
+	}
+	if _, err := w.Write([]byte{byte(kind)}); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	if _, err := w.Write(data); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	p.links.stats.sent.Add(int64(len(data)))
+	return errors.Wrap(w.Close(), "write")
+}
+
+func (p *peer) ping() error {
+	deadline := time.Now().Add(p.links.config.WriteTimeout.Std())
+	return errors.Wrap(p.conn.WriteControl(websocket.PingMessage, nil, deadline), "ping")
+}
