Fix the names of refusal reasons

Cause: enumer's first-lower keeps only the first letter, so that reasons and outcomes read i, n, c. Ruled out: names written by hand (they would part from the constants). Change: title-lower, which gives notRun, failed, unknown. Conclusion: errors carry the names that the interface describes.

--- a/class.go
+++ b/class.go
@@ -1,7 +1,7 @@
 package crocusstile
 
 //go:generate enumer -type Class -json -text -transform lower
-//go:generate enumer -type Ran -json -text -transform first-lower -trimprefix Ran
+//go:generate enumer -type Ran -json -text -transform title-lower -trimprefix Ran
 //go:generate enumer -type ItemState -json -text -transform lower -trimprefix Item
 //go:generate enumer -type JobState -json -text -transform lower -trimprefix Job
 //go:generate enumer -type RunnerKind -json -text -transform lower -trimprefix Kind
--- a/refusal.go
+++ b/refusal.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-//go:generate enumer -type Reason -json -text -transform first-lower -trimprefix Reason
+//go:generate enumer -type Reason -json -text -transform title-lower -trimprefix Reason
 
 // Reason tells why a request got no whole answer.
 type Reason int
