Add the weight store, the proxy and the tests of the stand-ins

Cause: faults of the network and of weight loads are missing, and nothing checks the stand-ins that other tests will rely on. Ruled out: closing the proxy's listener on a cut (the port could be taken before the next pass; a reset on accept is enough); one goroutine per direction (a delay would then reduce the throughput). A stream whose server is closing now breaks instead of ending in good order; the first test runs found this as a flaky TestRunnerCrashes. TestProxyCut now accepts a reset during the dial as well as after it, which it must since both are cuts; it still requires the failure.

--- a/cmd/standin/build.go
+++ b/cmd/standin/build.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"io"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -13,7 +14,7 @@
 	"github.com/crocusstile/crocusstile/standin"
 )
 
-func buildRunner(fs *flag.FlagSet) func() (standin.StandIn, error) {
+func buildRunner(fs *flag.FlagSet) create {
 	c := standin.RunnerConfig{Crash: func() { os.Exit(exitCrash) }}
 	number(fs, &c.Slots, "slots", 8, "requests that run at once")
 	span(fs, &c.StepBase, "step-base", 8*cs.Millisecond, "part of a step's time that does not depend on the batch")
@@ -26,7 +27,7 @@
 	store := fs.String("weights", "", "address of the weight store; empty fetches nothing")
 	loaded := fs.String("loaded", "", "models held from the start, as model/version,model/version")
 	path := fs.String("journal", "", "file to which the journal's lines are appended")
-	return func() (standin.StandIn, error) {
+	return func(net.Listener) (standin.StandIn, error) {
 		c.WeightStore = cs.Address(*store)
 		var err error
 		if c.Loaded, err = parseLoaded(*loaded); err != nil {
@@ -39,14 +40,14 @@
 	}
 }
 
-func buildService(fs *flag.FlagSet) func() (standin.StandIn, error) {
+func buildService(fs *flag.FlagSet) create {
 	var c standin.ServiceConfig
 	name := fs.String("service", "", "name of the service, under which calls are hashed")
 	number(fs, &c.Slots, "slots", 8, "calls that run at once")
 	span(fs, &c.Faults.Work, "work", 5*cs.Millisecond, "time that a call takes")
 	span(fs, &c.Faults.LoadLag, "load-lag", 300*cs.Millisecond, "age of load reports")
 	path := fs.String("journal", "", "file to which the journal's lines are appended")
-	return func() (standin.StandIn, error) {
+	return func(net.Listener) (standin.StandIn, error) {
 		c.Service = cs.ServiceID(*name)
 		var err error
 		if c.Journal, err = openJournal(*path); err != nil {
@@ -56,21 +57,21 @@
 	}
 }
 
-func buildLog(fs *flag.FlagSet) func() (standin.StandIn, error) {
+func buildLog(fs *flag.FlagSet) create {
 	var c standin.LogConfig
 	number(fs, &c.Faults.AppendRate, "append-rate", 400, "appends a second over all streams")
 	span(fs, &c.Faults.Retention, "retention", 0, "age at which records are dropped; 0 keeps them")
 	span(fs, &c.Faults.Delay, "delay", 0, "time before a request takes effect")
 	number(fs, &c.Faults.LoseRate, "lose-rate", 0, "share of appends that take effect but get no answer")
 	fs.Uint64Var(&c.Seed, "seed", 1, "determines which answers are lost")
-	return func() (standin.StandIn, error) { return standin.NewLog(c), nil }
+	return func(net.Listener) (standin.StandIn, error) { return standin.NewLog(c), nil }
 }
 
-func buildList(fs *flag.FlagSet) func() (standin.StandIn, error) {
+func buildList(fs *flag.FlagSet) create {
 	var c standin.ListConfig
 	span(fs, &c.Faults.Lag, "lag", 0, "time after which a change is shown")
 	path := fs.String("entries", "", `file with the entries shown from the start, as {"vms": [...]}`)
-	return func() (standin.StandIn, error) {
+	return func(net.Listener) (standin.StandIn, error) {
 		var err error
 		if c.Entries, err = readEntries(*path); err != nil {
 			return nil, err
@@ -143,3 +144,23 @@
 	}
 	return body.VMs, nil
 }
+
+func buildWeights(fs *flag.FlagSet) create {
+	var c standin.WeightsConfig
+	number(fs, &c.Size, "size", 1<<20, "bytes of a model's weights")
+	number(fs, &c.Burst, "burst", 0, "bytes that may be read at once; 0 stands for the size")
+	number(fs, &c.Faults.Rate, "rate", 4<<20, "bytes a second over all readers")
+	return func(net.Listener) (standin.StandIn, error) { return standin.NewWeights(c), nil }
+}
+
+// buildProxy makes a proxy of the connections that come on the -listen address; its settings are
+// taken on the -control address.
+func buildProxy(fs *flag.FlagSet) create {
+	target := fs.String("target", "", "address to which connections are forwarded")
+	return func(ln net.Listener) (standin.StandIn, error) {
+		if *target == "" {
+			return nil, errors.New("-target is required")
+		}
+		return standin.NewProxy(standin.ProxyConfig{Target: cs.Address(*target), Listener: ln}), nil
+	}
+}
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -12,6 +13,8 @@
 type faults[F any] struct {
 	mu  sync.Mutex
 	set F
+	// changed is called with the new settings before a request to set them is answered; may be nil.
+	changed func(context.Context, F)
 }
 
 // get returns the present settings.
@@ -59,5 +62,8 @@
 		writeError(w, http.StatusBadRequest, "cannot set the faults: %v", err)
 		return
 	}
+	if f.changed != nil {
+		f.changed(r.Context(), set)
+	}
 	writeJSON(w, http.StatusOK, set)
 }
--- a/standin/generate.go
+++ b/standin/generate.go
@@ -115,10 +115,14 @@
 		select {
 		case p = <-x.progress:
 		case <-q.Context().Done():
-			return
+			// A return would end the stream in good order if the server closes before the client.
+			abort()
 		case <-r.inbox.done:
 			abort()
 		}
+		if fault != streamWhole {
+			p.tokens = min(p.tokens, x.tokens+1)
+		}
 		if !out.tokens(p.tokens) || p.state == runStopped {
 			return
 		}
--- /dev/null
+++ b/standin/helper_test.go
@@ -0,0 +1,167 @@
+package standin_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/standin"
+)
+
+// serve runs a stand-in until the test ends and returns its URL.
+func serve(t testing.TB, s standin.StandIn) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- standin.Serve(ctx, ln, s) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil && err != standin.ErrCrashed {
+			t.Errorf("Serve returned %v", err)
+		}
+	})
+	return "http://" + ln.Addr().String()
+}
+
+// answer is a whole answer, or how much of it came before the error.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (a answer) decode(t testing.TB, v any) {
+	qt.Assert(t, a.err, qt.IsNil)
+	qt.Assert(t, json.Unmarshal([]byte(a.body), v), qt.IsNil, qt.Commentf("body %q", a.body))
+}
+
+// send sends a request whose body is the JSON of v, or v itself if it is a string.
+func send(t testing.TB, method, url string, v any, header ...string) answer {
+	return sendFrom(context.Background(), t, method, url, v, header...)
+}
+
+func sendFrom(ctx context.Context, t testing.TB, method, url string, v any, header ...string) answer {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	body, ok := v.(string)
+	if !ok && v != nil {
+		data, err := json.Marshal(v)
+		qt.Assert(t, err, qt.IsNil)
+		body = string(data)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	return answer{status: a.StatusCode, header: a.Header, body: string(data), err: err}
+}
+
+// lines decodes JSON lines.
+func lines[T any](t testing.TB, a answer) []T {
+	qt.Assert(t, a.err, qt.IsNil)
+	var all []T
+	for s := bufio.NewScanner(bytes.NewReader([]byte(a.body))); s.Scan(); {
+		var v T
+		qt.Assert(t, json.Unmarshal(s.Bytes(), &v), qt.IsNil)
+		all = append(all, v)
+	}
+	return all
+}
+
+// eventually waits until a condition holds.
+func eventually(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 5 s: %s", what)
+		}
+	}
+}
+
+// setFaults sets faults over HTTP.
+func setFaults(t testing.TB, url, body string) {
+	t.Helper()
+	qt.Assert(t, send(t, "POST", url+"/standin/faults", body).status, qt.Equals, 200)
+}
+
+// generation is a request to a runner.
+type generation struct {
+	ID           string `json:"id"`
+	Model        string `json:"model"`
+	Adapter      string `json:"adapter"`
+	Version      string `json:"version"`
+	Prompt       string `json:"prompt"`
+	MaxTokens    int    `json:"maxTokens"`
+	ResumeText   string `json:"resumeText"`
+	ResumeTokens int    `json:"resumeTokens"`
+}
+
+func ask(id, prompt string, tokens int) generation {
+	return generation{ID: id, Model: "tutor", Version: "v1", Prompt: prompt, MaxTokens: tokens}
+}
+
+func (g generation) expected() string {
+	return standin.ExpectedText(g.Model, g.Adapter, g.Version, g.Prompt, g.MaxTokens)
+}
+
+// stream is what came of a stream of tokens.
+type stream struct {
+	answer
+	ids    map[string]bool
+	last   int
+	text   string
+	done   bool
+	tokens int
+	load   cs.Load
+}
+
+// generate sends a request to a runner and reads the whole stream.
+func generate(t testing.TB, url string, g generation) stream {
+	return read(t, send(t, "POST", url+"/v1/generate", g))
+}
+
+func read(t testing.TB, a answer) stream {
+	s := stream{answer: a, ids: map[string]bool{}}
+	for event := range strings.SplitSeq(a.body, "\n\n") {
+		data, ok := strings.CutPrefix(event, "data: ")
+		if !ok {
+			continue
+		}
+		var e struct {
+			ID     string
+			N      int
+			Text   string
+			Done   bool
+			Tokens int
+			Load   cs.Load
+		}
+		qt.Assert(t, json.Unmarshal([]byte(data), &e), qt.IsNil)
+		s.ids[e.ID] = true
+		if e.Done {
+			s.done, s.tokens, s.load = true, e.Tokens, e.Load
+			continue
+		}
+		s.last = e.N
+		s.text += e.Text
+	}
+	return s
+}
--- /dev/null
+++ b/standin/proxy.go
@@ -0,0 +1,176 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// dialLimit bounds the time of connecting to the target.
+const dialLimit = 5 * time.Second
+
+// ProxyConfig configures a Proxy.
+type ProxyConfig struct {
+	// Target is the address to which connections are forwarded.
+	Target cs.Address
+	// Listener takes the connections to forward; Run closes it.
+	Listener net.Listener
+}
+
+// Proxy forwards TCP connections and injects faults. As an http.Handler it only takes settings.
+type Proxy struct {
+	config ProxyConfig
+	mux    *http.ServeMux
+	faults faults[ProxyFaults]
+	inbox  inbox[proxyEvent]
+	mode   ProxyMode
+	conns  *fleet.Table[*proxyConn, proxyRow]
+}
+
+// proxyRow is the row of an open connection.
+type proxyRow struct {
+	// lasting means that the connection keeps its mode whatever is set later.
+	lasting bool
+}
+
+// NewProxy returns a proxy that passes all bytes.
+func NewProxy(c ProxyConfig) *Proxy {
+	p := &Proxy{
+		config: c, mux: http.NewServeMux(), inbox: newInbox[proxyEvent](), mode: Pass{},
+		conns: fleet.NewTable[*proxyConn, proxyRow](),
+	}
+	p.faults.changed = func(ctx context.Context, f ProxyFaults) { p.SetMode(ctx, f.mode()) }
+	p.mux.Handle("POST /standin/faults", &p.faults)
+	return p
+}
+
+// ServeHTTP answers requests to set the mode.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// Run forwards connections until ctx ends, then closes them.
+func (p *Proxy) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = p.config.Listener.Close() })
+	defer stop()
+	var traffic sync.WaitGroup
+	traffic.Go(func() {
+		defer cancel()
+		p.acceptAll(ctx, &traffic)
+	})
+	err := p.inbox.receive(ctx, p.apply)
+	for c := range p.conns.All() {
+		c.close()
+	}
+	traffic.Wait()
+	return err
+}
+
+// SetMode sets the mode and returns once it is applied; it returns false if Run or ctx ended first.
+func (p *Proxy) SetMode(ctx context.Context, m ProxyMode) bool {
+	_, ok := ask(ctx, &p.inbox, func(reply chan<- struct{}) proxyEvent {
+		return modeSet{mode: m, reply: reply}
+	})
+	return ok
+}
+
+// proxyEvent is a message to the owner of the connections.
+type proxyEvent interface{ isProxyEvent() }
+
+type (
+	modeSet struct {
+		mode  ProxyMode
+		reply chan<- struct{}
+	}
+	modeAsked  struct{ reply chan<- ProxyMode }
+	connOpened struct {
+		conn  *proxyConn
+		reply chan<- struct{}
+	}
+	connClosed struct{ conn *proxyConn }
+)
+
+func (modeSet) isProxyEvent()    {}
+func (modeAsked) isProxyEvent()  {}
+func (connOpened) isProxyEvent() {}
+func (connClosed) isProxyEvent() {}
+
+func (p *Proxy) apply(e proxyEvent) {
+	switch e := e.(type) {
+	case modeSet:
+		p.mode = e.mode
+		for c, row := range p.conns.All() {
+			p.set(c, row, e.mode)
+		}
+		e.reply <- struct{}{}
+	case modeAsked:
+		e.reply <- forNew(p.mode)
+	case connOpened:
+		p.set(e.conn, p.conns.Insert(e.conn, proxyRow{}), forNew(p.mode))
+		e.reply <- struct{}{}
+	case connClosed:
+		p.conns.Delete(e.conn)
+	}
+}
+
+// set applies a mode to a connection.
+func (p *Proxy) set(c *proxyConn, row *proxyRow, m ProxyMode) {
+	if _, ok := m.(Cut); ok {
+		c.close()
+	}
+	if row.lasting {
+		return
+	}
+	c.mode.Store(&m)
+	switch m.(type) {
+	case Freeze:
+		row.lasting = true
+	case HalfClose:
+		row.lasting = true
+		_ = c.client.CloseWrite()
+	case Pass, Cut, Delay, DropAnswers:
+	}
+}
+
+// acceptAll starts a goroutine for each connection until the listener is closed.
+func (p *Proxy) acceptAll(ctx context.Context, traffic *sync.WaitGroup) {
+	for {
+		client, err := p.config.Listener.Accept()
+		if err != nil {
+			return
+		}
+		traffic.Go(func() { p.forward(ctx, client.(*net.TCPConn)) })
+	}
+}
+
+// forward connects a client to the target and copies bytes until both directions have ended.
+func (p *Proxy) forward(ctx context.Context, client *net.TCPConn) {
+	defer func() { _ = client.Close() }()
+	mode, ok := ask(ctx, &p.inbox, func(reply chan<- ProxyMode) proxyEvent {
+		return modeAsked{reply: reply}
+	})
+	if _, cut := mode.(Cut); cut || !ok {
+		_ = client.SetLinger(0) // the client sees a reset
+		return
+	}
+	dialer := net.Dialer{Timeout: dialLimit}
+	target, err := dialer.DialContext(ctx, "tcp", string(p.config.Target))
+	if err != nil {
+		_ = client.SetLinger(0)
+		return
+	}
+	c := newProxyConn(client, target.(*net.TCPConn))
+	defer c.close()
+	if _, ok := ask(ctx, &p.inbox, func(reply chan<- struct{}) proxyEvent {
+		return connOpened{conn: c, reply: reply}
+	}); !ok {
+		return
+	}
+	c.copyBoth()
+	p.inbox.send(context.WithoutCancel(ctx), connClosed{conn: c})
+}
--- /dev/null
+++ b/standin/proxy_test.go
@@ -0,0 +1,160 @@
+package standin_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/standin"
+)
+
+// silence is the time without a byte after which a connection counts as silent.
+const silence = 50 * time.Millisecond
+
+// echo answers each byte that it reads, until the test ends.
+func echo(t testing.TB) cs.Address {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return cs.Address(ln.Addr().String())
+}
+
+// link is a proxy in front of an echo server.
+type link struct {
+	proxy   *standin.Proxy
+	address string
+	control string
+}
+
+func newLink(t testing.TB) link {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	p := standin.NewProxy(standin.ProxyConfig{Target: echo(t), Listener: ln})
+	return link{proxy: p, address: ln.Addr().String(), control: serve(t, p)}
+}
+
+func (l link) set(t testing.TB, m standin.ProxyMode) {
+	qt.Assert(t, l.proxy.SetMode(context.Background(), m), qt.IsTrue)
+}
+
+// dial opens a connection through the proxy.
+func (l link) dial(t testing.TB) *net.TCPConn {
+	c, err := net.Dial("tcp", l.address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// open opens a connection that has passed a byte.
+func (l link) open(t testing.TB) *net.TCPConn {
+	c := l.dial(t)
+	qt.Assert(t, roundTrip(c, 5*time.Second), qt.IsNil)
+	return c
+}
+
+// roundTrip sends a byte and waits for its echo.
+func roundTrip(c net.Conn, limit time.Duration) error {
+	if _, err := c.Write([]byte("x")); err != nil {
+		return err
+	}
+	c.SetReadDeadline(time.Now().Add(limit))
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+// isSilent tells whether an error means that nothing came, not even the end of the connection.
+func isSilent(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+// TestProxyCut guards against connections that survive a cut, and against a cut that stays.
+func TestProxyCut(t *testing.T) {
+	l := newLink(t)
+	old := l.open(t)
+	l.set(t, standin.Cut{})
+	err := roundTrip(old, 5*time.Second)
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, isSilent(err), qt.IsFalse)
+	// The reset of a new connection may arrive before or after the end of the dial.
+	c, err := net.Dial("tcp", l.address)
+	if err == nil {
+		defer c.Close()
+		err = roundTrip(c, 5*time.Second)
+	}
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, isSilent(err), qt.IsFalse)
+	setFaults(t, l.control, `{"mode":"pass"}`)
+	l.open(t)
+}
+
+// TestProxyDelay guards against a delay that is missing in one direction.
+func TestProxyDelay(t *testing.T) {
+	l := newLink(t)
+	c := l.open(t)
+	setFaults(t, l.control, `{"mode":"delay","delay":"20ms"}`)
+	start := time.Now()
+	qt.Assert(t, roundTrip(c, 5*time.Second), qt.IsNil)
+	qt.Assert(t, time.Since(start) >= 38*time.Millisecond, qt.IsTrue)
+}
+
+// TestProxyFreeze guards against frozen connections that close or come back.
+func TestProxyFreeze(t *testing.T) {
+	l := newLink(t)
+	old := l.open(t)
+	setFaults(t, l.control, `{"mode":"freeze","newWork":true}`)
+	qt.Assert(t, isSilent(roundTrip(old, silence)), qt.IsTrue)
+	other := l.open(t)
+	l.set(t, standin.Freeze{})
+	qt.Assert(t, isSilent(roundTrip(other, silence)), qt.IsTrue)
+	held := l.dial(t)
+	qt.Assert(t, isSilent(roundTrip(held, silence)), qt.IsTrue)
+	l.set(t, standin.Pass{})
+	for _, c := range []net.Conn{old, other, held} {
+		qt.Assert(t, isSilent(roundTrip(c, silence)), qt.IsTrue)
+	}
+	l.open(t)
+}
+
+// TestProxyHalfClose guards against a half-closed connection that is closed in whole, or not at all.
+func TestProxyHalfClose(t *testing.T) {
+	l := newLink(t)
+	c := l.open(t)
+	l.set(t, standin.HalfClose{})
+	qt.Assert(t, roundTrip(c, 5*time.Second), qt.Equals, io.EOF)
+	_, err := c.Write([]byte("still open"))
+	qt.Assert(t, err, qt.IsNil)
+	l.open(t)
+}
+
+// TestProxyDropsAnswers guards against an answer that arrives, or a request that does not.
+func TestProxyDropsAnswers(t *testing.T) {
+	log := standin.NewLog(standin.LogConfig{})
+	target := serve(t, log)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	p := standin.NewProxy(standin.ProxyConfig{Target: cs.Address(target[len("http://"):]), Listener: ln})
+	serve(t, p)
+	through := "http://" + ln.Addr().String()
+	qt.Assert(t, appendTo(t, through, "s", "zero").status, qt.Equals, 200)
+	qt.Assert(t, p.SetMode(context.Background(), standin.DropAnswers{}), qt.IsTrue)
+	qt.Assert(t, appendTo(t, through, "s", "one").err, qt.IsNotNil)
+	qt.Assert(t, page(t, target, "from=0").Records, qt.HasLen, 2)
+}
--- /dev/null
+++ b/standin/pump.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+const (
+	// chunkSize bounds the bytes forwarded at once.
+	chunkSize = 32 << 10
+	// maxChunks bounds the chunks that a delayed direction holds.
+	maxChunks = 1024
+)
+
+// proxyConn is a connection of a client and the one to the target that belongs to it.
+type proxyConn struct {
+	client, target *net.TCPConn
+	// mode is written by the owner of the connections and read by the goroutines that copy.
+	mode   atomic.Pointer[ProxyMode]
+	done   chan struct{}
+	closer sync.Once
+}
+
+func newProxyConn(client, target *net.TCPConn) *proxyConn {
+	return &proxyConn{client: client, target: target, done: make(chan struct{})}
+}
+
+func (c *proxyConn) close() {
+	c.closer.Do(func() {
+		close(c.done)
+		_ = c.client.Close()
+		_ = c.target.Close()
+	})
+}
+
+// copyBoth copies in both directions until both have ended.
+func (c *proxyConn) copyBoth() {
+	var copies sync.WaitGroup
+	requests, answers := make(chan chunk, maxChunks), make(chan chunk, maxChunks)
+	copies.Go(func() { c.read(c.client, requests) })
+	copies.Go(func() { c.write(c.target, requests, false) })
+	copies.Go(func() { c.read(c.target, answers) })
+	copies.Go(func() { c.write(c.client, answers, true) })
+	copies.Wait()
+}
+
+// chunk is what was read at once; without data, it is the end of the direction.
+type chunk struct {
+	data []byte
+	at   time.Time
+}
+
+// read reads one direction. It runs apart from write so that a delay adds latency without
+// reducing the throughput.
+func (c *proxyConn) read(src *net.TCPConn, out chan<- chunk) {
+	defer close(out)
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := src.Read(buf)
+		if _, frozen := (*c.mode.Load()).(Freeze); frozen {
+			<-c.done // neither the bytes nor the end of the connection pass
+			return
+		}
+		if err != nil && err != io.EOF {
+			c.close()
+			return
+		}
+		select {
+		case out <- chunk{data: bytes.Clone(buf[:n]), at: time.Now()}:
+		case <-c.done:
+			return
+		}
+		if err == io.EOF {
+			return
+		}
+	}
+}
+
+// write writes one direction as the mode says.
+func (c *proxyConn) write(dst *net.TCPConn, in <-chan chunk, answers bool) {
+	for x := range in {
+		if delay, ok := (*c.mode.Load()).(Delay); ok {
+			if !pause(c.done, cs.SpanOf(time.Until(x.at.Add(delay.Each.Std())))) {
+				return
+			}
+		}
+		if !c.forward(dst, x, answers) {
+			return
+		}
+	}
+}
+
+// forward writes one chunk; it returns false if the direction has ended.
+func (c *proxyConn) forward(dst *net.TCPConn, x chunk, answers bool) bool {
+	switch (*c.mode.Load()).(type) {
+	case Freeze:
+		<-c.done
+		return false
+	case HalfClose:
+		if answers {
+			return true
+		}
+	case DropAnswers:
+		if answers {
+			c.close()
+			return false
+		}
+	case Pass, Delay, Cut:
+	}
+	if len(x.data) == 0 {
+		return dst.CloseWrite() == nil
+	}
+	if _, err := dst.Write(x.data); err != nil {
+		if _, half := (*c.mode.Load()).(HalfClose); half && answers {
+			return true // the owner ended this direction meanwhile
+		}
+		c.close()
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/weights.go
@@ -0,0 +1,98 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	cs "github.com/crocusstile/crocusstile"
+	"golang.org/x/time/rate"
+)
+
+// WeightsConfig configures a Weights.
+type WeightsConfig struct {
+	// Size is the length of a model's weights; 0 stands for 1 MiB.
+	Size cs.Bytes
+	// Burst is the number of bytes that may be read at once; 0 stands for Size.
+	Burst cs.Bytes
+	// Faults are the settings at the start; a Rate of 0 stands for 4 MiB a second.
+	Faults WeightsFaults
+}
+
+// WeightsFaults are the settings of a Weights that POST /standin/faults changes.
+type WeightsFaults struct {
+	// Rate is the number of bytes a second over all readers; reads beyond it are answered 429.
+	Rate cs.PerSecond `json:"rate"`
+	// Outage answers 503 to reads.
+	Outage bool `json:"outage"`
+	// Delay passes before each read is answered.
+	Delay cs.Span `json:"delay"`
+}
+
+// Weights is a rate-limited weight store. Each read takes its whole size from a token bucket.
+type Weights struct {
+	config  WeightsConfig
+	mux     *http.ServeMux
+	faults  faults[WeightsFaults]
+	limiter *rate.Limiter
+}
+
+// NewWeights returns a weight store that has every model.
+func NewWeights(c WeightsConfig) *Weights {
+	setDefault(&c.Size, 1<<20)
+	setDefault(&c.Burst, c.Size)
+	setDefault(&c.Faults.Rate, 4<<20)
+	c.Burst = max(c.Burst, c.Size) // a smaller bucket could never serve a read
+	s := &Weights{
+		config: c, mux: http.NewServeMux(), faults: faults[WeightsFaults]{set: c.Faults},
+		limiter: rate.NewLimiter(rate.Limit(c.Faults.Rate), int(c.Burst)),
+	}
+	s.mux.HandleFunc("GET /v1/weights/{model}/{version}", s.handleRead)
+	s.mux.Handle("POST /standin/faults", &s.faults)
+	return s
+}
+
+// ServeHTTP answers requests.
+func (s *Weights) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// SetFaults changes the settings.
+func (s *Weights) SetFaults(set func(*WeightsFaults)) { s.faults.update(set) }
+
+// Faults returns the present settings.
+func (s *Weights) Faults() WeightsFaults { return s.faults.get() }
+
+// Run waits for the end of ctx; the store has no state besides its rate.
+func (s *Weights) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (s *Weights) handleRead(w http.ResponseWriter, r *http.Request) {
+	set := s.faults.get()
+	if !pause(r.Context().Done(), set.Delay) {
+		abort()
+	}
+	if set.Outage {
+		writeError(w, http.StatusServiceUnavailable, "the weight store is unavailable")
+		return
+	}
+	if limit := rate.Limit(set.Rate); s.limiter.Limit() != limit {
+		s.limiter.SetLimit(limit)
+	}
+	permit := s.limiter.ReserveN(time.Now(), int(s.config.Size))
+	if wait := permit.Delay(); wait > 0 {
+		permit.Cancel()
+		w.Header().Set("Retry-After", strconv.Itoa(1+int(wait.Seconds())))
+		writeError(w, http.StatusTooManyRequests, "more than %v bytes a second", set.Rate)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(int64(s.config.Size), 10))
+	block := make([]byte, 64<<10)
+	for left := s.config.Size; left > 0; left -= cs.Bytes(len(block)) {
+		if _, err := w.Write(block[:min(left, cs.Bytes(len(block)))]); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/weights_test.go
@@ -0,0 +1,35 @@
+package standin_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/crocusstile/crocusstile/standin"
+)
+
+// TestWeightsRate guards against a weight store that gives more than its rate.
+func TestWeightsRate(t *testing.T) {
+	url := serve(t, standin.NewWeights(standin.WeightsConfig{
+		Size: 100_000, Faults: standin.WeightsFaults{Rate: 1000},
+	})) + "/v1/weights/tutor/v1"
+	qt.Assert(t, send(t, "GET", url, nil).body, qt.HasLen, 100_000)
+	a := send(t, "GET", url, nil)
+	qt.Assert(t, a.status, qt.Equals, 429)
+	seconds, err := strconv.Atoi(a.header.Get("Retry-After"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, seconds >= 90 && seconds <= 100, qt.IsTrue, qt.Commentf("%d s", seconds))
+}
+
+// TestWeightsFaults guards against faults that do not show at the client.
+func TestWeightsFaults(t *testing.T) {
+	url := serve(t, standin.NewWeights(standin.WeightsConfig{}))
+	setFaults(t, url, `{"delay":"20ms"}`)
+	start := time.Now()
+	qt.Assert(t, send(t, "GET", url+"/v1/weights/tutor/v1", nil).status, qt.Equals, 200)
+	qt.Assert(t, time.Since(start) >= 20*time.Millisecond, qt.IsTrue)
+	setFaults(t, url, `{"outage":true}`)
+	qt.Assert(t, send(t, "GET", url+"/v1/weights/tutor/v1", nil).status, qt.Equals, 503)
+}
