Answer a change of a stand-in only once it is applied

Cause: TestListLags failed once in 60 runs: DELETE /standin/vms/{id} was answered when the owner had received the event, but before it had read the clock, so that the change was dated after the test had advanced the clock. Leaving and KV imports had the same fault. Ruled out: dating the change in the handler (two handlers could then date changes in another order than they are applied). Change: events without an answer of their own carry a channel that the owner signals after it applied them; tell waits for it. Conclusion: the order of changes and clock steps is what the client saw.

--- a/standin/block.go
+++ b/standin/block.go
@@ -68,7 +68,9 @@
 	if !ok {
 		return
 	}
-	if !r.inbox.send(q.Context(), blockImported{id: cs.RequestID(q.PathValue("id")), block: block}) {
+	if !tell(q.Context(), &r.inbox, func(applied chan<- struct{}) runnerEvent {
+		return blockImported{id: cs.RequestID(q.PathValue("id")), block: block, applied: applied}
+	}) {
 		abort()
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/standin/inbox.go
+++ b/standin/inbox.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// tell delivers an event and returns once it is applied; it returns false if the owner or ctx ended
+// first.
+func tell[E any](ctx context.Context, b *inbox[E], event func(applied chan<- struct{}) E) bool {
+	_, ok := ask(ctx, b, event)
+	return ok
+}
+
 // ask delivers an event that carries a reply channel and returns the reply; it returns false if the
 // owner or ctx ended first.
 func ask[E, R any](ctx context.Context, b *inbox[E], event func(reply chan<- R) E) (R, bool) {
--- a/standin/list.go
+++ b/standin/list.go
@@ -112,17 +112,25 @@
 
 // Put inserts or replaces entries by id; it returns false if Run or ctx ended first.
 func (l *List) Put(ctx context.Context, entries ...Entry) bool {
-	return l.inbox.send(ctx, entriesPut{entries: entries})
+	return l.put(ctx, entries, false)
 }
 
 // Replace puts the entries in place of all others; it returns false if Run or ctx ended first.
 func (l *List) Replace(ctx context.Context, entries ...Entry) bool {
-	return l.inbox.send(ctx, entriesPut{entries: entries, replace: true})
+	return l.put(ctx, entries, true)
+}
+
+func (l *List) put(ctx context.Context, entries []Entry, replace bool) bool {
+	return tell(ctx, &l.inbox, func(applied chan<- struct{}) listEvent {
+		return entriesPut{entries: entries, replace: replace, applied: applied}
+	})
 }
 
 // Remove removes an entry; it returns false if Run or ctx ended first.
 func (l *List) Remove(ctx context.Context, id string) bool {
-	return l.inbox.send(ctx, entryRemoved{id: id})
+	return tell(ctx, &l.inbox, func(applied chan<- struct{}) listEvent {
+		return entryRemoved{id: id, applied: applied}
+	})
 }
 
 // listEvent is a message to the owner of the entries.
@@ -132,9 +140,13 @@
 	entriesPut struct {
 		entries []Entry
 		replace bool
+		applied chan<- struct{}
+	}
+	entryRemoved struct {
+		id      string
+		applied chan<- struct{}
 	}
-	entryRemoved struct{ id string }
-	listAsked    struct{ reply chan<- []Entry }
+	listAsked struct{ reply chan<- []Entry }
 )
 
 func (entriesPut) isListEvent()   {}
@@ -149,12 +161,22 @@
 
 func (l *List) apply(e listEvent) {
 	now := l.clock.Now()
-	if asked, ok := e.(listAsked); ok {
+	switch e := e.(type) {
+	case listAsked:
 		l.showDue(now)
-		asked.reply <- l.entries()
-		return
+		e.reply <- l.entries()
+	case entriesPut:
+		l.hold(now, e)
+		e.applied <- struct{}{}
+	case entryRemoved:
+		l.hold(now, e)
+		e.applied <- struct{}{}
 	}
-	l.pending = append(l.pending, listChange{due: now.Add(l.faults.get().Lag), change: e})
+}
+
+// hold keeps a change back until the lag has passed.
+func (l *List) hold(now cs.Instant, change listEvent) {
+	l.pending = append(l.pending, listChange{due: now.Add(l.faults.get().Lag), change: change})
 }
 
 // showDue applies the changes that are due, in the order in which they came.
@@ -220,7 +242,7 @@
 	if !readJSON(w, r, &body) {
 		return
 	}
-	if !l.inbox.send(r.Context(), entriesPut{entries: body.VMs, replace: body.Replace}) {
+	if !l.put(r.Context(), body.VMs, body.Replace) {
 		abort()
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -73,10 +73,9 @@
 
 // SetMode sets the mode and returns once it is applied; it returns false if Run or ctx ended first.
 func (p *Proxy) SetMode(ctx context.Context, m ProxyMode) bool {
-	_, ok := ask(ctx, &p.inbox, func(reply chan<- struct{}) proxyEvent {
-		return modeSet{mode: m, reply: reply}
+	return tell(ctx, &p.inbox, func(applied chan<- struct{}) proxyEvent {
+		return modeSet{mode: m, applied: applied}
 	})
-	return ok
 }
 
 // proxyEvent is a message to the owner of the connections.
@@ -84,13 +83,13 @@
 
 type (
 	modeSet struct {
-		mode  ProxyMode
-		reply chan<- struct{}
+		mode    ProxyMode
+		applied chan<- struct{}
 	}
 	modeAsked  struct{ reply chan<- ProxyMode }
 	connOpened struct {
-		conn  *proxyConn
-		reply chan<- struct{}
+		conn    *proxyConn
+		applied chan<- struct{}
 	}
 	connClosed struct{ conn *proxyConn }
 )
@@ -107,12 +106,12 @@
 		for c, row := range p.conns.All() {
 			p.set(c, row, e.mode)
 		}
-		e.reply <- struct{}{}
+		e.applied <- struct{}{}
 	case modeAsked:
 		e.reply <- forNew(p.mode)
 	case connOpened:
 		p.set(e.conn, p.conns.Insert(e.conn, proxyRow{}), forNew(p.mode))
-		e.reply <- struct{}{}
+		e.applied <- struct{}{}
 	case connClosed:
 		p.conns.Delete(e.conn)
 	}
@@ -166,9 +165,9 @@
 	}
 	c := newProxyConn(client, target.(*net.TCPConn))
 	defer c.close()
-	if _, ok := ask(ctx, &p.inbox, func(reply chan<- struct{}) proxyEvent {
-		return connOpened{conn: c, reply: reply}
-	}); !ok {
+	if !tell(ctx, &p.inbox, func(applied chan<- struct{}) proxyEvent {
+		return connOpened{conn: c, applied: applied}
+	}) {
 		return
 	}
 	c.copyBoth()
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -162,7 +162,11 @@
 
 // Leave makes the runner refuse new requests and finish those it has; it returns false if Run or ctx
 // ended first.
-func (r *Runner) Leave(ctx context.Context) bool { return r.inbox.send(ctx, leavingSet{}) }
+func (r *Runner) Leave(ctx context.Context) bool {
+	return tell(ctx, &r.inbox, func(applied chan<- struct{}) runnerEvent {
+		return leavingSet{applied: applied}
+	})
+}
 
 // Run owns the batch until ctx ends, or until a prompt makes it crash and it returns ErrCrashed.
 func (r *Runner) Run(ctx context.Context) error {
--- a/standin/runnerevent.go
+++ b/standin/runnerevent.go
@@ -27,7 +27,7 @@
 	}
 	modelLoaded struct{ model cs.LoadedModel }
 	ordersAsked struct{ reply chan<- []OrderEntry }
-	leavingSet  struct{}
+	leavingSet  struct{ applied chan<- struct{} }
 	cacheAsked  struct {
 		from  cs.Seq
 		reply chan<- cachePage
@@ -37,8 +37,9 @@
 		reply chan<- []byte
 	}
 	blockImported struct {
-		id    cs.RequestID
-		block []byte
+		id      cs.RequestID
+		block   []byte
+		applied chan<- struct{}
 	}
 )
 
@@ -76,11 +77,13 @@
 	case leavingSet:
 		g.leaving = true
 		g.report(now)
+		e.applied <- struct{}{}
 	case cacheAsked:
 		e.reply <- g.cache.page(e.from, now)
 	case exportAsked:
 		e.reply <- g.export(e.id)
 	case blockImported:
 		g.importBlock(now, e.id, e.block)
+		e.applied <- struct{}{}
 	}
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -103,7 +103,11 @@
 
 // Leave makes the service refuse new calls and finish those it has; it returns false if Run or ctx
 // ended first.
-func (s *Service) Leave(ctx context.Context) bool { return s.inbox.send(ctx, callsClosed{}) }
+func (s *Service) Leave(ctx context.Context) bool {
+	return tell(ctx, &s.inbox, func(applied chan<- struct{}) serviceEvent {
+		return callsClosed{applied: applied}
+	})
+}
 
 // Run owns the calls until ctx ends.
 func (s *Service) Run(ctx context.Context) error { return s.inbox.receive(ctx, s.apply) }
@@ -121,7 +125,7 @@
 	callEnded        struct{ reply chan<- cs.Load }
 	callGone         struct{ answer chan callState }
 	serviceLoadAsked struct{ reply chan<- loadReport }
-	callsClosed      struct{}
+	callsClosed      struct{ applied chan<- struct{} }
 )
 
 func (callArrived) isServiceEvent()      {}
@@ -151,6 +155,7 @@
 		return
 	case callsClosed:
 		s.leaving = true
+		e.applied <- struct{}{}
 	}
 	s.fillSlots()
 	s.report()
