job: add the property test with a simulated log

Cause: the systems had no test. Ruled out: a check through the code's own validity rule only; ends and grants are compared with what callers and senders saw. Change: attempts of cancelled items are 0; a sender that was dead since the grant counts as gone.

--- a/job/grant.go
+++ b/job/grant.go
@@ -140,7 +140,7 @@
 		if it.State != cs.ItemRunning || it.Grants != r.Grant {
 			continue
 		}
-		gone := !isLive(t, it.Sender) || incarnationOf(t, it.Sender) != r.Incarnation
+		gone := lostSince(t, it.Sender, r.Incarnation, it.Granted)
 		if !gone && now < r.Until {
 			kept = append(kept, r)
 			continue
--- /dev/null
+++ b/job/property_test.go
@@ -0,0 +1,221 @@
+package job
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// history is what callers, senders and readers saw in a run, with the checks on it.
+type history struct {
+	*rapid.T
+	w         *world
+	asked     map[uint64]cs.ShardQuery
+	submitted map[cs.JobID]int
+	accepted  map[cs.JobID]bool
+	permits   map[cs.CallID]int
+	ended     map[cs.ItemKey]cs.ItemResult
+	lastID    uint64
+	lastInc   cs.Incarnation
+}
+
+// TestRandomFailures guards against lost jobs, second ends, repeated runs and readers that differ,
+// under lost and doubled appends, outages, frozen, cut off and replaced VMs.
+func TestRandomFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := &history{
+			T: rt, w: newWorld(3), asked: map[uint64]cs.ShardQuery{}, submitted: map[cs.JobID]int{},
+			accepted: map[cs.JobID]bool{}, permits: map[cs.CallID]int{},
+			ended: map[cs.ItemKey]cs.ItemResult{}, lastInc: 100,
+		}
+		h.w.lose = func() bool { return rapid.IntRange(0, 3).Draw(rt, "lose") == 0 }
+		h.w.twice = func() bool { return rapid.IntRange(0, 3).Draw(rt, "twice") == 0 }
+		for range rapid.IntRange(20, 120).Draw(rt, "steps") {
+			h.disturb()
+			h.w.step(cs.Span(rapid.SampledFrom([]int{10, 60, 300, 2500}).Draw(rt, "by")))
+			h.check()
+		}
+		h.recover()
+	})
+}
+
+func (h *history) pick(label string, n int) int { return rapid.IntRange(0, n-1).Draw(h.T, label) }
+
+func (h *history) disturb() {
+	w, i := h.w, h.pick("vm", 3)
+	n := w.nodes[i]
+	switch h.pick("what", 15) {
+	case 0, 1, 2:
+		m := job(fmt.Sprint("j", h.pick("job", 4)), 1+h.pick("items", 6), h.pick("once", 2) == 0)
+		h.submitted[m.Job.ID]++
+		h.ask(i, m)
+	case 3:
+		h.ask(i, cs.StopJob{Job: job(fmt.Sprint("j", h.pick("job", 4)), 1, false).Job.ID, Tenant: "t"})
+	case 4:
+		h.ask(i, cs.BeginCall{Call: cs.CallID(fmt.Sprint("c", h.pick("call", 3))), Hash: 1, VM: n.vm.ID})
+	case 5, 6, 7, 8:
+		w.offer(i, h.pick("to", 3), cs.Slots(1+h.pick("slots", 4)))
+	case 9, 10:
+		h.returnRun()
+	case 11:
+		w.down = !w.down
+	case 12:
+		n.frozen = !n.frozen
+	case 13:
+		n.cut = !n.cut
+	case 14:
+		h.replace(i)
+	}
+	if len(w.late) > 0 && h.pick("late", 3) == 0 {
+		w.land(w.late[0])
+		w.late = w.late[1:]
+	}
+}
+
+func (h *history) ask(i int, q cs.ShardQuery) {
+	if h.w.nodes[i].frozen {
+		return
+	}
+	h.lastID++
+	h.asked[h.lastID] = q
+	h.w.ask(i, h.lastID, q)
+}
+
+// replace kills a VM, with its runs, and starts another process in its place.
+func (h *history) replace(i int) {
+	h.lastInc++
+	old := h.w.nodes[i].vm.ID
+	h.w.start(i, h.lastInc)
+	var left []run
+	for _, r := range h.w.runs {
+		if r.sender != old {
+			left = append(left, r)
+		}
+	}
+	h.w.runs = left
+}
+
+func (h *history) returnRun() {
+	if len(h.w.runs) == 0 {
+		return
+	}
+	m := cs.ItemReturned{Output: fmt.Sprint("out", h.lastID)}
+	switch h.pick("outcome", 5) {
+	case 0:
+		m.Refusal = cs.Refuse(cs.ReasonUnavailable, "not run")
+	case 1:
+		m.Refusal = &cs.Refusal{Reason: cs.ReasonRejected, Ran: cs.RanFailed, Message: "failed"}
+	case 2:
+		m.Refusal = &cs.Refusal{Reason: cs.ReasonBroken, Ran: cs.RanUnknown, Message: "broken"}
+	case 3:
+		m.Stopped = true
+	}
+	h.w.give(h.pick("run", len(h.w.runs)), m)
+}
+
+func (h *history) check() {
+	h.checkAnswers()
+	for k, n := range h.w.ran {
+		if n > 1 {
+			h.Fatalf("non-idempotent item %v was granted %d times", k, n)
+		}
+	}
+	for id, before := range h.w.stopped {
+		if n := h.w.granted[id] - before; !h.w.down && n > 0 {
+			h.Fatalf("stopped job %s granted %d items after the stop", id, n)
+		}
+	}
+	for _, n := range h.w.nodes {
+		h.checkEnds(n.t)
+	}
+}
+
+func (h *history) checkAnswers() {
+	for _, id := range slices.Sorted(maps.Keys(h.w.answers)) {
+		a := h.w.answers[id]
+		delete(h.w.answers, id)
+		switch q := h.asked[id].(type) {
+		case cs.SubmitJob:
+			if ja, ok := a.(cs.JobAnswer); ok {
+				h.accepted[q.Job.ID] = true
+				if int(ja.Status.Job.Count) != len(q.Items) {
+					h.Fatalf("job %s has lost items", q.Job.ID)
+				}
+			}
+			h.checkNotRun(q.Job.ID, a)
+		case cs.BeginCall:
+			if ca, ok := a.(cs.CallAnswer); ok && ca.Run {
+				h.permits[q.Call]++
+				h.ask(h.pick("ender", 3), cs.EndCall{Call: q.Call, Answer: []byte("done")})
+			}
+			if h.permits[q.Call] > 1 {
+				h.Fatalf("call %s was permitted twice", q.Call)
+			}
+		default:
+		}
+	}
+}
+
+// checkNotRun checks that a job that was submitted once and refused as not run is in no log.
+func (h *history) checkNotRun(id cs.JobID, a cs.ShardAnswer) {
+	r, ok := a.(cs.RefusedAnswer)
+	if !ok || h.submitted[id] > 1 || r.Refusal.Ran != cs.RanNotRun {
+		return
+	}
+	for _, b := range h.w.log {
+		for _, rec := range b.Batch.Records {
+			if o, ok := rec.(cs.JobOpened); ok && o.Job.ID == id {
+				h.Fatalf("job %s was refused as not run and is in the log", id)
+			}
+		}
+	}
+}
+
+// checkEnds checks that an item that has ended for one reader has the same end for all, for good.
+func (h *history) checkEnds(t *fleet.Tables) {
+	for id, j := range t.Jobs.All() {
+		for i := range j.Items {
+			it := &j.Items[i]
+			if !it.State.Ended() || it.Undurable {
+				continue
+			}
+			k, res := cs.ItemKey{Job: id, Index: cs.ItemIndex(i)}, resultOf(cs.ItemIndex(i), it)
+			if first, ok := h.ended[k]; ok && first != res {
+				h.Fatalf("item %v ended as %v and as %v", k, first, res)
+			}
+			h.ended[k] = res
+		}
+	}
+}
+
+// recover ends all disturbances and checks that every accepted job ends and all readers agree.
+func (h *history) recover() {
+	w := h.w
+	w.down, w.late = false, nil
+	w.lose, w.twice = func() bool { return false }, func() bool { return false }
+	for _, n := range w.nodes {
+		n.frozen, n.cut = false, false
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.accepted)) {
+		if !w.finish(id, 12*cs.Minute) {
+			h.Fatalf("accepted job %s does not end", id)
+		}
+		h.check()
+	}
+	w.until(3*cs.Second, func() bool { return false })
+	want := fmt.Sprint(facts(w.reader()))
+	for _, n := range w.nodes {
+		if !n.tails {
+			continue
+		}
+		if got := fmt.Sprint(facts(n.t)); got != want {
+			h.Fatalf("%s holds %s, the log says %s", n.vm.ID, got, want)
+		}
+	}
+}
--- a/job/rank.go
+++ b/job/rank.go
@@ -111,6 +111,16 @@
 	return vm != nil && vm.Live
 }
 
+// lostSince reports whether a VM is another process than then, is dead, or was dead meanwhile, so
+// that messages to it may have been lost.
+func lostSince(t *fleet.Tables, id cs.VMID, inc cs.Incarnation, then cs.Instant) bool {
+	if id == t.Self.ID {
+		return inc != t.Self.Incarnation
+	}
+	vm := t.VMs.Get(id)
+	return vm == nil || !vm.Live || vm.Incarnation != inc || vm.LiveSince > then
+}
+
 // incarnationOf returns a VM's incarnation, or 0 if it is not known.
 func incarnationOf(t *fleet.Tables, id cs.VMID) cs.Incarnation {
 	if id == t.Self.ID {
--- a/job/records.go
+++ b/job/records.go
@@ -101,7 +101,7 @@
 		if !it.Known || it.State.Ended() && !it.Undurable {
 			continue
 		}
-		it.Output, it.Error = "", ""
+		it.Output, it.Error, it.Attempts = "", "", 0 // readers do not know of attempts
 		settle(j, it, cs.ItemCancelled)
 	}
 	j.State, j.Stopping, j.FinishedAt = cs.JobCancelled, false, a.at
