--- a/job/records.go
+++ b/job/records.go
@@ -68,6 +68,9 @@
 	if j == nil || j.State != cs.JobOpening || r.First != j.Filled {
 		return
 	}
+	if j.Items == nil {
+		j.Items = make([]fleet.Item, 0, j.Count)
+	}
 	for _, it := range r.Items {
 		j.Items = append(j.Items, fleet.Item{Item: it, Known: true})
 	}
@@ -101,7 +104,7 @@
 		if !it.Known || it.State.Ended() && !it.Undurable {
 			continue
 		}
-		it.Output, it.Error = "", ""
+		it.Output, it.Error, it.Attempts = "", "", 0 // readers do not know of attempts
 		settle(j, it, cs.ItemCancelled)
 	}
 	j.State, j.Stopping, j.FinishedAt = cs.JobCancelled, false, a.at
