Add the membership systems

Cause: routing, batch and shards need one verdict on which VMs live, who sends batch to a runner, which links to hold and when a drain is over.

--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -13,8 +13,18 @@
 	Linked bool
 	// Broken is when the last link broke or could not be opened; 0 while linked.
 	Broken cs.Instant
+	// LinkedAt is when the last link opened.
+	LinkedAt cs.Instant
 	// DialedAt is when a link was last asked for.
 	DialedAt cs.Instant
+	// Wanted tells whether package membership chose to hold a link to the VM.
+	Wanted bool
+	// Dialing tells whether a dial is in progress.
+	Dialing bool
+	// Dials counts failed dials and short-lived links in a row.
+	Dials int
+	// DialAt bars dials before it.
+	DialAt cs.Instant
 	// Live is the verdict of package membership on this tick.
 	Live bool
 	// LiveSince is when Live last changed.
@@ -32,6 +42,11 @@
 	cs.Runner
 	// Listed is when the platform's list last showed the runner.
 	Listed cs.Instant
+	// Gone means that the list no longer shows the runner; Leaving is set as well, and the row is
+	// dropped when nothing is in flight.
+	Gone bool
+	// Watched tells whether this VM polls the runner's load.
+	Watched bool
 	// Online counts this VM's online requests on the runner.
 	Online cs.Slots
 	// Batch counts this VM's batch runs on the runner.
@@ -122,11 +137,25 @@
 	Deficit float64
 }
 
-// Ticket is the ticket in force for a scope.
+// Ticket is the ticket in force for a scope. Offset is that of the first record known here.
 type Ticket struct {
 	cs.PlacedTicket
 	// InForce is when this VM put it in force.
 	InForce cs.Instant
+	// LoggedAt is the log's time of the newest record of the ticket.
+	LoggedAt cs.Instant
+	// CheckedAt is when package ticket last looked whether this VM is to rewrite it.
+	CheckedAt cs.Instant
+}
+
+// NumberUse is the row of a ticket number: what the first record with the number says.
+type NumberUse struct {
+	Scope   cs.Scope
+	Content cs.ContentHash
+	// LoggedAt is the log's time of the newest record with the number and content. Without a ticket
+	// in force, the number is free again when Config.Retention has passed since, as it is for a VM
+	// that starts then.
+	LoggedAt cs.Instant
 }
 
 // Filing is a ticket that was submitted here and is not yet decided.
@@ -137,6 +166,8 @@
 	Seq    cs.Seq
 	// Sent is when the append was last sent; 0 before.
 	Sent cs.Instant
+	// Waiters are further submissions of the same ticket.
+	Waiters []uint64
 }
 
 // Shard is the row of a work stream that this VM tails.
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -23,6 +23,8 @@
 	Tenants  *Table[cs.TenantID, Tenant]
 	Tickets  *Table[cs.Scope, Ticket]
 	Filings  *Table[cs.TicketNumber, Filing]
+	// Numbers holds the ticket numbers in use, those of superseded tickets included.
+	Numbers  *Table[cs.TicketNumber, NumberUse]
 	Shards   *Table[cs.ShardID, Shard]
 	Jobs     *Table[cs.JobID, Job]
 	Calls    *Table[cs.CallID, Call]
@@ -30,9 +32,11 @@
 	Runs     *Table[cs.ItemKey, Run]
 	Suspects *Table[cs.ContentHash, Suspect]
 
-	Log    LogState
-	Drain  DrainState
-	Budget BudgetState
+	Log        LogState
+	Drain      DrainState
+	Budget     BudgetState
+	Membership MembershipState
+	TicketLog  TicketLogState
 }
 
 // New returns empty tables; seed makes the systems' random choices repeatable.
@@ -42,7 +46,8 @@
 		VMs: NewTable[cs.VMID, VM](), Runners: NewTable[cs.RunnerID, Runner](),
 		Requests: NewTable[cs.RequestID, Request](), Tenants: NewTable[cs.TenantID, Tenant](),
 		Tickets: NewTable[cs.Scope, Ticket](), Filings: NewTable[cs.TicketNumber, Filing](),
-		Shards: NewTable[cs.ShardID, Shard](), Jobs: NewTable[cs.JobID, Job](),
+		Numbers: NewTable[cs.TicketNumber, NumberUse](),
+		Shards:  NewTable[cs.ShardID, Shard](), Jobs: NewTable[cs.JobID, Job](),
 		Calls: NewTable[cs.CallID, Call](), Queries: NewTable[uint64, Query](),
 		Runs: NewTable[cs.ItemKey, Run](), Suspects: NewTable[cs.ContentHash, Suspect](),
 	}
--- /dev/null
+++ b/membership/beat.go
@@ -0,0 +1,106 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// Beat sends a heartbeat to the linked VMs each Config.Heartbeat, and at once when this VM begins to
+// leave or the shards it owns change. A VM whose link has just opened gets one at once, too.
+func Beat(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	m := &t.Membership
+	due := m.BeatAt.Add(t.Config.Heartbeat)
+	if now >= due || m.Beat.Leaving != leaving(t) || ownedChanged(t) {
+		beatAll(t, now, out)
+		due = now.Add(t.Config.Heartbeat)
+	} else {
+		beatOpened(t, out)
+	}
+	out.WakeAt(due)
+}
+
+func beatAll(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	m := &t.Membership
+	m.Beat, m.BeatAt = heartbeat(t, now), now
+	online := onlineBySender(t)
+	for id, v := range t.VMs.All() {
+		if v.Linked {
+			beat := m.Beat
+			beat.Online = online[id]
+			out.Add(fleet.Send{To: id, Message: beat})
+		}
+	}
+	if self := t.VMs.Get(t.Self.ID); self != nil {
+		takeBeat(self, m.Beat, now)
+	}
+}
+
+func beatOpened(t *fleet.Tables, out *fleet.Actions) {
+	for _, e := range t.Events {
+		if o, ok := e.(fleet.LinkOpened); ok {
+			out.Add(fleet.Send{To: o.VM.ID, Message: t.Membership.Beat})
+		}
+	}
+}
+
+func leaving(t *fleet.Tables) bool { return t.Drain.Phase != fleet.DrainNone }
+
+// ownedChanged reports whether the shards owned differ from those in the last heartbeat.
+func ownedChanged(t *fleet.Tables) bool {
+	sent, owned := t.Membership.Beat.Owned, 0
+	for id, s := range t.Shards.All() {
+		if !s.Owned {
+			continue
+		}
+		owned++
+		same := func(o cs.OwnedShard) bool { return o.Shard == id && o.Fence == s.Claim }
+		if !slices.ContainsFunc(sent, same) {
+			return true
+		}
+	}
+	return owned != len(sent)
+}
+
+// heartbeat returns the part of the heartbeat that is the same for all peers.
+func heartbeat(t *fleet.Tables, now cs.Instant) cs.Heartbeat {
+	return cs.Heartbeat{
+		Leaving: leaving(t), LogAge: t.Log.Age(now), Owned: ownedShards(t),
+		Highest: t.TicketLog.Highest, Tickets: t.Tickets.Len(),
+	}
+}
+
+func ownedShards(t *fleet.Tables) []cs.OwnedShard {
+	var owned []cs.OwnedShard
+	for id, s := range t.Shards.All() {
+		if s.Owned {
+			owned = append(owned, cs.OwnedShard{Shard: id, Fence: s.Claim})
+		}
+	}
+	if len(owned) == 0 {
+		return nil
+	}
+	slices.SortFunc(owned, func(a, b cs.OwnedShard) int { return cmp.Compare(a.Shard, b.Shard) })
+	waiting := make(map[cs.ShardID]cs.ItemIndex, len(owned))
+	for _, j := range t.Jobs.All() {
+		waiting[j.Shard] += j.Counts[cs.ItemWaiting]
+	}
+	for i := range owned {
+		owned[i].Waiting = waiting[owned[i].Shard]
+	}
+	return owned
+}
+
+// onlineBySender groups the counts of own online requests by the batch sender of their runner. Only
+// the sender needs them, and at full scale the whole list would be 8 KB for each of 150 peers.
+func onlineBySender(t *fleet.Tables) map[cs.VMID][]cs.RunnerCount {
+	online := make(map[cs.VMID][]cs.RunnerCount)
+	for id, r := range t.Runners.All() {
+		if r.Online > 0 {
+			online[r.Sender] = append(online[r.Sender], cs.RunnerCount{Runner: id, Count: r.Online})
+		}
+	}
+	return online
+}
