Split calls, entries and markers into files of their own

Cause: service.go and list.go held several concepts, against one concept a file. Ruled out: - Change: call.go, entry.go and mark.go; no code changed. Conclusion: no file has more than one concept.

--- a/standin/runner.go
+++ b/standin/runner.go
@@ -14,18 +14,6 @@
 // ErrCrashed is the error of a runner that ended because a prompt made it crash.
 var ErrCrashed = errors.New("the runner crashed")
 
-// Markers in prompts, and in methods and bodies of calls, that provoke a fault.
-const (
-	// MarkCrash in a prompt makes the runner crash when it starts to run it.
-	MarkCrash = "CRASH"
-	// MarkPoison in a prompt makes the runner answer 422.
-	MarkPoison = "POISON"
-	// MarkFail in a call makes the service answer 500 after it ran.
-	MarkFail = "FAIL"
-	// MarkRefuse in a call makes the service answer 503 without running it.
-	MarkRefuse = "REFUSE"
-)
-
 // RunnerConfig configures a Runner.
 type RunnerConfig struct {
 	// Slots is the number of requests that run at once; 0 stands for 8.
