Prefer the listed address of a VM and number incarnations by time

Cause: peers dialled the address that a VM says of itself although the list shows another way to it, and membership takes a higher incarnation for the newer process while the daemon drew it at random. Ruled out: an order of incarnations by list order (the list lags). Change: a listed address stays; incarnations begin with the start time; front hands refusals to callers unchanged. Conclusion: a replaced VM is recognised, and proxies stay in the path.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,13 +3,11 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
@@ -58,7 +56,7 @@
 // New builds a daemon that serves on the listener.
 func New(s setting.Settings, listener net.Listener, log zerolog.Logger) *Daemon {
 	clock := cs.NewClock()
-	n := newIncarnation()
+	n := newIncarnation(clock.Now())
 	d := &Daemon{
 		settings: s, self: s.Self(n), listener: listener, meter: meter.New(log), left: make(chan struct{}),
 	}
@@ -106,13 +104,13 @@
 	})
 }
 
-// newIncarnation returns a number that no other start of a process has.
-func newIncarnation() cs.Incarnation {
-	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return cs.Incarnation(time.Now().UnixNano())
-	}
-	return cs.Incarnation(binary.BigEndian.Uint64(b[:]) >> 1)
+// incarnationBits is the number of random bits that tell apart starts within a millisecond.
+const incarnationBits = 20
+
+// newIncarnation returns a number that no other start of a process has. Later starts have higher
+// ones, so that peers can tell a replacement from what it replaced.
+func newIncarnation(now cs.Instant) cs.Incarnation {
+	return cs.Incarnation(now)<<incarnationBits | cs.Incarnation(rand.Uint64N(1<<incarnationBits))
 }
 
 // Self returns this VM as its peers see it.
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -79,7 +79,7 @@
 		}
 		return false
 	})
-	out, code = tool(t, vms[0], "job", "results", "-tenant", "verein", job[0].ID)
+	out, code = tool(t, vms[0], "job", "results", "-json", "-tenant", "verein", job[0].ID)
 	qt.Assert(t, code, qt.Equals, 0)
 	qt.Assert(t, out, qt.Contains, standin.ExpectedText(model, "", version, "note 119", 8))
 
--- a/front/error.go
+++ b/front/error.go
@@ -39,13 +39,29 @@
 	return b
 }
 
+// refusalOf returns the fields of a service's refusal, or nil for another error. goa sets the status
+// of a refusal itself.
+func refusalOf(err error) *refusalBody {
+	switch e := err.(type) { //nolint:errorlint // goa hands the error over unwrapped
+	case *inference.Refusal:
+		return (*refusalBody)(e)
+	case *services.Refusal:
+		return (*refusalBody)(e)
+	case *jobs.Refusal:
+		return (*refusalBody)(e)
+	case *operations.Refusal:
+		return (*refusalBody)(e)
+	}
+	return nil
+}
+
 func inferenceError(err error) error  { return (*inference.Refusal)(toBody(err)) }
 func servicesError(err error) error   { return (*services.Refusal)(toBody(err)) }
 func jobsError(err error) error       { return (*jobs.Refusal)(toBody(err)) }
 func operationsError(err error) error { return (*operations.Refusal)(toBody(err)) }
 
-// inputError is the error of a request that goa did not accept.
-type inputError struct {
+// errorBody is an error as callers get it.
+type errorBody struct {
 	Name    string `json:"name"`
 	Message string `json:"message"`
 	Field   string `json:"field,omitempty"`
@@ -54,11 +70,14 @@
 }
 
 // StatusCode returns the HTTP status.
-func (e inputError) StatusCode() int { return e.status }
+func (e errorBody) StatusCode() int { return e.status }
 
-// format gives errors of goa's own the form of all others.
+// format gives errors of goa's own the form of all others; goa also hands it the refusals.
 func format(_ context.Context, err error) goahttp.Statuser {
-	e := inputError{Name: cs.ReasonInvalid.String(), Message: err.Error(), Ran: cs.RanNotRun.String(), status: http.StatusBadRequest}
+	if b := refusalOf(err); b != nil {
+		return errorBody{Name: b.Name, Message: b.Message, Field: deref(b.Field), Ran: b.Ran}
+	}
+	e := errorBody{Name: cs.ReasonInvalid.String(), Message: err.Error(), Ran: cs.RanNotRun.String(), status: http.StatusBadRequest}
 	var g *goa.ServiceError
 	switch {
 	case !errors.As(err, &g):
--- a/membership/track.go
+++ b/membership/track.go
@@ -76,8 +76,8 @@
 		t.VMs.Insert(vm.ID, fleet.VM{VM: vm, Listed: now, LiveSince: now})
 		return
 	}
-	if row.Incarnation != vm.Incarnation {
-		return
+	if vm.Incarnation != 0 && row.Incarnation != vm.Incarnation {
+		return // an entry without an incarnation speaks of whichever process runs
 	}
 	row.Listed = now
 	row.Address, row.DataCentre = vm.Address, vm.DataCentre
@@ -103,7 +103,12 @@
 		return
 	}
 	if row == nil || row.Incarnation < vm.Incarnation {
-		row = t.VMs.Insert(vm.ID, fleet.VM{VM: vm, LiveSince: now})
+		listed := cs.Instant(0)
+		if row != nil && row.Listed != 0 {
+			// The platform knows how a VM is reached from here; the VM itself may not.
+			vm.Address, listed = row.Address, row.Listed
+		}
+		row = t.VMs.Insert(vm.ID, fleet.VM{VM: vm, Listed: listed, LiveSince: now})
 		t.Membership.PeersChanged = true
 	}
 	row.Linked, row.LinkedAt = true, now
