--- a/batch/yield.go
+++ b/batch/yield.go
@@ -21,14 +21,16 @@
 		case fleet.PeerSaid:
 			if m, ok := e.Message.(cs.Yield); ok {
 				if r := t.Runners.Get(m.Runner); r != nil && r.Sender == t.Self.ID {
-					r.Claimed += m.Slots
-					yield(t, r, now, out)
+					for range m.Slots {
+						r.Claims = append(r.Claims, now)
+					}
+					yield(t, r, 0, now, out)
 				}
 			}
 		case fleet.LoadReported:
 			// Requests that wait inside the runner while batch runs there were not announced.
 			if r := t.Runners.Get(e.Runner); r != nil && r.Sender == t.Self.ID && e.Report.Waiting > 0 {
-				yield(t, r, now, out)
+				yield(t, r, e.Report.Waiting, now, out)
 			}
 		default:
 		}
@@ -37,7 +39,7 @@
 	for _, id := range list {
 		if r := t.Runners.Get(id); r != nil && r.YieldWanted > 0 {
 			r.YieldWanted = 0
-			yield(t, r, now, out)
+			yield(t, r, 0, now, out)
 		}
 	}
 	if fresh || t.Drain.Phase >= fleet.DrainFinishing {
@@ -45,14 +47,15 @@
 	}
 }
 
-// yield stops as many runs as online requests and batch runs together exceed the runner's slots.
-func yield(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
+// yield stops as many runs as online requests and batch runs together exceed the runner's slots, or
+// as requests wait inside the runner.
+func yield(t *fleet.Tables, r *fleet.Runner, wait cs.Slots, now cs.Instant, out *fleet.Actions) {
 	if t.Config.Policy.NoClasses || r.Batch == 0 {
 		return
 	}
 	var (
 		active []*fleet.Run
-		over   = limit.Needed(r, now) + r.Batch - limit.Slots(r)
+		over   = max(limit.Needed(r, now)+r.Batch-limit.Slots(r), wait)
 	)
 	for _, run := range t.Runs.All() {
 		switch {
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -33,6 +33,10 @@
 	// this VM only.
 	Sending   []cs.RunnerID
 	SendingAt cs.Instant
+	// Recent is the number of online requests that the VM took in the last 10 s, as a decaying sum,
+	// and RecentAt when it was computed; they are kept for this VM only.
+	Recent   float64
+	RecentAt cs.Instant
 }
 
 // Runner is the row of a runner.
@@ -55,8 +59,8 @@
 	LoadBatch  cs.Slots
 	// Peers counts the online requests of other VMs on the runner, by their last heartbeats.
 	Peers cs.Slots
-	// Claimed counts online requests that peers announced by Yield since the last report.
-	Claimed cs.Slots
+	// Claims are when peers announced online requests by Yield that the newest load may not contain.
+	Claims []cs.Instant
 	// Dispatched counts this VM's online dispatches to the runner.
 	Dispatched int64
 	// FirstToken and Gap are moving averages of online runs, in milliseconds.
--- a/limit/eject.go
+++ b/limit/eject.go
@@ -16,9 +16,11 @@
 	ejectSamples = 3
 	// slowFloor keeps differences of a few milliseconds from ejecting a runner.
 	slowFloor = 20.0
-	// ejectFirst and ejectLongest bound the time of an ejection, which doubles each time.
+	// ejectFirst and ejectLongest bound the time of an ejection, and ejectGrowth is the ratio of
+	// one to the one before. Each VM tries the runner once after each ejection.
 	ejectFirst   = cs.Second
 	ejectLongest = cs.Minute
+	ejectGrowth  = 4
 	// checkEvery spaces the comparisons of a runner with the others of its model.
 	checkEvery = 100 * cs.Millisecond
 )
@@ -75,7 +77,7 @@
 	})
 }
 
-// eject bars the runner for a time that doubles with each ejection, unless a third of its model's
+// eject bars the runner for a time that grows with each ejection, unless a third of its model's
 // runners are ejected already.
 func eject(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
 	if now < r.EjectedUntil {
@@ -94,7 +96,10 @@
 	if 3*(ejected+1) > all {
 		return
 	}
-	span := min(ejectFirst<<min(r.Ejections, 6), ejectLongest)
+	span := ejectFirst
+	for range r.Ejections {
+		span = min(span*ejectGrowth, ejectLongest)
+	}
 	r.EjectedUntil = now.Add(span)
 	r.Ejections++
 	r.Failures, r.Samples, r.FirstToken = 0, 0, 0
--- a/limit/load.go
+++ b/limit/load.go
@@ -7,8 +7,12 @@
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
-// reportHalfLife is the age at which a load report counts half.
-const reportHalfLife = cs.Second
+const (
+	// reportHalfLife is the age at which a load report counts half.
+	reportHalfLife = cs.Second
+	// reportDelay is the time for which a runner's load may lack a request that was sent to it.
+	reportDelay = 200 * cs.Millisecond
+)
 
 // Age returns the weight of information of the given age, from 1 down to 0.
 func Age(age cs.Span) float64 {
@@ -42,7 +46,8 @@
 func Needed(r *fleet.Runner, now cs.Instant) cs.Slots {
 	load, at := reported(r)
 	others := float64(load.Running+load.Waiting-r.LoadOnline-r.LoadBatch) * Age(now.Sub(at))
-	return r.Online + max(r.Peers, cs.Slots(math.Round(others))+r.Claimed, 0)
+	claims := cs.Slots(len(r.Claims))
+	return r.Online + max(r.Peers, claims+max(cs.Slots(math.Round(others)), 0))
 }
 
 // Total estimates all requests on the runner, batch included.
--- a/limit/observe.go
+++ b/limit/observe.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"slices"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 )
@@ -112,7 +114,14 @@
 		return
 	}
 	r.Answer, r.AnswerAt = l, now
+	renewed(r, online, batch, now)
+}
+
+// renewed notes what this VM runs on the runner at the time of a new load, less what has just ended,
+// and drops the claims that the load contains.
+func renewed(r *fleet.Runner, online, batch cs.Slots, now cs.Instant) {
 	r.LoadOnline, r.LoadBatch = max(r.Online-online, 0), max(r.Batch-batch, 0)
+	r.Claims = slices.DeleteFunc(r.Claims, func(at cs.Instant) bool { return now.Sub(at) > reportDelay })
 }
 
 func observeBroken(t *fleet.Tables, r *fleet.Runner, x fleet.RunBroken, now cs.Instant, out *fleet.Actions) {
@@ -145,8 +154,7 @@
 		return
 	}
 	r.Report, r.ReportAt = e.Report, now
-	r.LoadOnline, r.LoadBatch = r.Online, r.Batch
-	r.Claimed = 0
+	renewed(r, 0, 0, now)
 	r.DownSince = 0
 }
 
--- a/quarantine/place.go
+++ b/quarantine/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
@@ -42,15 +41,29 @@
 	taken := make(map[cs.RunnerID]bool)
 	for _, o := range waiting(t, h, now) {
 		s := t.Suspects.Get(o)
-		r := rank(o, all, func(c cs.RunnerID) bool { return !taken[c] && !slices.Contains(s.Runners, c) })
+		free := func(c cs.RunnerID) bool { return !taken[c] && !slices.Contains(s.Runners, c) }
 		if o == h {
-			return r, r != ""
+			return own(h, target, all, free)
 		}
-		taken[r] = true
+		taken[rank(uint64(o), all, free)] = true
 	}
 	return "", false
 }
 
+// own returns the runner for the suspect itself: the one that routing prefers for its prefix, or else
+// the one ranked first for its content. Routing draws from the same two, so that a content that
+// several VMs send at once reaches no third runner.
+func own(h cs.ContentHash, target cs.Target, all []cs.RunnerID, free func(cs.RunnerID) bool) (cs.RunnerID, bool) {
+	if key, ok := limit.PrefixKey(target); ok {
+		first := rank(key, all, func(cs.RunnerID) bool { return true })
+		if first != "" && free(first) {
+			return first, true
+		}
+	}
+	r := rank(uint64(h), all, free)
+	return r, r != ""
+}
+
 // Placeable reports whether a content may run on a runner now.
 func Placeable(t *fleet.Tables, h cs.ContentHash, target cs.Target, r cs.RunnerID, now cs.Instant) bool {
 	if !Suspect(t, h, now) {
@@ -61,11 +74,12 @@
 }
 
 // candidates lists the runners of the own data centre that serve the target, or those of others if
-// it has none. Load and ejections are left out, since VMs judge them differently.
+// it has none. Load, ejections and whether they are down are left out, since VMs judge them
+// differently.
 func candidates(t *fleet.Tables, target cs.Target) []cs.RunnerID {
 	var near, far []cs.RunnerID
 	for id, r := range t.Runners.All() {
-		if !limit.Up(r) || !limit.Serves(r, target) {
+		if r.Leaving || r.Report.Leaving || !limit.Serves(r, target) {
 			continue
 		}
 		if r.DataCentre == t.Self.DataCentre {
@@ -93,18 +107,17 @@
 	return all
 }
 
-// rank returns the candidate with the highest weight for the content, or "".
-func rank(h cs.ContentHash, candidates []cs.RunnerID, ok func(cs.RunnerID) bool) cs.RunnerID {
+// rank returns the candidate with the highest weight for a key, or "".
+func rank(key uint64, all []cs.RunnerID, ok func(cs.RunnerID) bool) cs.RunnerID {
 	var (
 		best cs.RunnerID
 		high uint64
-		key  = strconv.FormatUint(uint64(h), 16)
 	)
-	for _, c := range candidates {
+	for _, c := range all {
 		if !ok(c) {
 			continue
 		}
-		if w := cs.Rendezvous(key, string(c)); best == "" || w > high {
+		if w := limit.Weight(key, limit.RunnerKey(c)); best == "" || w > high {
 			best, high = c, w
 		}
 	}
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -65,7 +65,7 @@
 		return
 	}
 	out.Count(fleet.CountRequests, r.Tenant, 1)
-	limit.Earn(t)
+	limit.Earn(t, now)
 	complete(t, &r, now)
 	limits := limitsOf(t, r.Tenant)
 	refusal := check(t, r, now)
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -1,20 +1,16 @@
 package routing
 
 import (
-	"encoding/binary"
 	"math"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/limit"
 	"github.com/crocusstile/crocusstile/quarantine"
 )
 
 const (
-	// prefixBytes is the length of the part of a prompt that decides which runner may have it in
-	// its cache.
-	prefixBytes = 256
 	// boundedLoad is the ratio to the mean load up to which a runner is preferred for a prefix.
 	boundedLoad = 1.25
 	// cached is the factor on the expected first-token time of the runner that may have the prefix
@@ -26,8 +22,6 @@
 	queueBound cs.Slots = 2
 	// distance is the penalty in milliseconds of another data centre.
 	distance = 20.0
-	// yieldCost is the time in milliseconds until batch gives a slot back.
-	yieldCost = 5.0
 	// assumedFirstToken stands in for first-token times that are not known yet, in milliseconds.
 	assumedFirstToken = 100.0
 	// forget is the age in milliseconds at which the distance of a runner's average from the
@@ -95,69 +89,72 @@
 	return best
 }
 
-// draw returns the better of two runners of a group: the one preferred for the prompt's prefix and a
-// random one.
+// draw returns the better of two runners of a group: the one preferred for the prompt's prefix, or
+// else a first one for the content, and a second one for the content. The content decides in place
+// of chance, so that all VMs draw the same two for a request that is sent to several of them at
+// once, and one that crashes runners reaches no third.
 func (d *round) draw(p *pool, g *group, q *fleet.Request) *candidate {
-	preferred := g.preferred(q)
-	random := d.random(g, q)
-	if random == nil || preferred == random {
-		return preferred
-	}
-	if preferred != nil && cached*d.expect(p, preferred) <= d.expect(p, random) {
-		return preferred
-	}
-	return random
-}
-
-// random draws among the runners with a free slot for online requests, or else among those with
-// room, and leaves out those tried before while there are others.
-func (d *round) random(g *group, q *fleet.Request) *candidate {
-	n := len(g.list)
-	if n == 0 {
+	second := g.ranked(q, uint64(q.Hash))
+	if second == nil {
 		return nil
 	}
-	start := d.t.Rand.IntN(n)
-	var waits, tried *candidate
-	for i := range n {
-		c := &g.list[(start+i)%n]
-		switch {
-		case !c.hasRoom() || inFlight(q, c.row.ID):
-		case slices.Contains(q.Tried, c.row.ID):
-			tried = c
-		case c.online < c.slots:
+	if c := g.preferred(q); c != nil {
+		if c == second || cached*d.expect(p, c) <= d.expect(p, second) {
 			return c
-		case waits == nil:
-			waits = c
 		}
+		return second
 	}
-	if waits == nil {
-		return tried
+	if c := g.ranked(q, ^uint64(q.Hash)); d.expect(p, c) < d.expect(p, second) {
+		return c
+	}
+	return second
+}
+
+// ranked returns the runner ranked first for a key among those with a free slot for online requests,
+// or else among those with room, and uses one that was tried before only if there is no other.
+func (g *group) ranked(q *fleet.Request, key uint64) *candidate {
+	var (
+		best  *candidate
+		high  uint64
+		level int
+	)
+	for i := range g.list {
+		c := &g.list[i]
+		if !c.hasRoom() || inFlight(q, c.row.ID) {
+			continue
+		}
+		l := 3
+		if slices.Contains(q.Tried, c.row.ID) {
+			l = 1
+		} else if c.online >= c.slots {
+			l = 2
+		}
+		if w := limit.Weight(key, c.key); l > level || l == level && w > high {
+			best, high, level = c, w, l
+		}
 	}
-	return waits
+	return best
 }
 
 // preferred returns the runner ranked first for the prompt's prefix among those that are not loaded
 // far above the mean, or nil.
 func (g *group) preferred(q *fleet.Request) *candidate {
-	gen, ok := q.Target.(cs.Generation)
+	key, ok := limit.PrefixKey(q.Target)
 	if !ok || len(g.list) == 0 {
 		return nil
 	}
 	var (
 		best *candidate
 		high uint64
-		key  [16]byte
 		mean = float64(g.online+1) / float64(len(g.list))
 		most = cs.Slots(math.Ceil(boundedLoad * mean))
 	)
-	binary.LittleEndian.PutUint64(key[:8], xxhash.Sum64String(gen.Prompt[:min(len(gen.Prompt), prefixBytes)]))
 	for i := range g.list {
 		c := &g.list[i]
 		if c.online >= most || c.online >= c.slots || avoid(q, c.row.ID) {
 			continue
 		}
-		binary.LittleEndian.PutUint64(key[8:], c.hash)
-		if w := xxhash.Sum64(key[:]); best == nil || w > high {
+		if w := limit.Weight(key, c.key); best == nil || w > high {
 			best, high = c, w
 		}
 	}
@@ -181,7 +178,9 @@
 		return x + float64(c.online-c.slots+1)*max(c.row.Took, own)/slots
 	}
 	if c.total >= slots {
-		return x + yieldCost
+		// The runner looks full. Batch gives a slot back in milliseconds, but other VMs' requests
+		// may hold it, and then it takes as long as the next one needs to end.
+		return x + max(c.row.Took, own)/slots
 	}
 	return x
 }
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -105,7 +105,7 @@
 		return
 	}
 	if q.Attempt > 0 && !q.Free {
-		if !limit.Spend(d.t) {
+		if !limit.Spend(d.t, d.now) {
 			d.out.Count(fleet.CountRetriesDenied, q.Tenant, 1)
 			q.Phase, q.RetryAt = fleet.PhaseBackoff, d.now.Add(backoffLongest)
 			d.out.WakeAt(q.RetryAt)
--- a/routing/hedge.go
+++ b/routing/hedge.go
@@ -36,7 +36,7 @@
 		limit.Sample(d.t, slow, d.now.Sub(first.Since), d.now, d.out)
 	}
 	c := d.choose(d.pool(q.Target), q)
-	if c == nil || c.row.ID == first.Runner || c.online >= c.slots || !limit.Spend(d.t) {
+	if c == nil || c.row.ID == first.Runner || c.online >= c.slots || !limit.Spend(d.t, d.now) {
 		return
 	}
 	d.out.Count(fleet.CountHedges, q.Tenant, 1)
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -31,7 +31,7 @@
 type candidate struct {
 	group  *group
 	row    *fleet.Runner
-	hash   uint64
+	key    uint64
 	slots  cs.Slots
 	online cs.Slots
 	total  float64
@@ -83,7 +83,7 @@
 	if near {
 		g = &p.local
 	}
-	c := candidate{group: g, row: r, hash: cs.Rendezvous("", string(r.ID)), slots: limit.Slots(r)}
+	c := candidate{group: g, row: r, key: limit.RunnerKey(r.ID), slots: limit.Slots(r)}
 	c.measure(now)
 	g.list = append(g.list, c)
 	g.online += c.online
--- /dev/null
+++ b/routing/target_test.go
@@ -0,0 +1,122 @@
+package routing_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+const (
+	simSeed = 7
+	warmUp  = 8 * cs.Second
+	measure = 60 * cs.Second
+)
+
+// steady runs traffic at a rate and returns the sim after it.
+func steady(c fleet.Config, rate float64, withBatch bool, prepare func(*sim)) *sim {
+	s := newSim(c, simSeed, withBatch)
+	if prepare != nil {
+		prepare(s)
+	}
+	s.traffic(rate, warmUp+measure)
+	s.run(warmUp)
+	s.from = s.now
+	s.run(measure)
+	return s
+}
+
+// TestBatchBesideOnline guards against batch that delays online requests or leaves capacity idle.
+func TestBatchBesideOnline(t *testing.T) {
+	for _, rate := range []float64{15, 40, 60} {
+		c := fleet.DefaultConfig()
+		alone := steady(c, rate, false, nil)
+		both := steady(c, rate, true, nil)
+		c.Policy.NoClasses = true
+		baseline := steady(c, rate, true, nil)
+		ratio := quantile(both.first, 0.99) / quantile(alone.first, 0.99)
+		capacity := float64(simRunners*simSlots) * float64(measure)
+		use := both.batchTime / (capacity - both.onlineTime)
+		t.Logf("rate %v/s: p99 alone %v ms, with batch %v ms (ratio %.3f), without classes %v ms; batch use %.3f; p50 %v and %v ms",
+			rate, quantile(alone.first, 0.99), quantile(both.first, 0.99), ratio, quantile(baseline.first, 0.99), use,
+			quantile(alone.first, 0.5), quantile(both.first, 0.5))
+		qt.Check(t, ratio <= 1.10, qt.IsTrue, qt.Commentf("rate %v: p99 ratio %.3f, target 1.10", rate, ratio))
+		qt.Check(t, use >= 0.85, qt.IsTrue, qt.Commentf("rate %v: batch use %.3f, target 0.85", rate, use))
+		qt.Check(t, quantile(baseline.first, 0.99) > quantile(both.first, 0.99), qt.IsTrue)
+	}
+}
+
+// TestBurst guards against first requests that wait for batch to leave.
+func TestBurst(t *testing.T) {
+	s := newSim(fleet.DefaultConfig(), simSeed, true)
+	s.run(warmUp)
+	s.from = s.now
+	for i := range 48 {
+		s.ask(s.vms[i%simVMs], "burst")
+	}
+	s.run(5 * cs.Second)
+	worst, unloaded := quantile(s.first, 0.99), prefill*(1+0.05/simSlots)+2*float64(netDelay)
+	t.Logf("burst of 48 on 96 slots full of batch: p99 %v ms, unloaded %.1f ms, ratio %.3f", worst, unloaded, worst/unloaded)
+	qt.Check(t, len(s.first), qt.Equals, 48)
+	qt.Check(t, worst/unloaded <= 1.25, qt.IsTrue, qt.Commentf("ratio %.3f, target 1.25", worst/unloaded))
+}
+
+// TestSlowRunners guards against a tail that one slow runner in six determines.
+func TestSlowRunners(t *testing.T) {
+	slow := func(s *sim) { s.runners["r0"].slow, s.runners["r6"].slow = 5, 5 }
+	c := fleet.DefaultConfig()
+	healthy := quantile(steady(c, 30, false, nil).first, 0.99)
+	p99 := quantile(steady(c, 30, false, slow).first, 0.99)
+	c.Policy.RoundRobin = true
+	baseline := quantile(steady(c, 30, false, slow).first, 0.99)
+	t.Logf("two of twelve runners 5 times slower: p99 %v ms, healthy %v ms, ratio %.3f; round robin %v ms", p99, healthy, p99/healthy, baseline)
+	qt.Check(t, p99/healthy <= 1.5, qt.IsTrue, qt.Commentf("ratio %.3f, target 1.5", p99/healthy))
+	qt.Check(t, baseline > p99, qt.IsTrue)
+}
+
+// TestRetriesInOutage guards against retries that multiply the load while runners fail.
+func TestRetriesInOutage(t *testing.T) {
+	for name, n := range map[string]int{"half": 6, "all": 12} {
+		s := newSim(fleet.DefaultConfig(), simSeed, false)
+		s.traffic(30, warmUp+30*cs.Second)
+		s.run(warmUp)
+		i := 0
+		for _, r := range s.runners {
+			r.broken = i < n
+			i++
+		}
+		requests, dispatches := s.requests, s.dispatches
+		s.run(30 * cs.Second)
+		added := float64(s.dispatches-dispatches)/float64(s.requests-requests) - 1
+		t.Logf("outage of %s: %d requests, %d dispatches, %.3f added", name, s.requests-requests, s.dispatches-dispatches, added)
+		qt.Check(t, added <= 0.10, qt.IsTrue, qt.Commentf("%s: %.3f added, target 0.10", name, added))
+	}
+}
+
+// TestPoisonThroughAllVMs guards against a request that takes down more than two runners of a data
+// centre when callers send it again through every VM, and against innocents that are not run again.
+func TestPoisonThroughAllVMs(t *testing.T) {
+	s := newSim(fleet.DefaultConfig(), simSeed, true)
+	s.traffic(30, 30*cs.Second)
+	s.run(warmUp)
+	bad := map[cs.RequestID]bool{}
+	for range 20 {
+		for _, v := range s.vms {
+			bad[s.ask(v, poison)] = true
+		}
+		s.run(500 * cs.Millisecond)
+	}
+	s.run(30 * cs.Second)
+	lost := 0
+	for id, f := range s.finished {
+		if f != nil && !bad[id] {
+			lost++
+			t.Logf("innocent %s: %v", id, f)
+		}
+	}
+	t.Logf("poison sent %d times: %d runners crashed, %d innocent requests lost", len(bad), s.crashes, lost)
+	qt.Check(t, s.crashes <= 2, qt.IsTrue, qt.Commentf("%d crashes", s.crashes))
+	qt.Check(t, lost, qt.Equals, 0)
+}
