Make slot claims exact and cheapen the trials of ejected runners

Change: each dispatch to a runner that is half full is announced to its sender; loads are compared with what this VM ran when they were read; a request that tries a slow runner is hedged early.

--- a/batch/grant.go
+++ b/batch/grant.go
@@ -135,7 +135,7 @@
 		return false
 	}
 	t.Runs.Insert(run.Key, run)
-	r.Batch++
+	limit.Occupy(r, cs.Batch, 1, now)
 	out.Add(fleet.RunItem{Item: run.GrantedItem, Runner: r.ID, Address: r.Address})
 	return true
 }
--- a/batch/settle.go
+++ b/batch/settle.go
@@ -3,6 +3,7 @@
 import (
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/limit"
 )
 
 const (
@@ -35,7 +36,7 @@
 		return
 	}
 	if r := t.Runners.Get(run.Runner); r != nil {
-		r.Batch = max(r.Batch-1, 0)
+		limit.Occupy(r, cs.Batch, -1, now)
 	}
 	if run.Discard {
 		out.Count(fleet.CountTokensWasted, run.Tenant, int64(e.Tokens))
--- a/batch/yield.go
+++ b/batch/yield.go
@@ -9,8 +9,13 @@
 	"github.com/crocusstile/crocusstile/limit"
 )
 
-// yieldPause is the time after a yield during which a runner gets no new batch runs.
-const yieldPause = 200 * cs.Millisecond
+// yieldPause is the time after a yield during which a runner gets no new batch runs. It covers the
+// requests of a burst that are under way; a longer pause leaves slots empty that no request takes.
+const yieldPause = 50 * cs.Millisecond
+
+// yieldMargin is the number of slots that a yield leaves free where there is headroom: the estimate
+// of other VMs' requests may be one too low.
+const yieldMargin cs.Slots = 1
 
 // Yield stops batch runs where online requests need their slots, and all runs that this VM must not
 // continue: those on runners of which it is no longer the batch sender, and those of a VM that
@@ -27,19 +32,22 @@
 					yield(t, r, 0, now, out)
 				}
 			}
-		case fleet.LoadReported:
-			// Requests that wait inside the runner while batch runs there were not announced.
-			if r := t.Runners.Get(e.Runner); r != nil && r.Sender == t.Self.ID && e.Report.Waiting > 0 {
-				yield(t, r, e.Report.Waiting, now, out)
-			}
 		default:
 		}
 	}
 	list, fresh := limit.Sending(t, now)
 	for _, id := range list {
-		if r := t.Runners.Get(id); r != nil && r.YieldWanted > 0 {
+		r := t.Runners.Get(id)
+		if r == nil {
+			continue
+		}
+		var wait cs.Slots
+		if load, at := limit.Reported(r); at == now {
+			wait = load.Waiting // requests that wait inside the runner beside batch runs
+		}
+		if r.YieldWanted > 0 || wait > 0 {
 			r.YieldWanted = 0
-			yield(t, r, 0, now, out)
+			yield(t, r, wait, now, out)
 		}
 	}
 	if fresh || t.Drain.Phase >= fleet.DrainFinishing {
@@ -50,13 +58,13 @@
 // yield stops as many runs as online requests and batch runs together exceed the runner's slots, or
 // as requests wait inside the runner.
 func yield(t *fleet.Tables, r *fleet.Runner, wait cs.Slots, now cs.Instant, out *fleet.Actions) {
-	if t.Config.Policy.NoClasses || r.Batch == 0 {
+	online := limit.Needed(r, now)
+	margin := min(limit.Headroom(t.Config, r, online), yieldMargin)
+	over := max(online+margin+r.Batch-limit.Slots(r), wait)
+	if t.Config.Policy.NoClasses || r.Batch == 0 || over <= 0 {
 		return
 	}
-	var (
-		active []*fleet.Run
-		over   = max(limit.Needed(r, now)+r.Batch-limit.Slots(r), wait)
-	)
+	var active []*fleet.Run
 	for _, run := range t.Runs.All() {
 		switch {
 		case run.Runner != r.ID || run.Ended != nil:
@@ -78,7 +86,9 @@
 	}
 	out.Count(fleet.CountYields, "", int64(n))
 	r.YieldUntil = now.Add(yieldPause)
-	r.BatchLimit = max(r.BatchLimit/2, 1)
+	// Half the limit, but no less than what still runs: single yields are common beside steady
+	// online traffic and must not keep slots empty.
+	r.BatchLimit = max(r.BatchLimit/2, float64(int(r.Batch)-n), 1)
 }
 
 // left estimates the tokens that a run has yet to generate.
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -50,7 +50,7 @@
 
 // Policy replaces decisions by their baselines, for comparison.
 type Policy struct {
-	// RoundRobin routes in turn, without regard to load.
+	// RoundRobin routes in turn, without regard to load, and neither ejects nor hedges.
 	RoundRobin bool
 	// NoClasses sends batch items as online requests are sent, without a limit.
 	NoClasses bool
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -57,6 +57,8 @@
 	// LoadOnline and LoadBatch are Online and Batch when the newest of Report and Answer came.
 	LoadOnline cs.Slots
 	LoadBatch  cs.Slots
+	// Changes are the latest changes of Online and Batch, since a load may be older than they are.
+	Changes []LoadChange
 	// Peers counts the online requests of other VMs on the runner, by their last heartbeats.
 	Peers cs.Slots
 	// Claims are when peers announced online requests by Yield that the newest load may not contain.
@@ -106,6 +108,13 @@
 	OrderOut bool
 }
 
+// LoadChange is a change of the requests that this VM has on a runner.
+type LoadChange struct {
+	At    cs.Instant
+	Class cs.Class
+	By    cs.Slots
+}
+
 // SlotOffer is an offer of batch slots that is not answered yet.
 type SlotOffer struct {
 	ID    uint64
--- a/limit/eject.go
+++ b/limit/eject.go
@@ -7,13 +7,17 @@
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
+// EjectSlow is the ratio of a runner's first-token time to the median that ejects it.
+const EjectSlow = 2.0
+
 const (
 	// ejectFailures is the number of failures in a row that ejects a runner.
 	ejectFailures = 3
-	// ejectSlow is the ratio of a runner's first-token time to the median that ejects it.
-	ejectSlow = 2.0
 	// ejectSamples is the number of samples needed to call a runner slow.
-	ejectSamples = 3
+	ejectSamples = 2
+	// outlier bounds a sample to a multiple of the runner's average, so that one long prompt does
+	// not eject a runner.
+	outlier = 4.0
 	// slowFloor keeps differences of a few milliseconds from ejecting a runner.
 	slowFloor = 20.0
 	// ejectFirst and ejectLongest bound the time of an ejection, and ejectGrowth is the ratio of
@@ -29,6 +33,9 @@
 // the median of its model's runners.
 func Sample(t *fleet.Tables, r *fleet.Runner, took cs.Span, now cs.Instant, out *fleet.Actions) {
 	x := max(float64(took), 1)
+	if r.FirstToken > 0 {
+		x = min(x, outlier*r.FirstToken)
+	}
 	r.FirstToken = average(r.FirstToken, x)
 	if r.Batch == 0 {
 		r.BaseFirstToken = average(r.BaseFirstToken, x)
@@ -40,7 +47,7 @@
 	}
 	r.CheckedAt = now
 	median := medianFirstToken(t, r)
-	slow := median > 0 && r.FirstToken > ejectSlow*median && r.FirstToken > median+slowFloor
+	slow := median > 0 && r.FirstToken > EjectSlow*median && r.FirstToken > median+slowFloor
 	switch {
 	case slow:
 		eject(t, r, now, out)
@@ -49,6 +56,14 @@
 	}
 }
 
+// Outrun ejects a runner again if a request that tried it after an ejection was answered by its hedge
+// first.
+func Outrun(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
+	if r.Ejections > 0 {
+		eject(t, r, now, out)
+	}
+}
+
 // medianFirstToken returns the median over the other runners that share a model with r, or 0.
 func medianFirstToken(t *fleet.Tables, r *fleet.Runner) float64 {
 	var all []float64
@@ -80,7 +95,7 @@
 // eject bars the runner for a time that grows with each ejection, unless a third of its model's
 // runners are ejected already.
 func eject(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
-	if now < r.EjectedUntil {
+	if now < r.EjectedUntil || t.Config.Policy.RoundRobin {
 		return
 	}
 	all, ejected := 1, 0
--- a/limit/observe.go
+++ b/limit/observe.go
@@ -1,8 +1,6 @@
 package limit
 
 import (
-	"slices"
-
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 )
@@ -67,7 +65,7 @@
 		}
 		r.Took = average(r.Took, float64(x.Took))
 		observeGap(r, x)
-		answered(r, x.Load, now, 1, 0)
+		answered(r, x.Load, cs.Online, now)
 	case fleet.RunBroken:
 		observeBroken(t, r, x, now, out)
 	case fleet.RunRejected:
@@ -86,7 +84,7 @@
 	switch x := res.(type) {
 	case fleet.RunWhole:
 		observeGap(r, x)
-		answered(r, x.Load, now, 0, 1)
+		answered(r, x.Load, cs.Batch, now)
 	case fleet.RunBroken:
 		observeBroken(t, r, x, now, out)
 	case fleet.RunRejected:
@@ -105,23 +103,21 @@
 	}
 }
 
-// answered notes the load that an answer brought. The ended run is still counted in the row, so
-// online or batch is 1 for it.
-func answered(r *fleet.Runner, l cs.Load, now cs.Instant, online, batch cs.Slots) {
+// answered notes the load that an answer brought, which no longer contains the run that has ended,
+// while the row still does.
+func answered(r *fleet.Runner, l cs.Load, class cs.Class, now cs.Instant) {
 	r.Failures = 0
 	r.DownSince = 0
 	if l.Slots == 0 {
 		return
 	}
 	r.Answer, r.AnswerAt = l, now
-	renewed(r, online, batch, now)
-}
-
-// renewed notes what this VM runs on the runner at the time of a new load, less what has just ended,
-// and drops the claims that the load contains.
-func renewed(r *fleet.Runner, online, batch cs.Slots, now cs.Instant) {
-	r.LoadOnline, r.LoadBatch = max(r.Online-online, 0), max(r.Batch-batch, 0)
-	r.Claims = slices.DeleteFunc(r.Claims, func(at cs.Instant) bool { return now.Sub(at) > reportDelay })
+	renewed(r, 0, now)
+	if class == cs.Batch {
+		r.LoadBatch--
+	} else {
+		r.LoadOnline--
+	}
 }
 
 func observeBroken(t *fleet.Tables, r *fleet.Runner, x fleet.RunBroken, now cs.Instant, out *fleet.Actions) {
@@ -154,7 +150,11 @@
 		return
 	}
 	r.Report, r.ReportAt = e.Report, now
-	renewed(r, 0, 0, now)
+	lag := now.Sub(e.Report.At)
+	if lag < 0 || lag > reportDelay {
+		lag = reportDelay // the runner's clock differs from this one
+	}
+	renewed(r, lag, now)
 	r.DownSince = 0
 }
 
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -23,7 +23,7 @@
 			}
 			admit(t, e.Request, q, now, out)
 		case fleet.CallerGone:
-			drop(t, e.ID, out)
+			drop(t, e.ID, now, out)
 		default:
 		}
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -146,12 +146,12 @@
 	var (
 		best *candidate
 		high uint64
-		mean = float64(g.online+1) / float64(len(g.list))
-		most = cs.Slots(math.Ceil(boundedLoad * mean))
+		mean = (g.seen + 1) / float64(len(g.list))
+		most = math.Ceil(boundedLoad * mean)
 	)
 	for i := range g.list {
 		c := &g.list[i]
-		if c.online >= most || c.online >= c.slots || avoid(q, c.row.ID) {
+		if c.seen() >= most || c.online >= c.slots || avoid(q, c.row.ID) {
 			continue
 		}
 		if w := limit.Weight(key, c.key); best == nil || w > high {
@@ -173,16 +173,21 @@
 		own += (c.row.FirstToken - usual) * math.Exp2(-age/forget)
 	}
 	slots := float64(c.slots)
-	x := own * (1 + min(c.total/slots, 1))
-	if c.online >= c.slots {
-		return x + float64(c.online-c.slots+1)*max(c.row.Took, own)/slots
-	}
-	if c.total >= slots {
-		// The runner looks full. Batch gives a slot back in milliseconds, but other VMs' requests
-		// may hold it, and then it takes as long as the next one needs to end.
-		return x + max(c.row.Took, own)/slots
-	}
-	return x
+	// Batch counts half, since it gives way.
+	seen := c.seen()
+	x := own * (1 + min((seen+c.total)/2/slots, 1))
+	if c.total < slots {
+		return x
+	}
+	// The runner looks full. Batch gives a slot back in milliseconds, but other VMs' requests may
+	// hold it, and then it takes until the next one ends.
+	return x + (max(seen-slots, 0)+1)*max(c.row.Took, own)/slots
+}
+
+// seen estimates the online requests on the runner from its report, for comparisons only: it counts
+// batch as online if the runner does not tell it apart.
+func (c *candidate) seen() float64 {
+	return max(float64(c.online), c.total-float64(c.row.Report.Batch))
 }
 
 // hasRoom reports whether the runner takes another online request. After an ejection it takes one
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -16,7 +16,7 @@
 	d := &round{t: t, now: now, out: out}
 	d.collect()
 	for _, id := range d.expired {
-		refuse(t, t.Requests.Get(id), cs.ReasonExpired, "the deadline passed", out)
+		refuse(t, t.Requests.Get(id), cs.ReasonExpired, "the deadline passed", now, out)
 	}
 	slices.SortFunc(d.ready, func(a, b place) int {
 		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.id, b.id))
@@ -96,7 +96,7 @@
 // send dispatches a request if a runner has room for it.
 func (d *round) send(q *fleet.Request) {
 	if quarantine.Blocked(d.t, q.Hash, d.now) {
-		refuse(d.t, q, cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners", d.out)
+		refuse(d.t, q, cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners", d.now, d.out)
 		return
 	}
 	p := d.pool(q.Target)
@@ -115,8 +115,8 @@
 	}
 	q.Free = false
 	q.Phase = fleet.PhaseRunning
-	if !q.NonIdempotent && !quarantine.Suspect(d.t, q.Hash, d.now) {
-		q.HedgeAt = d.now.Add(d.hedgeAfter(p))
+	if !q.NonIdempotent && !d.t.Config.Policy.RoundRobin && !quarantine.Suspect(d.t, q.Hash, d.now) {
+		q.HedgeAt = d.now.Add(d.hedgeAfter(p, c.row))
 		d.out.WakeAt(q.HedgeAt)
 	}
 	d.start(q, c, false)
@@ -127,20 +127,20 @@
 	r := c.row
 	q.Attempt++
 	q.Runs = append(q.Runs, fleet.RequestRun{Runner: r.ID, Attempt: q.Attempt, Since: d.now, Hedge: hedge})
-	r.Online++
+	limit.Occupy(r, cs.Online, 1, d.now)
 	r.Dispatched++
 	c.measure(d.now)
-	c.group.online++
+	c.group.seen++
 	d.out.Add(fleet.Dispatch{ID: q.ID, Attempt: q.Attempt, Runner: r.ID, Address: r.Address, Hedge: hedge})
 	d.claim(c)
 }
 
-// claim tells the runner's batch sender of a request that takes a slot which batch holds or leaves
-// free, so that the sender gives up a run or lets its free slots grow again. Other VMs may count on
-// the same free slot, and only the sender can tell.
+// claim tells the runner's batch sender of a request, so that the sender stops a batch run if the
+// request has no free slot. Other VMs may count on the same free slot, and batch may have filled the
+// runner since its last report, which only the sender knows. Nothing is sent for a runner that was
+// less than half full.
 func (d *round) claim(c *candidate) {
-	room := float64(c.slots - limit.Headroom(d.t.Config, c.row, c.online))
-	if d.t.Config.Policy.NoClasses || c.total <= room || c.online > c.slots {
+	if d.t.Config.Policy.NoClasses || c.online > c.slots || 2*limit.Told(c.row) < c.slots {
 		return
 	}
 	switch c.row.Sender {
--- a/routing/finish.go
+++ b/routing/finish.go
@@ -5,6 +5,7 @@
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/limit"
 )
 
 // ranOf says what is known about the effect of a request that ends without an answer.
@@ -19,7 +20,7 @@
 }
 
 // refuse ends a request without an answer, with the truth about whether it ran.
-func refuse(t *fleet.Tables, q *fleet.Request, reason cs.Reason, message string, out *fleet.Actions) {
+func refuse(t *fleet.Tables, q *fleet.Request, reason cs.Reason, message string, now cs.Instant, out *fleet.Actions) {
 	f := &cs.Refusal{Reason: reason, Ran: ranOf(q), Message: message}
 	counter := fleet.CountRefusedNotRun
 	switch f.Ran {
@@ -31,16 +32,16 @@
 	}
 	out.Count(counter, q.Tenant, 1)
 	out.Add(fleet.Finish{ID: q.ID, Refusal: f})
-	drop(t, q.ID, out)
+	drop(t, q.ID, now, out)
 }
 
 // drop cancels what still runs of a request and removes its row.
-func drop(t *fleet.Tables, id cs.RequestID, out *fleet.Actions) {
+func drop(t *fleet.Tables, id cs.RequestID, now cs.Instant, out *fleet.Actions) {
 	q := t.Requests.Get(id)
 	if q == nil {
 		return
 	}
-	cancelOthers(t, q, 0, out)
+	cancelOthers(t, q, 0, now, out)
 	tenant := t.Tenants.Get(q.Tenant)
 	owner := q.Tenant
 	t.Requests.Delete(id)
@@ -54,32 +55,32 @@
 }
 
 // cancelOthers cancels all runs of a request but one; 0 cancels all.
-func cancelOthers(t *fleet.Tables, q *fleet.Request, keep cs.Attempt, out *fleet.Actions) {
+func cancelOthers(t *fleet.Tables, q *fleet.Request, keep cs.Attempt, now cs.Instant, out *fleet.Actions) {
 	for _, run := range q.Runs {
 		if run.Attempt == keep {
 			continue
 		}
 		out.Add(fleet.CancelRun{ID: q.ID, Attempt: run.Attempt})
-		release(t, run.Runner)
+		release(t, run.Runner, now)
 	}
 	q.Runs = slices.DeleteFunc(q.Runs, func(run fleet.RequestRun) bool { return run.Attempt != keep })
 }
 
 // takeRun removes a run from a request and returns it; ok is false if it is not in flight.
-func takeRun(t *fleet.Tables, q *fleet.Request, a cs.Attempt) (run fleet.RequestRun, ok bool) {
+func takeRun(t *fleet.Tables, q *fleet.Request, a cs.Attempt, now cs.Instant) (run fleet.RequestRun, ok bool) {
 	i := slices.IndexFunc(q.Runs, func(run fleet.RequestRun) bool { return run.Attempt == a })
 	if i < 0 {
 		return run, false
 	}
 	run = q.Runs[i]
 	q.Runs = slices.Delete(q.Runs, i, i+1)
-	release(t, run.Runner)
+	release(t, run.Runner, now)
 	return run, true
 }
 
 // release frees an online slot of a runner.
-func release(t *fleet.Tables, id cs.RunnerID) {
+func release(t *fleet.Tables, id cs.RunnerID, now cs.Instant) {
 	if r := t.Runners.Get(id); r != nil {
-		r.Online = max(r.Online-1, 0)
+		limit.Occupy(r, cs.Online, -1, now)
 	}
 }
--- a/routing/hedge.go
+++ b/routing/hedge.go
@@ -14,11 +14,15 @@
 )
 
 // hedgeAfter returns the wait before a hedge. Until the pool's first-token time is known, the target
-// stands in for it.
-func (d *round) hedgeAfter(p *pool) cs.Span {
+// stands in for it. A request that tries a slow or ejected runner again is hedged after half the usual
+// time, since each VM tries the runner and these requests would determine the tail.
+func (d *round) hedgeAfter(p *pool, r *fleet.Runner) cs.Span {
 	usual := cs.Span(p.usual())
-	if usual == 0 {
+	switch {
+	case usual == 0:
 		return max(d.t.Config.FirstToken, hedgeSoonest)
+	case r.Ejections > 0 || r.FirstToken > limit.EjectSlow*p.usual():
+		return usual / 2
 	}
 	return max(hedgeFactor*usual, hedgeSoonest)
 }
@@ -31,7 +35,7 @@
 	}
 	first := q.Runs[0]
 	slow := d.t.Runners.Get(first.Runner)
-	if slow != nil {
+	if slow != nil && slow.Ejections == 0 {
 		// The time so far is the least that the first token can take.
 		limit.Sample(d.t, slow, d.now.Sub(first.Since), d.now, d.out)
 	}
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -23,8 +23,8 @@
 // group is the usable runners of a pool on one side of the data centre's border.
 type group struct {
 	list []candidate
-	// online sums up the online requests on them.
-	online cs.Slots
+	// seen sums up the online requests on them.
+	seen float64
 }
 
 // candidate is a runner with its load as of this tick.
@@ -86,7 +86,7 @@
 	c := candidate{group: g, row: r, key: limit.RunnerKey(r.ID), slots: limit.Slots(r)}
 	c.measure(now)
 	g.list = append(g.list, c)
-	g.online += c.online
+	g.seen += c.seen()
 }
 
 // deployedVersion adds the deployed version to a generation that names none, if runners hold several
--- a/routing/settle.go
+++ b/routing/settle.go
@@ -5,6 +5,7 @@
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/limit"
 	"github.com/crocusstile/crocusstile/quarantine"
 )
 
@@ -39,7 +40,12 @@
 		q.FirstTokenAt = now
 	}
 	q.HedgeAt = 0
-	cancelOthers(t, q, e.Attempt, out)
+	for _, run := range q.Runs {
+		if r := t.Runners.Get(run.Runner); run.Attempt != e.Attempt && !run.Hedge && r != nil {
+			limit.Outrun(t, r, now, out)
+		}
+	}
+	cancelOthers(t, q, e.Attempt, now, out)
 }
 
 func settle(t *fleet.Tables, e fleet.RequestEnded, now cs.Instant, out *fleet.Actions) {
@@ -47,7 +53,7 @@
 	if q == nil {
 		return
 	}
-	run, ok := takeRun(t, q, e.Attempt)
+	run, ok := takeRun(t, q, e.Attempt, now)
 	if !ok {
 		return
 	}
@@ -55,7 +61,7 @@
 	switch x := e.Result.(type) {
 	case fleet.RunWhole:
 		out.Count(fleet.CountAnswered, q.Tenant, 1)
-		drop(t, q.ID, out)
+		drop(t, q.ID, now, out)
 	case fleet.RunBroken:
 		broken(t, q, x, now, out)
 	case fleet.RunRejected:
@@ -78,7 +84,7 @@
 	q.Last = &cs.Refusal{Reason: cs.ReasonRejected, Message: x.Message}
 	q.Failed = q.Failed || !x.NotRun
 	if x.Invalid {
-		refuse(t, q, cs.ReasonInvalid, x.Message, out)
+		refuse(t, q, cs.ReasonInvalid, x.Message, now, out)
 		return
 	}
 	// A runner that leaves gets no more work, so that this retry adds no load to the fleet.
@@ -92,7 +98,7 @@
 		return // the hedge goes on
 	}
 	if quarantine.Blocked(t, q.Hash, now) {
-		refuse(t, q, cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners", out)
+		refuse(t, q, cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners", now, out)
 		return
 	}
 	if q.NonIdempotent && (q.Unsure || q.Failed) || q.Attempt >= maxAttempts {
@@ -100,7 +106,7 @@
 		if q.Last != nil {
 			reason, message = q.Last.Reason, q.Last.Message
 		}
-		refuse(t, q, reason, message, out)
+		refuse(t, q, reason, message, now, out)
 		return
 	}
 	q.Phase, q.HedgeAt = fleet.PhaseBackoff, 0
