--- a/batch/grant.go
+++ b/batch/grant.go
@@ -119,9 +119,8 @@
 
 // start runs an item unless quarantine bars it from the runner.
 func start(t *fleet.Tables, r *fleet.Runner, run fleet.Run, now cs.Instant, out *fleet.Actions) bool {
-	if old := t.Runs.Get(run.Key); old != nil && old.Ended == nil {
-		// The same grant came twice, or a new owner granted an item that still runs here.
-		return old.Attempt == run.Attempt
+	if old := t.Runs.Get(run.Key); old != nil {
+		return again(t, old, run, out)
 	}
 	h := cs.HashTarget(run.Item.Target)
 	if run.Suspect {
@@ -140,6 +139,19 @@
 	return true
 }
 
+// again handles a grant of an item that has a run here and reports whether it is settled: a grant that
+// came twice is ignored, and an outcome that could not be delivered goes to the new owner.
+func again(t *fleet.Tables, old *fleet.Run, run fleet.Run, out *fleet.Actions) bool {
+	if old.Ended == nil {
+		return old.Attempt == run.Attempt
+	}
+	back := *old.Ended
+	back.Attempt = run.Attempt
+	out.Add(fleet.Send{To: run.Owner, Message: back})
+	t.Runs.Delete(run.Key)
+	return true
+}
+
 // giveBack returns an item that did not run. Without a refusal it counts as stopped.
 func giveBack(t *fleet.Tables, run fleet.Run, refusal *cs.Refusal, out *fleet.Actions) {
 	run.Ended = &cs.ItemReturned{
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -25,8 +25,6 @@
 	BeatAt cs.Instant
 	// Backlog is the number of waiting items by shard owned, corrected between heartbeats.
 	Backlog map[cs.ShardID]cs.ItemIndex
-	// Counted is the part of Beat.Online that is contained in Runner.Peers.
-	Counted []cs.RunnerCount
 	// OfferedAt is when batch slots were last offered to the VM.
 	OfferedAt cs.Instant
 	// Sending lists the runners of which the VM is the batch sender, as of SendingAt; it is kept for
--- a/limit/eject.go
+++ b/limit/eject.go
@@ -37,7 +37,7 @@
 		x = min(x, outlier*r.FirstToken)
 	}
 	r.FirstToken = average(r.FirstToken, x)
-	if r.Batch == 0 {
+	if r.Batch <= baseBatch {
 		r.BaseFirstToken = average(r.BaseFirstToken, x)
 	}
 	r.Samples++
--- a/limit/observe.go
+++ b/limit/observe.go
@@ -5,11 +5,19 @@
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
-// smoothing is the weight of a new sample in a moving average.
-const smoothing = 0.2
+const (
+	// smoothing is the weight of a new sample in a moving average.
+	smoothing = 0.2
+	// baseBatch is the number of batch runs up to which a sample counts as one without batch. The
+	// limit does not fall below it, so that the base follows when prompts become longer.
+	baseBatch cs.Slots = 1
+)
 
 // Observe updates the statistics of runners from the events, and ejects outliers.
 func Observe(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	if _, fresh := Sending(t, now); fresh {
+		countPeers(t)
+	}
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case fleet.RequestFirstToken:
@@ -28,12 +36,6 @@
 			if r := t.Runners.Get(e.Runner); r != nil && e.Refused {
 				markDown(r, now, out)
 			}
-		case fleet.PeerSaid:
-			if _, ok := e.Message.(cs.Heartbeat); ok {
-				countPeer(t, t.VMs.Get(e.From))
-			}
-		case fleet.LinkClosed:
-			dropPeer(t, t.VMs.Get(e.VM))
 		default:
 		}
 	}
@@ -98,7 +100,7 @@
 		return
 	}
 	r.Gap = average(r.Gap, float64(x.Gap))
-	if r.Batch == 0 {
+	if r.Batch <= baseBatch {
 		r.BaseGap = average(r.BaseGap, float64(x.Gap))
 	}
 }
@@ -165,31 +167,21 @@
 	}
 }
 
-// countPeer replaces what a peer's former heartbeat added to the runners.
-func countPeer(t *fleet.Tables, vm *fleet.VM) {
-	if vm == nil || vm.ID == t.Self.ID {
-		return
-	}
-	dropPeer(t, vm)
-	vm.Counted = vm.Beat.Online
-	for _, c := range vm.Counted {
-		if r := t.Runners.Get(c.Runner); r != nil {
-			r.Peers += c.Count
+// countPeers sums up the online requests of other VMs by runner from their last heartbeats.
+func countPeers(t *fleet.Tables) {
+	for _, r := range t.Runners.All() {
+		r.Peers = 0
+	}
+	for id, vm := range t.VMs.All() {
+		if id == t.Self.ID || !vm.Live {
+			continue
 		}
-	}
-}
-
-// dropPeer takes a peer's requests off the runners.
-func dropPeer(t *fleet.Tables, vm *fleet.VM) {
-	if vm == nil {
-		return
-	}
-	for _, c := range vm.Counted {
-		if r := t.Runners.Get(c.Runner); r != nil {
-			r.Peers = max(r.Peers-c.Count, 0)
+		for _, c := range vm.Beat.Online {
+			if r := t.Runners.Get(c.Runner); r != nil {
+				r.Peers += c.Count
+			}
 		}
 	}
-	vm.Counted = nil
 }
 
 // average moves an average towards a sample; an average of 0 has no sample yet.
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -9,8 +9,12 @@
 	"github.com/crocusstile/crocusstile/quarantine"
 )
 
-// longestWait is the deadline of a request that names none.
-const longestWait = cs.Minute
+const (
+	// longestWait is the deadline of a request that names none.
+	longestWait = cs.Minute
+	// quarantined is the message of a refusal by quarantine.
+	quarantined = "failed, quarantined: this request has crashed runners"
+)
 
 // Admit queues new requests or refuses them, and drops those whose callers are gone.
 func Admit(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
@@ -115,7 +119,7 @@
 	case now >= r.Deadline:
 		return cs.Refuse(cs.ReasonExpired, "the deadline passed before the request arrived")
 	case quarantine.Blocked(t, r.Hash, now):
-		return cs.Refuse(cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners")
+		return cs.Refuse(cs.ReasonQuarantined, quarantined)
 	}
 	return checkTarget(t, r.Target)
 }
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -18,6 +18,9 @@
 	for _, id := range d.expired {
 		refuse(t, t.Requests.Get(id), cs.ReasonExpired, "the deadline passed", now, out)
 	}
+	for _, id := range d.barred {
+		refuse(t, t.Requests.Get(id), cs.ReasonQuarantined, quarantined, now, out)
+	}
 	slices.SortFunc(d.ready, func(a, b place) int {
 		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.id, b.id))
 	})
@@ -40,9 +43,11 @@
 	t   *fleet.Tables
 	now cs.Instant
 	out *fleet.Actions
-	// ready waits for a runner, expired is past its deadline, and slow may be hedged.
+	// ready waits for a runner, expired is past its deadline, barred runs though it is quarantined,
+	// and slow may be hedged.
 	ready   []place
 	expired []cs.RequestID
+	barred  []cs.RequestID
 	slow    []cs.RequestID
 	pools   []*pool
 }
@@ -81,6 +86,10 @@
 		}
 		d.out.WakeAt(q.RetryAt)
 	case fleet.PhaseRunning:
+		if quarantine.Blocked(d.t, q.Hash, d.now) {
+			d.barred = append(d.barred, q.ID)
+			return
+		}
 		if q.HedgeAt == 0 {
 			return
 		}
@@ -96,7 +105,7 @@
 // send dispatches a request if a runner has room for it.
 func (d *round) send(q *fleet.Request) {
 	if quarantine.Blocked(d.t, q.Hash, d.now) {
-		refuse(d.t, q, cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners", d.now, d.out)
+		refuse(d.t, q, cs.ReasonQuarantined, quarantined, d.now, d.out)
 		return
 	}
 	p := d.pool(q.Target)
--- a/routing/settle.go
+++ b/routing/settle.go
@@ -98,7 +98,7 @@
 		return // the hedge goes on
 	}
 	if quarantine.Blocked(t, q.Hash, now) {
-		refuse(t, q, cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners", now, out)
+		refuse(t, q, cs.ReasonQuarantined, quarantined, now, out)
 		return
 	}
 	if q.NonIdempotent && (q.Unsure || q.Failed) || q.Attempt >= maxAttempts {
