--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -35,14 +35,16 @@
 	BeatAt cs.Instant
 	// Backlog is the number of waiting items by shard owned, corrected between heartbeats.
 	Backlog map[cs.ShardID]cs.ItemIndex
-	// Counted is the part of Beat.Online that is contained in Runner.Peers.
-	Counted []cs.RunnerCount
 	// OfferedAt is when batch slots were last offered to the VM.
 	OfferedAt cs.Instant
 	// Sending lists the runners of which the VM is the batch sender, as of SendingAt; it is kept for
 	// this VM only.
 	Sending   []cs.RunnerID
 	SendingAt cs.Instant
+	// Recent is the number of online requests that the VM took in the last 10 s, as a decaying sum,
+	// and RecentAt when it was computed; they are kept for this VM only.
+	Recent   float64
+	RecentAt cs.Instant
 }
 
 // Runner is the row of a runner.
@@ -68,10 +70,12 @@
 	// LoadOnline and LoadBatch are Online and Batch when the newest of Report and Answer came.
 	LoadOnline cs.Slots
 	LoadBatch  cs.Slots
+	// Changes are the latest changes of Online and Batch, since a load may be older than they are.
+	Changes []LoadChange
 	// Peers counts the online requests of other VMs on the runner, by their last heartbeats.
 	Peers cs.Slots
-	// Claimed counts online requests that peers announced by Yield since the last report.
-	Claimed cs.Slots
+	// Claims are when peers announced online requests by Yield that the newest load may not contain.
+	Claims []cs.Instant
 	// Dispatched counts this VM's online dispatches to the runner.
 	Dispatched int64
 	// FirstToken and Gap are moving averages of online runs, in milliseconds.
@@ -117,6 +121,13 @@
 	OrderOut bool
 }
 
+// LoadChange is a change of the requests that this VM has on a runner.
+type LoadChange struct {
+	At    cs.Instant
+	Class cs.Class
+	By    cs.Slots
+}
+
 // SlotOffer is an offer of batch slots that is not answered yet.
 type SlotOffer struct {
 	ID    uint64
