--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,7 +128,11 @@
 	g.Add(func() error { return d.loop.Run(loopCtx) }, func(error) { cancelLoop() })
 	g.Add(func() error { return d.list.Run(loopCtx) }, func(error) { cancelLoop() })
 	g.Add(func() error { return d.links.Run(loopCtx) }, func(error) { d.links.Close() })
-	g.Add(func() error { return d.server.Serve(d.listener) }, func(error) { _ = d.server.Close() })
+	closed := make(chan struct{})
+	g.Add(func() error { return d.serve(closed) }, func(error) {
+		_ = d.server.Close()
+		close(closed)
+	})
 	waitCtx, cancelWait := context.WithCancel(ctx)
 	g.Add(func() error { return d.waitForEnd(waitCtx, stop) }, func(error) { cancelWait() })
 	err := g.Run()
@@ -144,6 +148,17 @@
 	return err
 }
 
+// serve serves until the group ends. A shutdown makes the listener return at once, while the last
+// answers are still being written.
+func (d *Daemon) serve(closed <-chan struct{}) error {
+	err := d.server.Serve(d.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-closed
+		return nil
+	}
+	return err
+}
+
 // errLeft says that the drain is complete.
 var errLeft = errors.New("the drain is complete")
 
--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -192,6 +192,9 @@
 			return first, b.String(), nil
 		}
 	}
+	if err := lines.Err(); err != nil {
+		return first, "", fmt.Errorf("stream broke off: %w", err)
+	}
 	return first, "", fmt.Errorf("stream broke off: %w", io.ErrUnexpectedEOF)
 }
 
