Add the ticket system

Cause: operators control the system through numbered tickets, which come in force on every VM within seconds and are never reverted. Ruled out: trusting the answer to an append (answers get lost; read-back decides); passing tickets only to peers whose heartbeat shows an old log (a peer notices after seconds that its reads fail, beyond the target of 2 s); asking a peer for all tickets whenever its heartbeat shows more (0.8 MB for a lead of milliseconds); deciding the reuse of a number by the VM's clock (VMs that started at different times would disagree). Change: Decide files, reads, applies, passes and rewrites tickets; table Numbers and TicketLogState in package fleet. Conclusion: VMs that read the same log agree on the tickets in force whatever the order of reads, peers and restarts.

--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -142,7 +142,7 @@
 	cs.PlacedTicket
 	// InForce is when this VM put it in force.
 	InForce cs.Instant
-	// LoggedAt is the log's time of the newest record of the ticket.
+	// LoggedAt is the log's time of the newest record of the ticket; 0 if only peers told of it.
 	LoggedAt cs.Instant
 	// CheckedAt is when package ticket last looked whether this VM is to rewrite it.
 	CheckedAt cs.Instant
@@ -152,9 +152,11 @@
 type NumberUse struct {
 	Scope   cs.Scope
 	Content cs.ContentHash
-	// LoggedAt is the log's time of the newest record with the number and content. Without a ticket
-	// in force, the number is free again when Config.Retention has passed since, as it is for a VM
-	// that starts then.
+	// Offset is that of the first record known here.
+	Offset cs.Offset
+	// LoggedAt is the log's time of the newest record with the number and content; 0 if only peers
+	// told of it. Unless its ticket is in force, the number is free again when Config.Retention has
+	// passed since, as it is for a VM that starts then.
 	LoggedAt cs.Instant
 }
 
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -33,6 +33,8 @@
 	// Gap means that records were lost to retention before they were read, so that peers have to be
 	// asked.
 	Gap bool
+	// LogTime is the log's time of the newest record read.
+	LogTime cs.Instant
 	// Highest is the highest number in force.
 	Highest cs.TicketNumber
 
--- a/link/config.go
+++ b/link/config.go
@@ -15,7 +15,7 @@
 	// Self is this VM as its peers shall see it.
 	Self cs.VM
 	// Events takes the events of all links; it is called from many goroutines and must not block
-	// for long, because a link is not read meanwhile.
+	// for long, because a link is not read meanwhile and Close waits for it.
 	Events func(fleet.Event)
 	// PeerTimeout is the silence after which a link is closed. The default is 3 s.
 	PeerTimeout cs.Span
--- /dev/null
+++ b/ticket/file.go
@@ -0,0 +1,189 @@
+package ticket
+
+import (
+	"cmp"
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+const (
+	// maxRecords bounds the tickets in one batch, which is some 40 KB.
+	maxRecords = 200
+	// minRetry and maxRetry bound the time between a failed append and the next.
+	minRetry = 200 * cs.Millisecond
+	maxRetry = readBackLimit
+)
+
+// ask takes a submitted ticket, or answers it where the outcome is known.
+func ask(t *fleet.Tables, now cs.Instant, out *fleet.Actions, e fleet.TicketAsked) {
+	number := e.Ticket.Number
+	refusal, known := judge(t, now, e.Ticket)
+	filing := t.Filings.Get(number)
+	switch {
+	case known:
+		reply(out, e.ID, refusal)
+	case filing == nil:
+		t.Filings.Insert(number, fleet.Filing{Query: e.ID, Ticket: e.Ticket, Since: now})
+	case contentOf(filing.Ticket) == contentOf(e.Ticket):
+		filing.Waiters = append(filing.Waiters, e.ID)
+	default:
+		reply(out, e.ID, conflict(number))
+	}
+}
+
+// judge returns the answer to a ticket, if it is known without an append.
+func judge(t *fleet.Tables, now cs.Instant, k cs.Ticket) (refusal *cs.Refusal, known bool) {
+	if r := k.Validate(); r != nil {
+		return r, true
+	}
+	row, use := t.Tickets.Get(k.State.Scope()), t.Numbers.Get(k.Number)
+	used := use != nil && !free(t, k.Number, use, now)
+	switch {
+	case used && use.Content != contentOf(k):
+		return conflict(k.Number), true
+	case row != nil && row.Ticket.Number == k.Number:
+		return nil, true
+	case row != nil && row.Ticket.Number > k.Number:
+		return staleRefusal(t, k), true
+	case t.Drain.Phase >= fleet.DrainFinishing:
+		return cs.Refuse(cs.ReasonLeaving, "this VM is leaving"), true
+	case readAge(t, now) >= unreadable:
+		return logUnavailable(), true
+	}
+	return nil, false
+}
+
+func logUnavailable() *cs.Refusal {
+	return cs.Refuse(cs.ReasonUnavailable, "the log cannot be read or appended to")
+}
+
+// expire answers the submissions whose time is up. The outcome is "not run" only if no append of the
+// ticket can have reached the log.
+func expire(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	if t.Filings.Len() == 0 {
+		return
+	}
+	var over []cs.TicketNumber
+	for number, f := range t.Filings.All() {
+		due := f.Since.Add(answerLimit)
+		if f.Sent == 0 {
+			due = min(due, now.Add(unreadable-readAge(t, now)))
+		}
+		if now >= due {
+			over = append(over, number)
+			continue
+		}
+		out.WakeAt(due)
+	}
+	for _, number := range over {
+		filing := t.Filings.Get(number)
+		refusal := logUnavailable()
+		if filing.Sent != 0 && !withdraw(&t.TicketLog, filing) {
+			refusal.Ran = cs.RanUnknown
+			refusal.Message = "the ticket was sent to the log and is not read back yet"
+		}
+		answer(t, out, number, refusal)
+	}
+}
+
+// withdraw takes a ticket out of the batch in flight, and returns false if the batch may have
+// reached the log. It copies the batch, since an earlier one may still be in use by an append.
+func withdraw(s *fleet.TicketLogState, filing *fleet.Filing) bool {
+	if s.Inflight == nil || s.Inflight.Seq != filing.Seq || s.Unsure > 0 {
+		return false
+	}
+	batch := *s.Inflight
+	batch.Records = slices.DeleteFunc(slices.Clone(batch.Records), func(r cs.Record) bool {
+		filed, ok := r.(cs.TicketFiled)
+		return ok && filed.Ticket.Number == filing.Ticket.Number
+	})
+	s.Inflight = &batch
+	if len(batch.Records) == 0 {
+		s.Inflight = nil
+	}
+	return true
+}
+
+// send appends the batch in flight again if that is due, or else the next batch. One append of the
+// stream is out at a time; tickets that come meanwhile go into the next.
+func send(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	s := &t.TicketLog
+	if s.Inflight != nil && now.Sub(s.First) >= answerLimit {
+		s.Inflight = nil // its tickets have been answered
+	}
+	if s.Inflight == nil && !compose(t, now, out) {
+		return
+	}
+	if now < s.RetryAt {
+		out.WakeAt(s.RetryAt)
+		return
+	}
+	counter := fleet.CountAppends
+	if s.Attempts > 0 {
+		counter = fleet.CountAppendRetries
+	}
+	out.Count(counter, "", 1)
+	s.Attempts++
+	s.Unsure++
+	s.SentAt, s.RetryAt = now, now.Add(readBackLimit)
+	out.Add(fleet.Append{Stream: cs.TicketStream, Batch: *s.Inflight})
+	out.WakeAt(s.RetryAt)
+}
+
+// compose makes the next batch of the tickets that wait, and returns false if there is none or the
+// last append is too recent.
+func compose(t *fleet.Tables, now cs.Instant, out *fleet.Actions) bool {
+	s := &t.TicketLog
+	numbers := waiting(t)
+	if len(numbers) == 0 && len(s.Rewrites) == 0 || readAge(t, now) >= unreadable {
+		return false
+	}
+	if due := s.SentAt.Add(t.Config.GroupCommit); now < due {
+		out.WakeAt(due)
+		return false
+	}
+	s.Seq++
+	batch := &cs.LogBatch{Writer: t.Self.Incarnation, VM: t.Self.ID, Fence: cs.NoOffset, Seq: s.Seq}
+	for _, number := range numbers {
+		filing := t.Filings.Get(number)
+		filing.Seq, filing.Sent = s.Seq, now
+		batch.Records = append(batch.Records, cs.TicketFiled{Ticket: filing.Ticket})
+	}
+	n := min(len(s.Rewrites), maxRecords-len(batch.Records))
+	for _, scope := range s.Rewrites[:n] {
+		batch.Records = append(batch.Records, cs.TicketFiled{Ticket: t.Tickets.Get(scope).Ticket})
+	}
+	s.Rewrites = slices.Delete(s.Rewrites, 0, n)
+	s.Inflight, s.First = batch, now
+	s.Attempts, s.Unsure, s.RetryAt = 0, 0, now
+	return true
+}
+
+// waiting returns the numbers that are not sent yet, in ascending order, so that of two tickets of
+// one scope the lower does not come too late.
+func waiting(t *fleet.Tables) []cs.TicketNumber {
+	var numbers []cs.TicketNumber
+	for number, f := range t.Filings.All() {
+		if f.Sent == 0 {
+			numbers = append(numbers, number)
+		}
+	}
+	slices.SortFunc(numbers, cmp.Compare)
+	return numbers[:min(len(numbers), maxRecords)]
+}
+
+// appendFailed sends the batch in flight again after a backoff, with the same Seq.
+func appendFailed(t *fleet.Tables, now cs.Instant, e fleet.AppendFailed) {
+	s := &t.TicketLog
+	if s.Inflight == nil || s.Inflight.Seq != e.Seq {
+		return
+	}
+	if e.NotAppended {
+		s.Unsure = max(0, s.Unsure-1)
+	}
+	wait := min(minRetry<<min(s.Attempts, 10), maxRetry)
+	wait = wait/2 + cs.Span(t.Rand.Int64N(int64(wait/2)+1))
+	s.RetryAt = min(s.RetryAt, now.Add(wait))
+}
--- /dev/null
+++ b/ticket/read.go
@@ -0,0 +1,48 @@
+package ticket
+
+import (
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// read applies what was read from the ticket stream, and returns the tickets that came in force by
+// it. It returns none until the end of the stream was reached once, since a start replays what peers
+// know already.
+func read(t *fleet.Tables, now cs.Instant, out *fleet.Actions, r fleet.LogRead) []cs.PlacedTicket {
+	s := &t.TicketLog
+	s.ReadAt = now
+	if r.First > s.Next {
+		s.Gap = true
+		s.Next = r.First
+	}
+	var changed []cs.PlacedTicket
+	for _, b := range r.Batches {
+		if b.Offset < s.Next {
+			continue
+		}
+		s.Next = b.Offset + 1
+		s.LogTime = max(s.LogTime, b.At)
+		confirm(t, b.Batch)
+		for _, record := range b.Batch.Records {
+			filed, ok := record.(cs.TicketFiled)
+			if !ok {
+				continue
+			}
+			p := cs.PlacedTicket{Ticket: filed.Ticket, Offset: b.Offset}
+			if apply(t, now, out, p, b.At) && s.CaughtUp {
+				changed = append(changed, p)
+			}
+		}
+	}
+	s.Next = max(s.Next, r.Next)
+	s.CaughtUp = s.CaughtUp || r.End
+	return changed
+}
+
+// confirm ends the append of a batch that is read back.
+func confirm(t *fleet.Tables, b cs.LogBatch) {
+	s := &t.TicketLog
+	if s.Inflight != nil && b.Writer == t.Self.Incarnation && b.VM == t.Self.ID && b.Seq == s.Inflight.Seq {
+		s.Inflight = nil
+	}
+}
