Test dials of lost links and links to earlier processes

Cause: removing one condition at a time from membership and link showed five that no test guarded: a failed dial to a VM that nobody vouches for, a link to a process that was replaced, dials of broken links that were not chosen, and a peer that dials again while its earlier link is held, in both directions of the rule. Ruled out: none of the five was a fault of the code. Change: two cases in TestVerdict, one in TestDial, TestDialAgain.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -267,6 +267,24 @@
 	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
 }
 
+// TestDialAgain guards against a VM that cannot come back because its peer still holds the link that
+// it lost.
+func TestDialAgain(t *testing.T) {
+	a, b := newNode(t, "a", nil), newNode(t, "b", nil)
+	r := newRelay(t, a.vm.Address, 0)
+	via := a.vm
+	via.Address = cs.Address(r.Addr().String())
+	b.Dial(via)
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+	b.next(t)
+	close(r.frozen)
+	b.HangUp("a")
+	b.next(t)
+	b.Dial(a.vm)
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "b", Incarnation: 10}))
+	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+}
+
 // TestControlOvertakesBulk guards against a heartbeat that waits behind a whole job. The job is
 // longer than what the sockets on the way hold, and takes about 0.5 s through the relay.
 func TestControlOvertakesBulk(t *testing.T) {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -103,6 +103,8 @@
 		{"broken though listed", []step{at(0, fleet.LinkOpened{VM: near}), at(0, fleet.LinkClosed{VM: "near", Incarnation: 5}), at(2000, list(near)), at(1100)}, "near", "dead"},
 		{"broken and opened again", []step{at(0, fleet.LinkOpened{VM: near}), at(0, fleet.LinkClosed{VM: "near", Incarnation: 5}), at(4000, fleet.LinkOpened{VM: near})}, "near", "live"},
 		{"link of the earlier process breaks", []step{at(0, fleet.LinkOpened{VM: near}), at(0, fleet.LinkOpened{VM: newer}), at(0, fleet.LinkClosed{VM: "near", Incarnation: 5}), at(2000, beat("near")), at(2000)}, "near", "live"},
+		{"link to an earlier process", []step{at(0, list(newer)), at(0, fleet.LinkOpened{VM: near}), at(10, fleet.LinkClosed{VM: "near", Incarnation: 5}), at(4000)}, "near", "live"},
+		{"dial fails and nobody vouches", []step{at(0, list(far)), at(100, fleet.LinkClosed{VM: "far"})}, "far", "dead"},
 		{"list shows an earlier process", []step{at(0, fleet.LinkOpened{VM: near}), at(2000, beat("near"), list(older)), at(100)}, "near", "live"},
 		{"unlisted for a minute", []step{at(0, list(near)), at(10, list()), at(60_000)}, "near", "dead"},
 		{"unlisted for two minutes", []step{at(0, list(near)), at(10, list()), at(121_000)}, "near", "none"},
@@ -211,6 +213,9 @@
 	w.tick(fleet.LinkOpened{VM: near})
 	w.pass(6000)
 	qt.Assert(t, find[fleet.Dial](w.tick(fleet.LinkClosed{VM: "near", Incarnation: 5})), qt.HasLen, 1)
+	w.tick(fleet.LinkOpened{VM: far2}) // not listed
+	w.pass(6000)
+	qt.Assert(t, find[fleet.Dial](w.tick(fleet.LinkClosed{VM: "far2", Incarnation: 5})), qt.HasLen, 1)
 	w.tick(list(far))
 	qt.Assert(t, find[fleet.HangUp](w.pass(130_000)), qt.Contains, fleet.HangUp{VM: "near"})
 }
