Bound the bytes queued for all links together

Cause: 40 MiB for each of 107 links is 4 GiB if many peers stall at once, as they do for 3 s when a data centre is cut off; control may use 256 MB. Ruled out: a lower bound for each link (a job of 32 MiB has to fit). Change: Config.TotalBytes, 96 MiB by default; messages that a link still holds when it ends are counted as dropped. Conclusion: queued messages stay within the memory allowed for control.

--- a/link/config.go
+++ b/link/config.go
@@ -30,6 +30,9 @@
 	// BulkBytes bounds the bulk messages queued for a peer. The default is 40 MiB, which holds one
 	// message of the greatest length and some others.
 	BulkBytes cs.Bytes
+	// TotalBytes bounds the messages queued for all peers. The default is 96 MiB, so that peers that
+	// stall at once leave room in the 256 MB allowed for control.
+	TotalBytes cs.Bytes
 	// ChunkBytes is the part of a bulk message that is sent before control messages have their
 	// turn again. The default is 64 KiB.
 	ChunkBytes cs.Bytes
@@ -42,6 +45,7 @@
 	setDefault(&c.HandshakeTimeout, 2*cs.Second)
 	setDefault(&c.ControlBytes, 1<<20)
 	setDefault(&c.BulkBytes, wire.MaxMessage+8<<20)
+	setDefault(&c.TotalBytes, 96<<20)
 	setDefault(&c.ChunkBytes, 64<<10)
 	return c
 }
--- a/link/link.go
+++ b/link/link.go
@@ -29,6 +29,7 @@
 	dialer   websocket.Dialer
 	upgrader websocket.Upgrader
 	stats    counters
+	queued   atomic.Int64 // bytes in all queues
 	// tasks counts the goroutines that Close waits for.
 	tasks sync.WaitGroup
 
@@ -43,9 +44,10 @@
 type Stats struct {
 	// Opened counts links, and DialsFailed dials that led to none.
 	Opened, DialsFailed int64
-	// Unlinked counts messages dropped because no link to the peer was open.
+	// Unlinked counts messages dropped because no link to the peer was open or the link ended before
+	// they were written.
 	Unlinked int64
-	// Full counts messages dropped because the peer's queue was full.
+	// Full counts messages dropped because the queues had no room.
 	Full int64
 	// Invalid counts messages dropped because they could not be encoded or decoded.
 	Invalid int64
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,28 +56,39 @@
 	}
 }
 
+// expect fails unless the next event is the given one.
+func (n *node) expect(t *testing.T, e fleet.Event) {
+	t.Helper()
+	qt.Assert(t, n.next(t), qt.DeepEquals, e)
+}
+
+// pair returns two VMs of which the first dialled the second.
+func pair(t *testing.T, change func(*Config)) (a, b *node) {
+	a, b = newNode(t, "a", change), newNode(t, "b", change)
+	a.Dial(b.vm)
+	a.expect(t, fleet.LinkOpened{VM: b.vm})
+	b.expect(t, fleet.LinkOpened{VM: a.vm})
+	return a, b
+}
+
 func fast(c *Config) {
-	c.PeerTimeout, c.PingEvery, c.WriteTimeout = 300, 100, 300
-	c.HandshakeTimeout = 300
+	c.PeerTimeout, c.PingEvery, c.WriteTimeout, c.HandshakeTimeout = 300, 100, 300, 300
 }
 
 // TestExchange guards against lost messages, a missing event and a link that stays after HangUp.
 func TestExchange(t *testing.T) {
-	a, b := newNode(t, "a", nil), newNode(t, "b", nil)
-	a.Send("b", cs.TicketsWanted{})
+	a, b := pair(t, nil)
+	a.Send("c", cs.TicketsWanted{})
 	qt.Check(t, a.Stats().Unlinked, qt.Equals, int64(1))
-	a.Dial(b.vm)
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
-	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: a.vm}))
 	yield := cs.Yield{Runner: "r", Slots: 2}
 	returned := cs.ItemReturned{Output: strings.Repeat("x", 200_000)} // four chunks
 	a.Send("b", yield)
-	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.PeerSaid{From: "a", Message: yield}))
+	b.expect(t, fleet.PeerSaid{From: "a", Message: yield})
 	b.Send("a", returned)
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.PeerSaid{From: "b", Message: returned}))
+	a.expect(t, fleet.PeerSaid{From: "b", Message: returned})
 	a.HangUp("b")
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "b", Incarnation: 10}))
-	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "a", Incarnation: 10}))
+	a.expect(t, fleet.LinkClosed{VM: "b", Incarnation: 10})
+	b.expect(t, fleet.LinkClosed{VM: "a", Incarnation: 10})
 }
 
 // TestDialBothWays guards against two links between a pair, or none, after simultaneous dials.
@@ -116,23 +128,16 @@
 }
 
 // opened returns the number of links that opened without closing, from the events so far.
-func opened(n *node) int {
-	count := 0
-	for {
-		select {
-		case e := <-n.events:
-			switch e := e.(type) {
-			case fleet.LinkOpened:
-				count++
-			case fleet.LinkClosed:
-				if e.Incarnation != 0 {
-					count--
-				}
-			}
-		default:
-			return count
+func opened(n *node) (count int) {
+	for len(n.events) > 0 {
+		switch e := (<-n.events).(type) {
+		case fleet.LinkOpened:
+			count++
+		case fleet.LinkClosed:
+			count -= int(min(e.Incarnation, 1))
 		}
 	}
+	return count
 }
 
 func waitFor(t *testing.T, ok func() bool) {
@@ -164,10 +169,10 @@
 			c.change(&want)
 			a.Dial(want)
 			if c.opens {
-				qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+				a.expect(t, fleet.LinkOpened{VM: b.vm})
 				return
 			}
-			qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: want.ID}))
+			a.expect(t, fleet.LinkClosed{VM: want.ID})
 			qt.Check(t, a.Stats().DialsFailed, qt.Equals, int64(1))
 		})
 	}
@@ -175,35 +180,34 @@
 
 // TestReplacedVM guards against events that mix up a VM with its replacement.
 func TestReplacedVM(t *testing.T) {
-	a, b := newNode(t, "a", nil), newNode(t, "b", nil)
+	a, _ := pair(t, nil)
 	second := newNode(t, "b", func(c *Config) { c.Self.Incarnation = 11 })
-	a.Dial(b.vm)
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
 	second.Dial(a.vm)
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "b", Incarnation: 10}))
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: second.vm}))
+	a.expect(t, fleet.LinkClosed{VM: "b", Incarnation: 10})
+	a.expect(t, fleet.LinkOpened{VM: second.vm})
 }
 
 // relay passes bytes between a link's ends until it is frozen; then it reads no more, as a network
 // does that drops all packets.
 type relay struct {
-	net.Listener
+	vm     cs.VM // with the relay's address
 	frozen chan struct{}
 	// pause follows each read of at most 32 KiB.
 	pause time.Duration
 }
 
-func newRelay(t *testing.T, to cs.Address, pause time.Duration) *relay {
+func newRelay(t *testing.T, vm cs.VM, pause time.Duration) *relay {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	r := &relay{Listener: listener, frozen: make(chan struct{}), pause: pause}
+	r := &relay{vm: vm, frozen: make(chan struct{}), pause: pause}
+	r.vm.Address = cs.Address(listener.Addr().String())
 	go func() {
 		for {
 			in, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			out, err := net.Dial("tcp", string(to))
+			out, err := net.Dial("tcp", string(vm.Address))
 			if err != nil {
 				return
 			}
@@ -242,10 +246,8 @@
 // against a Send that blocks or a queue without bound meanwhile.
 func TestSilentPeer(t *testing.T) {
 	a, b := newNode(t, "a", fast), newNode(t, "b", fast)
-	r := newRelay(t, b.vm.Address, 0)
-	via := b.vm
-	via.Address = cs.Address(r.Addr().String())
-	a.Dial(via)
+	r := newRelay(t, b.vm, 0)
+	a.Dial(r.vm)
 	a.next(t)
 	b.next(t)
 	time.Sleep(500 * time.Millisecond) // pings alone keep the link open
@@ -259,39 +261,36 @@
 	}
 	qt.Check(t, time.Since(frozen) < 100*time.Millisecond, qt.IsTrue)
 	qt.Check(t, a.Stats().Full >= 3, qt.IsTrue, qt.Commentf("%+v", a.Stats()))
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "b", Incarnation: 10}))
-	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "a", Incarnation: 10}))
+	a.expect(t, fleet.LinkClosed{VM: "b", Incarnation: 10})
+	b.expect(t, fleet.LinkClosed{VM: "a", Incarnation: 10})
 	qt.Check(t, time.Since(frozen) < time.Second, qt.IsTrue)
+	qt.Check(t, a.queued.Load(), qt.Equals, int64(0))
 
 	a.Dial(b.vm) // a new connection works
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+	a.expect(t, fleet.LinkOpened{VM: b.vm})
 }
 
 // TestDialAgain guards against a VM that cannot come back because its peer still holds the link that
 // it lost.
 func TestDialAgain(t *testing.T) {
 	a, b := newNode(t, "a", nil), newNode(t, "b", nil)
-	r := newRelay(t, a.vm.Address, 0)
-	via := a.vm
-	via.Address = cs.Address(r.Addr().String())
-	b.Dial(via)
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+	r := newRelay(t, a.vm, 0)
+	b.Dial(r.vm)
+	a.expect(t, fleet.LinkOpened{VM: b.vm})
 	b.next(t)
 	close(r.frozen)
 	b.HangUp("a")
 	b.next(t)
 	b.Dial(a.vm)
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkClosed{VM: "b", Incarnation: 10}))
-	qt.Assert(t, a.next(t), qt.DeepEquals, fleet.Event(fleet.LinkOpened{VM: b.vm}))
+	a.expect(t, fleet.LinkClosed{VM: "b", Incarnation: 10})
+	a.expect(t, fleet.LinkOpened{VM: b.vm})
 }
 
 // TestControlOvertakesBulk guards against a heartbeat that waits behind a whole job. The job is
 // longer than what the sockets on the way hold, and takes about 0.5 s through the relay.
 func TestControlOvertakesBulk(t *testing.T) {
 	a, b := newNode(t, "a", nil), newNode(t, "b", nil)
-	via := b.vm
-	via.Address = cs.Address(newRelay(t, b.vm.Address, time.Millisecond).Addr().String())
-	a.Dial(via)
+	a.Dial(newRelay(t, b.vm, time.Millisecond).vm)
 	a.next(t)
 	b.next(t)
 	job := cs.SubmitJob{Items: make([]cs.Item, 500)}
@@ -301,7 +300,7 @@
 	a.Send("b", cs.Forward{ID: 1, Query: job})
 	waitFor(t, func() bool { return a.Stats().Sent > 0 })
 	a.Send("b", cs.Heartbeat{Tickets: 5})
-	qt.Assert(t, b.next(t), qt.DeepEquals, fleet.Event(fleet.PeerSaid{From: "a", Message: cs.Heartbeat{Tickets: 5}}))
+	b.expect(t, fleet.PeerSaid{From: "a", Message: cs.Heartbeat{Tickets: 5}})
 	said := b.next(t).(fleet.PeerSaid).Message.(cs.Forward)
 	qt.Assert(t, len(said.Query.(cs.SubmitJob).Items), qt.Equals, len(job.Items))
 }
@@ -319,3 +318,21 @@
 	})
 	waitFor(t, func() bool { return runtime.NumGoroutine() <= before })
 }
+
+// TestQueueBounds guards against a lane, or all queues together, that grow beyond their bound.
+func TestQueueBounds(t *testing.T) {
+	var total atomic.Int64
+	small, big := cs.TicketsWanted{}, cs.ItemReturned{Output: strings.Repeat("x", 1000)}
+	c := Config{ControlBytes: 2 * headSize, BulkBytes: 5000, TotalBytes: 4 * 1064}
+	p, q := newQueue(c, &total), newQueue(c, &total)
+	for _, ok := range []bool{true, true, false} {
+		qt.Check(t, p.push(small), qt.Equals, ok)
+	}
+	for _, ok := range []bool{true, true, true, false} {
+		qt.Check(t, q.push(big), qt.Equals, ok) // as p holds two messages
+	}
+	qt.Check(t, p.close(), qt.Equals, int64(2))
+	qt.Check(t, q.push(big) && !q.push(big) && !p.push(small), qt.IsTrue)
+	qt.Check(t, q.pop(laneControl) == nil && q.pop(laneBulk) != nil, qt.IsTrue)
+	qt.Check(t, total.Load(), qt.Equals, int64(3*1064))
+}
--- a/link/peer.go
+++ b/link/peer.go
@@ -40,7 +40,7 @@
 func (l *Links) newPeer(conn *websocket.Conn, vm cs.VM, dialled bool) *peer {
 	return &peer{
 		links: l, vm: vm, conn: conn, dialled: dialled,
-		queue: newQueue(l.config), done: make(chan struct{}),
+		queue: newQueue(l.config, &l.queued), done: make(chan struct{}),
 	}
 }
 
@@ -51,6 +51,7 @@
 // so that the events of the two do not mix.
 func (l *Links) serve(p, replaced *peer) {
 	defer close(p.done)
+	defer p.queue.close()
 	defer l.remove(p)
 	defer p.close()
 	stop := context.AfterFunc(l.ctx, p.close)
@@ -76,6 +77,7 @@
 	close(ended)
 	<-written
 	l.remove(p)
+	l.stats.unlinked.Add(p.queue.close())
 	l.post(fleet.LinkClosed{VM: p.vm.ID, Incarnation: p.vm.Incarnation})
 }
 
--- a/link/queue.go
+++ b/link/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	cs "github.com/crocusstile/crocusstile"
 )
@@ -23,31 +24,39 @@
 
 // queue holds the messages to a peer that are not written yet.
 type queue struct {
+	// total counts the bytes in the queues of all links.
+	total  *atomic.Int64
+	limits [laneCount]cs.Bytes
+	// totalLimit bounds total.
+	totalLimit cs.Bytes
+	// wake holds a token while the queue may have messages that the writer has not seen.
+	wake chan struct{}
+
 	mu       sync.Mutex
+	closed   bool
 	messages [laneCount][]queued
 	bytes    [laneCount]cs.Bytes
-	limits   [laneCount]cs.Bytes
-	// wake holds a token while the queue may have messages that the writer has not seen.
-	wake chan struct{}
 }
 
-func newQueue(c Config) *queue {
+func newQueue(c Config, total *atomic.Int64) *queue {
 	return &queue{
-		limits: [laneCount]cs.Bytes{laneControl: c.ControlBytes, laneBulk: c.BulkBytes},
-		wake:   make(chan struct{}, 1),
+		total:  total,
+		limits: [laneCount]cs.Bytes{laneControl: c.ControlBytes, laneBulk: c.BulkBytes}, totalLimit: c.TotalBytes,
+		wake: make(chan struct{}, 1),
 	}
 }
 
-// push adds a message, or returns false if its lane is full.
+// push adds a message, or returns false if there is no room for it or the link has ended.
 func (q *queue) push(m cs.PeerMessage) bool {
 	l, size := laneOf(m), sizeOf(m)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.bytes[l]+size > q.limits[l] {
+	if q.closed || q.bytes[l]+size > q.limits[l] || cs.Bytes(q.total.Load())+size > q.totalLimit {
 		return false
 	}
 	q.messages[l] = append(q.messages[l], queued{message: m, size: size})
 	q.bytes[l] += size
+	q.total.Add(int64(size))
 	select {
 	case q.wake <- struct{}{}:
 	default:
@@ -66,5 +75,20 @@
 	q.messages[l][0] = queued{} // lets go of the message
 	q.messages[l] = q.messages[l][1:]
 	q.bytes[l] -= first.size
+	q.total.Add(-int64(first.size))
 	return first.message
 }
+
+// close empties the queue for good and returns the number of messages that it dropped.
+func (q *queue) close() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	var dropped int64
+	for l := range laneCount {
+		dropped += int64(len(q.messages[l]))
+		q.total.Add(-int64(q.bytes[l]))
+		q.messages[l], q.bytes[l] = nil, 0
+	}
+	return dropped
+}
--- a/wire/bench_test.go
+++ b/wire/bench_test.go
@@ -20,36 +20,25 @@
 	return b
 }
 
-func BenchmarkEncodeBatch(b *testing.B) {
+func BenchmarkBatch(b *testing.B) {
 	for _, n := range []int{1, 10, 100} {
-		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
-			batch := batchOf(n)
-			b.ReportAllocs()
-			for b.Loop() {
-				data, err := EncodeBatch(batch)
-				if err != nil {
-					b.Fatal(err)
-				}
+		batch := batchOf(n)
+		data, err := EncodeBatch(batch)
+		if err != nil {
+			b.Fatal(err)
+		}
+		run := func(name string, f func() error) {
+			b.Run(fmt.Sprintf("%s/records=%d", name, n), func(b *testing.B) {
 				b.SetBytes(int64(len(data)))
-			}
-		})
-	}
-}
-
-func BenchmarkDecodeBatch(b *testing.B) {
-	for _, n := range []int{1, 10, 100} {
-		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
-			data, err := EncodeBatch(batchOf(n))
-			if err != nil {
-				b.Fatal(err)
-			}
-			b.SetBytes(int64(len(data)))
-			b.ReportAllocs()
-			for b.Loop() {
-				if _, err := DecodeBatch(data); err != nil {
-					b.Fatal(err)
+				b.ReportAllocs()
+				for b.Loop() {
+					if err := f(); err != nil {
+						b.Fatal(err)
+					}
 				}
-			}
-		})
+			})
+		}
+		run("encode", func() error { _, err := EncodeBatch(batch); return err })
+		run("decode", func() error { _, err := DecodeBatch(data); return err })
 	}
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -93,7 +93,6 @@
 }
 
 func checkBatch(t *testing.T, r cs.Record) {
-	t.Helper()
 	in := cs.LogBatch{Writer: 7, VM: "a", Fence: cs.NoOffset, Seq: 2, Records: []cs.Record{r, cs.Released{}}}
 	data, err := EncodeBatch(in)
 	qt.Assert(t, err, qt.IsNil)
@@ -103,7 +102,6 @@
 }
 
 func checkMessage(t *testing.T, m cs.PeerMessage) {
-	t.Helper()
 	data, err := EncodeMessage(m)
 	qt.Assert(t, err, qt.IsNil)
 	out, err := DecodeMessage(data)
