job: never take over a shard by reading an old claim again

Cause: a VM that read its own old claim from the start of the stream acted as the owner it was then. A shard whose restarted owner had renewed shortly before waited for the whole lease. Ruled out: taking over at the end of the reading. An append of the former time may still land under the same sequence number with other content. Change: only the claim that is in flight makes this process the owner; otherwise it claims anew. Queries of a VM that was dead meanwhile are dropped.

--- a/job/apply.go
+++ b/job/apply.go
@@ -101,7 +101,9 @@
 		out.Count(fleet.CountBatchesIgnored, "", 1)
 		return
 	}
-	own := b.Batch.Writer == t.Self.Incarnation
+	// A claim of this process that is read again from an earlier offset makes it no owner: what it
+	// then did in that role is over.
+	own := b.Batch.Writer == t.Self.Incarnation && s.Claiming != 0 && s.Inflight != nil && b.Batch.Seq == s.Inflight.Seq
 	if s.Owned {
 		handOver(t, id, s, b.Batch.VM, out)
 		dropRole(t, id, s, out)
--- a/job/call.go
+++ b/job/call.go
@@ -43,7 +43,7 @@
 func permit(t *fleet.Tables, s *fleet.Shard, id cs.CallID, c *fleet.Call, now cs.Instant, out *fleet.Actions) {
 	opener := c.Opener
 	c.Opener = 0
-	if t.Queries.Get(opener) != nil {
+	if q := t.Queries.Get(opener); q != nil && !askerGone(t, q) {
 		answer(t, opener, cs.CallAnswer{Run: true}, out)
 		return
 	}
--- a/job/claim.go
+++ b/job/claim.go
@@ -46,18 +46,21 @@
 		return true
 	}
 	if s.VM == t.Self.ID {
-		return s.Writer != t.Self.Incarnation // this process replaced the owner
+		return true // an earlier process of this VM, or this one before it read the stream again
 	}
 	vm := t.VMs.Get(s.VM)
 	if vm == nil {
 		return false
 	}
-	if vm.Live && vm.Incarnation != s.Writer {
-		return s.RenewedAt < vm.LiveSince
+	replaced := vm.Incarnation != s.Writer
+	if vm.Live && !replaced {
+		return vm.Beat.LogAge > t.Config.Lease
+	}
+	if missed := silent >= t.Config.Renewal+cs.Second; missed {
+		return true
 	}
 	if vm.Live {
-		return vm.Beat.LogAge > t.Config.Lease
+		return s.RenewedAt < vm.LiveSince
 	}
-	missed := silent >= t.Config.Renewal+cs.Second
-	return missed || silent >= t.Config.PeerTimeout && s.RenewedAt <= vm.Heard
+	return silent >= t.Config.PeerTimeout && s.RenewedAt <= vm.Heard
 }
--- a/job/commit.go
+++ b/job/commit.go
@@ -21,7 +21,7 @@
 		if s.Inflight != nil {
 			resend(s, now, out)
 		}
-		if !s.Owned || !s.CaughtUp {
+		if !s.Owned {
 			continue
 		}
 		if now >= s.CarryAt {
--- a/job/follow.go
+++ b/job/follow.go
@@ -14,7 +14,7 @@
 
 // Follow decides which work streams to read, applies what was read and claims shards.
 func Follow(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
-	rank := t.Shards.Len() == 0
+	rank := false
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case fleet.LogRead:
@@ -24,7 +24,7 @@
 			t.Log.FailedAt = now
 		case fleet.AppendFailed:
 			appendFailed(t, e, now)
-		case fleet.ListRead, fleet.LinkOpened, fleet.LinkClosed:
+		case fleet.ListRead, fleet.ListFailed, fleet.LinkOpened, fleet.LinkClosed:
 			rank = true
 		case fleet.PeerSaid:
 			if m, ok := e.Message.(cs.PendingCopied); ok {
--- a/job/records.go
+++ b/job/records.go
@@ -126,7 +126,7 @@
 		l := laneOf(j, it)
 		l.Starting--
 		l.Front = append(l.Front, k.Index)
-		a.s.Told, a.s.TellAt = false, a.now
+		a.s.TellAt = min(a.s.TellAt, a.now.Add(sweepEvery))
 	}
 }
 
--- a/job/returned.go
+++ b/job/returned.go
@@ -31,7 +31,7 @@
 func returned(t *fleet.Tables, from cs.VMID, m cs.ItemReturned, now cs.Instant, out *fleet.Actions) {
 	id := cs.ShardOf(string(m.Key.Job), t.Config.Shards)
 	s := t.Shards.Get(id)
-	if s == nil || !s.Owned || !s.CaughtUp {
+	if s == nil || !s.Owned {
 		passOn(t, id, from, m, out)
 		return
 	}
--- a/job/role.go
+++ b/job/role.go
@@ -5,11 +5,8 @@
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
-// acts reports whether this process may act as the shard's owner. While a stream is read again from
-// an earlier offset, a claim of this process may be an old one.
-func acts(s *fleet.Shard) bool {
-	return s != nil && s.Owned && s.CaughtUp && !s.Releasing
-}
+// acts reports whether this process may act as the shard's owner.
+func acts(s *fleet.Shard) bool { return s != nil && s.Owned && !s.Releasing }
 
 // dropRole ends the ownership at once: what is not in the log is given up, and runs are stopped.
 func dropRole(t *fleet.Tables, id cs.ShardID, s *fleet.Shard, out *fleet.Actions) {
--- a/job/serve.go
+++ b/job/serve.go
@@ -137,6 +137,10 @@
 		refuse(t, id, q, cs.Refuse(cs.ReasonExpired, "no answer from the owner of shard %d in time", q.Shard), out)
 		return
 	}
+	if askerGone(t, q) {
+		t.Queries.Delete(id)
+		return
+	}
 	q.CheckAt = q.Deadline
 	out.WakeAt(q.Deadline)
 	if q.Waiting {
@@ -151,6 +155,16 @@
 	forward(t, q, id, now, out)
 }
 
+// askerGone reports whether the VM that forwarded a query was dead at some time since, so that it has
+// lost the query or will send it again.
+func askerGone(t *fleet.Tables, q *fleet.Query) bool {
+	if q.From == "" || q.From == t.Self.ID {
+		return false
+	}
+	vm := t.VMs.Get(q.From)
+	return vm == nil || !vm.Live || vm.LiveSince > q.Since
+}
+
 // begins reports whether the query would begin something new on a VM that is leaving. It waits for
 // the next owner then, since new records would hold up the release.
 func begins(t *fleet.Tables, q *fleet.Query) bool {
