Resolve versions at the grant, bound the wait for runners and name quarantined requests failed

Cause: items without a version ran with the text of any; requests waited to their deadline for a runner or for the retry budget; a quarantined request said not run although its content had run; non-idempotent items were granted a second after their start was recorded. Ruled out: resolving the version at submission (a deployment that changes while the job runs would leave items without a runner). Change: the owner chooses the version at the grant and drops what another version generated; waits end after 5 s; senders are told of started items at once; the first byte of an answer is awaited for 8 s.

--- a/batch/grant.go
+++ b/batch/grant.go
@@ -127,7 +127,7 @@
 		quarantine.Mark(t, h, now)
 	}
 	if quarantine.Blocked(t, h, now) {
-		giveBack(t, run, cs.Refuse(cs.ReasonQuarantined, "failed, quarantined: this request has crashed runners"), out)
+		giveBack(t, run, quarantine.Refusal(), out)
 		return true
 	}
 	if !quarantine.Placeable(t, h, run.Item.Target, r.ID, now) {
--- a/control/systems.go
+++ b/control/systems.go
@@ -17,6 +17,7 @@
 func Systems() []fleet.System {
 	return []fleet.System{
 		membership.Track,
+		membership.Drain,
 		membership.Senders,
 		ticket.Decide,
 		quarantine.Watch,
@@ -35,6 +36,5 @@
 		job.Commit,
 		membership.Connect,
 		membership.Beat,
-		membership.Drain,
 	}
 }
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -147,6 +147,8 @@
 	Runs []RequestRun
 	// Tried are the runners of earlier attempts.
 	Tried []cs.RunnerID
+	// StuckSince is when the request began to wait for its first or next dispatch.
+	StuckSince cs.Instant
 	// RetryAt is when a request in PhaseBackoff is queued again.
 	RetryAt cs.Instant
 	// FirstTokenAt is when the first byte of the answer was passed on; 0 before.
@@ -388,9 +390,10 @@
 	Granted cs.Instant
 	// NotBefore delays the next run after a failure.
 	NotBefore cs.Instant
-	// Partial is what earlier runs generated.
-	Partial string
-	Tokens  cs.Tokens
+	// Partial is what earlier runs generated, with the version PartialBy.
+	Partial   string
+	PartialBy cs.VersionID
+	Tokens    cs.Tokens
 	// Suspect means that the item was in flight on a crashed runner.
 	Suspect bool
 	Output  string
--- a/job/choice.go
+++ b/job/choice.go
@@ -20,7 +20,7 @@
 	openTurn = 4
 	// lookAhead bounds the non-idempotent items of a lane that are started and not granted, since
 	// each of them ends as unknown if the owner dies.
-	lookAhead = 8
+	lookAhead = 16
 )
 
 // option is a lane of a job whose items the offered runner can run.
@@ -243,15 +243,26 @@
 	if l.Service != "" {
 		return len(m.Loaded) == 0 && m.Service == l.Service
 	}
+	_, ok := v.held(t, l, m)
+	return ok
+}
+
+// choose returns the version with which the offered runner runs the lane's items.
+func (v *versions) choose(t *fleet.Tables, l *fleet.Lane, m cs.SlotsOffered) cs.VersionID {
+	version, _ := v.held(t, l, m)
+	return version
+}
+
+func (v *versions) held(t *fleet.Tables, l *fleet.Lane, m cs.SlotsOffered) (version cs.VersionID, ok bool) {
 	for _, held := range m.Loaded {
 		if held.Model != l.Model {
 			continue
 		}
 		if held.Version == l.Version || l.Version == "" && v.serves(t, m.Service, held) {
-			return true
+			return held.Version, true
 		}
 	}
-	return false
+	return "", false
 }
 
 // serves reports whether a version of a model serves items that name none: one that a deployment on
--- a/job/grant.go
+++ b/job/grant.go
@@ -49,7 +49,7 @@
 			if o == nil {
 				break
 			}
-			g.Items = append(g.Items, grant(t, c.s, o, from, now))
+			g.Items = append(g.Items, grant(t, c.s, o, v.choose(t, o.lane, m), from, now))
 			out.Count(fleet.CountItemsGranted, o.job.Tenant, 1)
 		}
 		c.start(int(m.Slots) - len(g.Items))
@@ -57,18 +57,27 @@
 	out.Add(fleet.Send{To: from, Message: g})
 }
 
-// grant takes the next item out of an option's lane and lends it to a sender.
-func grant(t *fleet.Tables, s *fleet.Shard, o *option, from cs.VMID, now cs.Instant) cs.GrantedItem {
+// grant takes the next item out of an option's lane and lends it to a sender. What another version
+// generated is of no use to the one that runs the item now.
+func grant(t *fleet.Tables, s *fleet.Shard, o *option, by cs.VersionID, from cs.VMID, now cs.Instant) cs.GrantedItem {
 	i := pop(o.job, o.lane)
 	it := &o.job.Items[i]
+	if it.PartialBy != by {
+		it.Partial, it.Tokens, it.PartialBy = "", 0, by
+	}
 	it.Attempts++
 	it.Grants++
 	lend(o.job, i, it, from, incarnationOf(t, from), now, now.Add(maxRun))
 	s.Turn++
-	return cs.GrantedItem{
+	g := cs.GrantedItem{
 		Key: cs.ItemKey{Job: o.job.ID, Index: i}, Tenant: o.job.Tenant, Item: it.Item, Attempt: it.Grants,
 		Partial: it.Partial, Tokens: it.Tokens, Suspect: it.Suspect || suspect(t, it),
 	}
+	if generation, ok := g.Item.Target.(cs.Generation); ok {
+		generation.Version = by
+		g.Item.Target = generation
+	}
+	return g
 }
 
 func suspect(t *fleet.Tables, it *fleet.Item) bool {
--- a/job/records.go
+++ b/job/records.go
@@ -126,7 +126,8 @@
 		l := laneOf(j, it)
 		l.Starting--
 		l.Front = append(l.Front, k.Index)
-		a.s.TellAt = min(a.s.TellAt, a.now.Add(sweepEvery))
+		// A sender that found nothing to run a moment ago asks again when it is told.
+		a.s.TellAt, a.s.SweepAt = a.now, a.now
 	}
 }
 
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -90,7 +90,7 @@
 	tenant.Virtual = max(tenant.Virtual, s.virtual) + 1/weight(limits)
 	tenant.Pending = append(tenant.Pending, r.ID)
 	s.length++
-	t.Requests.Insert(r.ID, fleet.Request{Request: r, Arrived: now, Phase: fleet.PhaseQueued, Order: tenant.Virtual})
+	t.Requests.Insert(r.ID, fleet.Request{Request: r, Arrived: now, StuckSince: now, Phase: fleet.PhaseQueued, Order: tenant.Virtual})
 }
 
 // complete fills in what the caller left open and what tickets say about the request.
@@ -119,7 +119,7 @@
 	case now >= r.Deadline:
 		return cs.Refuse(cs.ReasonExpired, "the deadline passed before the request arrived")
 	case quarantine.Blocked(t, r.Hash, now):
-		return cs.Refuse(cs.ReasonQuarantined, quarantined)
+		return quarantine.Refusal()
 	}
 	return checkTarget(t, r.Target)
 }
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -111,13 +111,13 @@
 	p := d.pool(q.Target)
 	c := d.choose(p, q)
 	if c == nil {
+		d.giveUp(p, q)
 		return
 	}
 	if q.Attempt > 0 && !q.Free {
 		if !limit.Spend(d.t, d.now) {
 			d.out.Count(fleet.CountRetriesDenied, q.Tenant, 1)
-			q.Phase, q.RetryAt = fleet.PhaseBackoff, d.now.Add(backoffLongest)
-			d.out.WakeAt(q.RetryAt)
+			d.postpone(q)
 			return
 		}
 		d.out.Count(fleet.CountRetries, q.Tenant, 1)
@@ -131,6 +131,33 @@
 	d.start(q, c, false)
 }
 
+// giveUp ends a request that has waited long although no runner is usable: its caller had better
+// know. While runners are merely full the request waits to its deadline.
+func (d *round) giveUp(p *pool, q *fleet.Request) {
+	if len(p.local.list)+len(p.remote.list) > 0 {
+		return
+	}
+	if d.now.Sub(q.StuckSince) < longestStuck {
+		d.out.WakeAt(q.StuckSince.Add(longestStuck))
+		return
+	}
+	if q.Last != nil {
+		refuse(d.t, q, q.Last.Reason, q.Last.Message, d.now, d.out)
+		return
+	}
+	refuse(d.t, q, cs.ReasonUnavailable, "no runner can be reached", d.now, d.out)
+}
+
+// postpone puts off a retry that the budget does not allow, or ends its request if that lasts.
+func (d *round) postpone(q *fleet.Request) {
+	if d.now.Sub(q.StuckSince) >= longestStuck && q.Last != nil {
+		refuse(d.t, q, q.Last.Reason, q.Last.Message, d.now, d.out)
+		return
+	}
+	q.Phase, q.RetryAt = fleet.PhaseBackoff, d.now.Add(backoffLongest)
+	d.out.WakeAt(q.RetryAt)
+}
+
 // start dispatches a request to a runner.
 func (d *round) start(q *fleet.Request, c *candidate, hedge bool) {
 	r := c.row
--- a/routing/finish.go
+++ b/routing/finish.go
@@ -6,6 +6,7 @@
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/limit"
+	"github.com/crocusstile/crocusstile/quarantine"
 )
 
 // ranOf says what is known about the effect of a request that ends without an answer.
@@ -22,6 +23,9 @@
 // refuse ends a request without an answer, with the truth about whether it ran.
 func refuse(t *fleet.Tables, q *fleet.Request, reason cs.Reason, message string, now cs.Instant, out *fleet.Actions) {
 	f := &cs.Refusal{Reason: reason, Ran: ranOf(q), Message: message}
+	if reason == cs.ReasonQuarantined && !q.NonIdempotent {
+		f = quarantine.Refusal()
+	}
 	counter := fleet.CountRefusedNotRun
 	switch f.Ran {
 	case cs.RanFailed:
--- a/routing/settle.go
+++ b/routing/settle.go
@@ -15,6 +15,8 @@
 	// backoffFirst and backoffLongest bound the wait before a retry, which doubles each time.
 	backoffFirst   = 20 * cs.Millisecond
 	backoffLongest = cs.Second
+	// longestStuck bounds the wait for a runner that can be reached, or for the retry budget.
+	longestStuck = 5 * cs.Second
 )
 
 // Settle takes first tokens and ended runs, and retries or ends their requests.
@@ -110,7 +112,7 @@
 		return
 	}
 	q.Phase, q.HedgeAt = fleet.PhaseBackoff, 0
-	q.RetryAt = now.Add(backoff(t, q.Attempt))
+	q.RetryAt, q.StuckSince = now.Add(backoff(t, q.Attempt)), now
 	tenant := t.Tenants.Get(q.Tenant)
 	if tenant != nil && !slices.Contains(tenant.Pending, q.ID) {
 		tenant.Pending = append(tenant.Pending, q.ID)
--- a/setting/settings.go
+++ b/setting/settings.go
@@ -95,7 +95,7 @@
 		Parameters: fleet.DefaultConfig(),
 		Limits:     Limits{MaxBody: 64 << 20, MaxItems: 130_000, MaxAnswer: 16 << 20},
 		Runners: Runners{
-			DialTimeout: cs.Second, FirstByte: 30 * cs.Second,
+			DialTimeout: cs.Second, FirstByte: 8 * cs.Second,
 			Progress: 5 * cs.Second, LoadPoll: 300 * cs.Millisecond,
 		},
 		Logging: Logging{Level: "info"},
