--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -249,6 +249,8 @@
 	ID        string      `json:"id"`
 	State     cs.JobState `json:"state"`
 	Count     int         `json:"count"`
+	Waiting   int         `json:"waiting"`
+	Running   int         `json:"running"`
 	Done      int         `json:"done"`
 	Failed    int         `json:"failed"`
 	Unknown   int         `json:"unknown"`
@@ -282,6 +284,11 @@
 func (c *caller) waitFinished(v *vm, j *batchJob, limit time.Duration) []cs.ItemResult {
 	c.t.Helper()
 	last := "no answer"
+	defer func() {
+		if c.t.Failed() {
+			c.site.dump()
+		}
+	}()
 	c.site.eventually(limit, "job "+j.key+" finished", func() bool {
 		s, err := c.status(v, j)
 		if text := fmt.Sprintf("%+v %v", s, err); text != last {
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -114,7 +114,7 @@
 // a port below those that the system gives to clients. A restarted process can listen on it again.
 func freeAddress() cs.Address {
 	n := hosts.Add(1)
-	return cs.Address(fmt.Sprintf("127.77.%d.%d:7000", n>>8, n&255))
+	return cs.Address(fmt.Sprintf("127.%d.%d.%d:7000", 64+os.Getpid()%64, n>>8, n&255))
 }
 
 // newSite starts a site and waits until all its VMs are ready and linked.
@@ -309,3 +309,15 @@
 	s.t.Fatalf("not within %v: %s", limit, what)
 	return 0
 }
+
+// dump logs what the VMs know of runners and jobs.
+func (s *site) dump() {
+	s.t.Helper()
+	for _, v := range s.vms() {
+		for _, path := range []string{"/v1/runners", "/v1/jobs"} {
+			var text json.RawMessage
+			err := getJSON(v.address, path, &text)
+			s.t.Logf("%s %s: %s %v", v.id, path, text, err)
+		}
+	}
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -4,6 +4,8 @@
 
 // MembershipState is what package membership keeps between ticks besides its rows.
 type MembershipState struct {
+	// TickAt is when the last tick ran.
+	TickAt cs.Instant
 	// ListReadAt is when the platform's list was last read; the rows that it showed have it as
 	// their Listed. ListFailedAt is when a read last failed.
 	ListReadAt, ListFailedAt cs.Instant
--- a/membership/track.go
+++ b/membership/track.go
@@ -13,12 +13,34 @@
 		t.VMs.Insert(t.Self.ID, fleet.VM{VM: t.Self, Live: true, LiveSince: now})
 		t.Membership.Verdicts.At(now)
 	}
+	notePause(t, now, out)
 	for _, e := range t.Events {
 		track(t, now, out, e)
 	}
 	judge(t, now, out)
 }
 
+// pause is the time without a tick after which this process counts as having been stopped; the
+// control loop ticks twice a second even if nothing happens.
+const pause = 1500 * cs.Millisecond
+
+// notePause keeps a process that was stopped for a while from taking the silence for the death of
+// its peers: they are heard as of now, and the log counts as just read again.
+func notePause(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	last := t.Membership.TickAt
+	t.Membership.TickAt = now
+	if last == 0 || now.Sub(last) < pause {
+		return
+	}
+	out.Note("vm", "resumed after a pause", fleet.Field{Name: "pause", Value: now.Sub(last).String()})
+	t.Log.FailedAt = now
+	for _, vm := range t.VMs.All() {
+		if vm.Linked {
+			vm.Heard = now
+		}
+	}
+}
+
 func track(t *fleet.Tables, now cs.Instant, out *fleet.Actions, e fleet.Event) {
 	switch e := e.(type) {
 	case fleet.ListRead:
