Adopt runs that a new owner grants again and take back what a broken link lost

Cause: after a takeover the new owner counts grants from 1, so a sender took its grant for a repeat and returned the outcome to the old owner; a grant on its way when a link broke was waited for 10 minutes. Ruled out: a shorter limit on runs (long items would run twice). Change: a run bears the newest owner and grant; on a new link a sender tells which items it holds.

--- a/batch/grant.go
+++ b/batch/grant.go
@@ -80,7 +80,7 @@
 	}
 	out.Count(fleet.CountItemsGranted, m.Items[0].Tenant, int64(len(m.Items)))
 	for _, item := range m.Items {
-		run := fleet.Run{GrantedItem: item, Runner: m.Runner, Owner: from, Shard: m.Shard, Since: now}
+		run := fleet.Run{GrantedItem: item, Grant: item.Attempt, Runner: m.Runner, Owner: from, Shard: m.Shard, Since: now}
 		if !accepts(t, r, now) || !start(t, r, run, now, out) {
 			giveBack(t, run, nil, out)
 		}
@@ -152,6 +152,13 @@
 	return true
 }
 
+// adopt gives the outcome of a run to the VM that granted the item anew: the same grant came twice,
+// or a new owner granted an item that still runs here or whose outcome nobody took.
+func adopt(old *fleet.Run, run fleet.Run, now cs.Instant) {
+	old.Owner, old.Grant, old.Discard = run.Owner, run.Grant, false
+	old.RetryAt = now
+}
+
 // giveBack returns an item that did not run. Without a refusal it counts as stopped.
 func giveBack(t *fleet.Tables, run fleet.Run, refusal *cs.Refusal, out *fleet.Actions) {
 	run.Ended = &cs.ItemReturned{
--- a/batch/settle.go
+++ b/batch/settle.go
@@ -24,6 +24,8 @@
 			if m, ok := e.Message.(cs.ItemsStop); ok {
 				stopJob(t, m.Job, out)
 			}
+		case fleet.LinkOpened:
+			tellHeld(t, e.VM.ID, out)
 		default:
 		}
 	}
@@ -52,6 +54,18 @@
 	run.RetryAt = now.Add(resendAfter)
 }
 
+// tellHeld tells an owner, on a new link, which of its items run here. Grants and outcomes that were
+// on their way when the last link broke are lost, which only the difference shows.
+func tellHeld(t *fleet.Tables, owner cs.VMID, out *fleet.Actions) {
+	held := cs.ItemsHeld{}
+	for key, run := range t.Runs.All() {
+		if run.Owner == owner {
+			held.Items = append(held.Items, key)
+		}
+	}
+	out.Add(fleet.Send{To: owner, Message: held})
+}
+
 // outcome translates the end of a run for the item's owner.
 func outcome(e fleet.ItemRunEnded) cs.ItemReturned {
 	back := cs.ItemReturned{Key: e.Key, Attempt: e.Attempt, Output: e.Output, Tokens: e.Tokens}
@@ -79,6 +93,7 @@
 // deliver sends a run's outcome to the VM that granted the item, or if it is dead to the one that
 // owns the shard now, and reports whether there was one to send it to.
 func deliver(t *fleet.Tables, run *fleet.Run, out *fleet.Actions) bool {
+	run.Ended.Attempt = run.Grant
 	to := run.Owner
 	if !reachable(t, to) {
 		to = ownerOf(t, run.Shard)
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -462,6 +462,9 @@
 // Run is a batch item that this VM runs as the batch sender of a runner.
 type Run struct {
 	cs.GrantedItem
+	// Grant is the attempt under which the owner waits for the outcome. It differs from Attempt if
+	// the item was granted again while it ran.
+	Grant  cs.Attempt
 	Runner cs.RunnerID
 	Owner  cs.VMID // the VM that granted the item
 	Shard  cs.ShardID
--- a/job/grant.go
+++ b/job/grant.go
@@ -24,6 +24,8 @@
 			offered(t, said.From, m, inForce, now, out)
 		case cs.ItemReturned:
 			returned(t, said.From, m, now, out)
+		case cs.ItemsHeld:
+			held(t, said.From, m, now, out)
 		default:
 		}
 	}
--- a/peer.go
+++ b/peer.go
@@ -103,6 +103,11 @@
 	Refusal *Refusal `cbor:"e,omitempty"`
 }
 
+// ItemsHeld tells an owner, on a new link, which of its items the sender of the message runs.
+type ItemsHeld struct {
+	Items []ItemKey `cbor:"i"`
+}
+
 // ItemsStop tells batch senders to cancel all runs of a job, or all runs granted under an old claim.
 type ItemsStop struct {
 	Job JobID `cbor:"j"`
@@ -220,6 +225,7 @@
 func (ItemsGranted) isPeerMessage()  {}
 func (ItemReturned) isPeerMessage()  {}
 func (ItemsStop) isPeerMessage()     {}
+func (ItemsHeld) isPeerMessage()     {}
 func (SuspectNoted) isPeerMessage()  {}
 func (Forward) isPeerMessage()       {}
 func (Forwarded) isPeerMessage()     {}
--- a/wire/tag.go
+++ b/wire/tag.go
@@ -48,6 +48,7 @@
 	{40112, cs.Forward{}},
 	{40113, cs.Forwarded{}},
 	{40114, cs.PendingCopied{}},
+	{40115, cs.ItemsHeld{}},
 
 	// crocusstile.ShardQuery
 	{40201, cs.SubmitJob{}},
