job: keep the end of a call until its reopening is in the log

Cause: an owner that reopened a call that had ended as not run replaced its row at once. If it then lost the shard, it held no row for the call while other readers held the end (property test). Items of a former owner that this VM still ran could get a negative attempt count. Ruled out: writing the end again on the loss of the role; the row is simply not touched before CallStarted is read back. Change: as above. Tests for matching of versions, items taken back, calls and started items across the retention time, and jobs of several batches.

--- a/job/call.go
+++ b/job/call.go
@@ -13,9 +13,9 @@
 		openCall(t, id, q, s, m, now, out)
 	case c.Hash != m.Hash:
 		refuse(t, id, q, cs.Refuse(cs.ReasonConflict, "the idempotency key is taken by another request"), out)
-	case c.Ended && c.Refusal != nil && c.Refusal.Ran == cs.RanNotRun:
+	case c.Ended && c.Opener == 0 && c.Refusal != nil && c.Refusal.Ran == cs.RanNotRun:
 		openCall(t, id, q, s, m, max(now, c.EndedAt+1), out)
-	case c.Ended:
+	case c.Ended && c.Opener == 0:
 		answer(t, id, cs.CallAnswer{Answer: c.Answer, Refusal: c.Refusal}, out)
 	default:
 		q.Recorded = true // the first call may have run
@@ -24,17 +24,19 @@
 	}
 }
 
-// openCall writes CallStarted for a call that has not run; at becomes its start.
+// openCall writes CallStarted for a call that has not run; at becomes its start. The row of a call
+// that ended as not run stays what the log says until CallStarted is read back.
 func openCall(t *fleet.Tables, id uint64, q *fleet.Query, s *fleet.Shard, m cs.BeginCall, at cs.Instant, out *fleet.Actions) {
 	if t.Log.Age(at) >= logDown {
 		refuse(t, id, q, cs.Refuse(cs.ReasonUnavailable, "the log cannot be read"), out)
 		return
 	}
-	t.Calls.Insert(m.Call, fleet.Call{
-		Shard: q.Shard, Hash: m.Hash, VM: m.VM, Started: at, Opener: id, Incarnation: incarnationOf(t, m.VM),
-	})
+	c := t.Calls.Get(m.Call)
+	if c == nil {
+		c = t.Calls.Insert(m.Call, fleet.Call{Shard: q.Shard, Hash: m.Hash, VM: m.VM, Started: at})
+	}
+	c.Opener, c.Incarnation = id, incarnationOf(t, m.VM)
 	q.Earlier, q.Recorded, q.Waiting = q.Recorded, true, true
-	s.OpenCalls = append(s.OpenCalls, m.Call)
 	s.Pending = append(s.Pending, cs.CallStarted{Call: m.Call, Hash: m.Hash, Runner: m.VM, At: at})
 }
 
@@ -43,6 +45,7 @@
 func permit(t *fleet.Tables, s *fleet.Shard, id cs.CallID, c *fleet.Call, now cs.Instant, out *fleet.Actions) {
 	opener := c.Opener
 	c.Opener = 0
+	s.OpenCalls = append(s.OpenCalls, id)
 	if q := t.Queries.Get(opener); q != nil && !askerGone(t, q) {
 		answer(t, opener, cs.CallAnswer{Run: true}, out)
 		return
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -401,13 +401,20 @@
 	for len(w.runs) > 0 {
 		w.give(0, cs.ItemReturned{Output: "early"})
 	}
+	w.ask(0, 2, cs.BeginCall{Call: "c", Hash: 1, VM: "vm0"})
+	w.until(cs.Second, func() bool { return w.answers[2] != nil })
+	w.ask(0, 5, cs.BeginCall{Call: "open", Hash: 1, VM: "vm0"})
+	w.ask(0, 3, cs.EndCall{Call: "c", Answer: []byte("recorded")})
 	w.until(3*cs.Minute, func() bool { return false })
+	qt.Check(t, w.owner().t.Calls.Get("open").Ended, qt.IsFalse)
 	keep := slices.IndexFunc(w.log, func(b cs.LoggedBatch) bool { return b.At > w.now-20_000 })
 	w.log, w.first = w.log[keep:], w.log[keep].Offset
 	w.start(0, 50)
 	w.start(1, 51)
 	qt.Assert(t, w.until(30*cs.Second, func() bool { return w.owner() != nil }), qt.IsTrue)
+	w.ask(1, 4, cs.BeginCall{Call: "c", Hash: 1, VM: "vm1"})
 	qt.Assert(t, w.finish(m.Job.ID, 30*cs.Second), qt.IsTrue)
+	qt.Check(t, w.answers[4], qt.DeepEquals, cs.ShardAnswer(cs.CallAnswer{Answer: []byte("recorded")}))
 	qt.Assert(t, w.finish(once.Job.ID, 30*cs.Second), qt.IsTrue)
 	j := w.owner().t.Jobs.Get(m.Job.ID)
 	qt.Check(t, w.owner().t.Jobs.Get(once.Job.ID).Counts[cs.ItemUnknown], qt.Equals, cs.ItemIndex(4))
@@ -489,3 +496,75 @@
 		qt.Check(t, tails[stream] >= 1 && tails[stream] <= 2, qt.IsTrue, qt.Commentf("%s", stream))
 	}
 }
+
+// TestMatches guards against an item that runs on a model version that is not in force, or on a
+// runner that cannot run it.
+func TestMatches(t *testing.T) {
+	tables, _ := withJobs(0, 0)
+	tables.Tickets.Insert("deployment/d", fleet.Ticket{PlacedTicket: cs.PlacedTicket{Ticket: cs.Ticket{
+		State: cs.Deployment{Name: "d", Service: "g", Model: "m", Version: "2"},
+	}}})
+	engine := func(group cs.ServiceID, model cs.ModelID, version cs.VersionID) cs.SlotsOffered {
+		return cs.SlotsOffered{Service: group, Loaded: []cs.LoadedModel{{Model: "z", Version: "9"}, {Model: model, Version: version}}}
+	}
+	tests := []struct {
+		lane  fleet.Lane
+		offer cs.SlotsOffered
+		want  bool
+	}{
+		{fleet.Lane{Model: "m", Version: "1"}, engine("g", "m", "1"), true},
+		{fleet.Lane{Model: "m", Version: "1"}, engine("g", "m", "2"), false},
+		{fleet.Lane{Model: "m"}, engine("g", "m", "2"), true},
+		{fleet.Lane{Model: "m"}, engine("g", "m", "1"), false},
+		{fleet.Lane{Model: "m"}, engine("h", "m", "1"), true}, // no deployment on this group
+		{fleet.Lane{Model: "m"}, engine("g", "n", "2"), false},
+		{fleet.Lane{Service: "s"}, cs.SlotsOffered{Service: "s"}, true},
+		{fleet.Lane{Service: "s"}, cs.SlotsOffered{Service: "r"}, false},
+		{fleet.Lane{Service: "s"}, engine("s", "m", "1"), false},
+		{fleet.Lane{Model: "m"}, cs.SlotsOffered{Service: "g"}, false},
+	}
+	for _, tt := range tests {
+		v := &versions{}
+		qt.Check(t, v.matches(tables, &tt.lane, tt.offer), qt.Equals, tt.want, qt.Commentf("%v %v", tt.lane, tt.offer))
+	}
+}
+
+// TestTakeBack guards against an item that waits for ever for the outcome of its run, and against
+// one of a former owner that is run again while this VM still runs it.
+func TestTakeBack(t *testing.T) {
+	const now = cs.Instant(1_000_000)
+	tests := []struct {
+		name          string
+		nonIdempotent bool
+		dead          bool
+		after         cs.Span
+		state         cs.ItemState
+		attempts      cs.Attempt
+	}{
+		{"in time", false, false, maxRun - 1, cs.ItemRunning, 1},
+		{"too long", false, false, maxRun, cs.ItemWaiting, 1},
+		{"once, too long", true, false, maxRun, cs.ItemUnknown, 1},
+		{"sender dead", false, true, cs.Second, cs.ItemWaiting, 0},
+		{"once, sender dead", true, true, cs.Second, cs.ItemUnknown, 1},
+	}
+	for _, tt := range tests {
+		tables, out := withJobs(1, 1)
+		s, id := tables.Shards.Get(0), job("job0", 1, false).Job.ID
+		tables.VMs.Insert("vm1", fleet.VM{VM: cs.VM{ID: "vm1", Incarnation: 2}, Live: !tt.dead})
+		j := tables.Jobs.Get(id)
+		it := &j.Items[0]
+		it.NonIdempotent, it.Started, it.Attempts, it.Grants = tt.nonIdempotent, tt.nonIdempotent, 1, 1
+		lend(j, 0, it, "vm1", 2, now, now.Add(maxRun))
+		sweep(tables, 0, s, now.Add(tt.after), out)
+		qt.Check(t, []any{it.State, it.Attempts}, qt.DeepEquals, []any{tt.state, tt.attempts}, qt.Commentf(tt.name))
+	}
+	tables, out := withJobs(1, 2)
+	s, id := tables.Shards.Get(0), job("job0", 1, false).Job.ID
+	tables.Runs.Insert(cs.ItemKey{Job: id}, fleet.Run{GrantedItem: cs.GrantedItem{Attempt: 3}})
+	takeOver(tables, 0, s, now, out)
+	j := tables.Jobs.Get(id)
+	qt.Check(t, []any{j.Items[0].State, j.Items[1].State}, qt.DeepEquals, []any{cs.ItemRunning, cs.ItemWaiting})
+	qt.Check(t, j.Items[0].Attempts, qt.Equals, cs.Attempt(1))
+	sweep(tables, 0, s, now.Add(tables.Config.Lease), out)
+	qt.Check(t, j.Items[0].State, qt.Equals, cs.ItemWaiting)
+}
--- a/job/property_test.go
+++ b/job/property_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -20,6 +21,8 @@
 	}
 }
 
+var largePrompt = strings.Repeat("p", 200<<10)
+
 // history is what callers, senders and readers saw in a run, with the checks on it.
 type history struct {
 	*rapid.T
@@ -61,6 +64,11 @@
 	switch h.pick("what", 16) {
 	case 0, 1, 2:
 		m := job(fmt.Sprint("j", h.pick("job", 4)), 1+h.pick("items", 6), h.pick("once", 2) == 0)
+		if m.Job.Key == "j3" { // its records need several batches
+			for k := range m.Items {
+				m.Items[k].Target = cs.Generation{Model: "m", Prompt: largePrompt}
+			}
+		}
 		h.submitted[m.Job.ID]++
 		h.ask(i, m)
 	case 3:
@@ -242,6 +250,11 @@
 		if !n.tails {
 			continue
 		}
+		for id, j := range n.t.Jobs.All() {
+			if j.State == cs.JobOpening {
+				h.Fatalf("job %s is neither opened nor dropped", id)
+			}
+		}
 		got, want := fmt.Sprint(facts(n.t)), fmt.Sprint(facts(w.reader(n.t.Shards.Get(0).Next)))
 		if got != want {
 			h.Fatalf("%s holds %s, the log says %s", n.vm.ID, got, want)
--- a/job/role.go
+++ b/job/role.go
@@ -119,6 +119,7 @@
 			continue
 		}
 		it.Grants = max(it.Grants, r.Attempt)
+		it.Attempts++
 		lend(j, k.Index, it, t.Self.ID, t.Self.Incarnation, now, now.Add(t.Config.Lease))
 	}
 }
--- a/job/withdraw.go
+++ b/job/withdraw.go
@@ -63,7 +63,7 @@
 // withdrawCall drops a call that is being opened; others that wait for it begin anew.
 func withdrawCall(t *fleet.Tables, id uint64, s *fleet.Shard, call cs.CallID, now cs.Instant) bool {
 	c := t.Calls.Get(call)
-	if c == nil || c.Durable || c.Opener != id {
+	if c == nil || c.Opener != id {
 		return false
 	}
 	i := slices.IndexFunc(s.Pending, func(r cs.Record) bool {
@@ -75,6 +75,9 @@
 	}
 	s.Pending = slices.Delete(s.Pending, i, i+1)
 	wakeQueries(t, &c.Waiters, now)
-	t.Calls.Delete(call)
+	c.Opener = 0
+	if !c.Durable {
+		t.Calls.Delete(call)
+	}
 	return true
 }
