engine: tell faulty answers from crashes and end runs at once

Ruled out: connections that break within an answer were and are crashes; a slow sink was and is no silence; non-idempotent calls always had a connection of their own.

Change: protocol faults have an error type of their own; the watchdog moves a due time instead of a timer for each event; a stream is bounded by its tokens and by MaxAnswer; silence drops the idle connections.

--- a/engine/call.go
+++ b/engine/call.go
@@ -25,7 +25,7 @@
 	if timeout <= 0 {
 		timeout = c.cfg.FirstByte
 	}
-	a := &attempt{cancel: cancel}
+	a := &attempt{}
 	watchdog := time.AfterFunc(timeout.Std(), func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	header := http.Header{"X-Request-Id": {string(id)}}
@@ -39,21 +39,16 @@
 	began := c.cfg.Clock.Now()
 	resp, err := c.post(ctx, client, a, "http://"+string(addr)+"/v1/call/"+url.PathEscape(call.Method), call.Body, header)
 	if err != nil {
-		return nil, a.broken(ctx, err)
+		return nil, c.broken(ctx, a, err)
 	}
-	defer drain(resp.Body)
+	// A body that is closed before its end takes its connection with it.
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return nil, rejected(resp)
-	}
-	if got := resp.Header.Get("X-Request-Id"); got != string(id) {
-		return nil, fleet.RunBroken{Sent: true, Message: "answer to another request: " + got}
+		return nil, rejected(resp, false)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.cfg.MaxAnswer)+1))
+	body, err := c.readAnswer(resp, id)
 	if err != nil {
-		return nil, a.broken(ctx, err)
-	}
-	if len(body) > int(c.cfg.MaxAnswer) {
-		return nil, fleet.RunBroken{Sent: true, Message: "answer is larger than the limit"}
+		return nil, c.broken(ctx, a, err)
 	}
 	took := c.cfg.Clock.Now().Sub(began)
 	var load cs.Load
@@ -63,6 +58,24 @@
 	return body, fleet.RunWhole{FirstToken: took, Took: took, Load: load}
 }
 
+// readAnswer reads the whole answer of a service to the request.
+func (c *Client) readAnswer(resp *http.Response, id cs.RequestID) ([]byte, error) {
+	if got := resp.Header.Get("X-Request-Id"); got != string(id) {
+		return nil, badAnswer("answer to another request: " + got)
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, badAnswer("answer without a length cannot be told from one that broke off")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.cfg.MaxAnswer)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > int(c.cfg.MaxAnswer) {
+		return nil, badAnswer("answer is larger than the limit")
+	}
+	return body, nil
+}
+
 // loadBody is the load report of the runner protocol.
 type loadBody struct {
 	Running cs.Slots   `json:"running"`
--- a/engine/client.go
+++ b/engine/client.go
@@ -23,6 +23,9 @@
 // maxIdlePerRunner bounds the idle connections kept to one runner.
 const maxIdlePerRunner = 64
 
+// maxEvent bounds one event of a stream, and what is buffered of it.
+const maxEvent = 16 << 10
+
 // maxErrorBody bounds what is read of an error answer.
 const maxErrorBody = 4 << 10
 
@@ -36,7 +39,7 @@
 	FirstByte cs.Span
 	// Progress bounds the silence between two events of a stream.
 	Progress cs.Span
-	// MaxAnswer bounds a service's answer.
+	// MaxAnswer bounds a service's answer and the events of one run of a stream.
 	MaxAnswer cs.Bytes
 }
 
@@ -60,11 +63,15 @@
 	}
 	return &Client{
 		cfg:    c,
-		pooled: &http.Client{Transport: transport(false)},
-		fresh:  &http.Client{Transport: transport(true)},
+		pooled: &http.Client{Transport: transport(false), CheckRedirect: noRedirect},
+		fresh:  &http.Client{Transport: transport(true), CheckRedirect: noRedirect},
 	}
 }
 
+// noRedirect makes a redirect an error answer: what a runner names is not in the platform's list,
+// and the request that would follow is another than the one that was asked for.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close lets go of idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
@@ -74,11 +81,16 @@
 // errSilent cancels a run whose runner has made no progress within its time limit.
 var errSilent = errors.New("no progress within the time limit")
 
+// badAnswer is the error of an answer that breaks the protocol, from a runner that is alive.
+type badAnswer string
+
+// Error returns what is wrong with the answer.
+func (b badAnswer) Error() string { return string(b) }
+
 // attempt is one exchange with a runner.
 type attempt struct {
 	sent   atomic.Bool
 	passed bool
-	cancel context.CancelCauseFunc
 }
 
 // post sends a request and returns the response; the attempt notes whether a byte may have left.
@@ -91,13 +103,16 @@
 	req.Header = header
 	req.Header.Set("Content-Type", "application/json")
 	// Without this the transport would send the request again on a new connection when a reused
-	// one breaks.
+	// one breaks. An empty body must not be http.NoBody, which counts as one that can be repeated.
 	req.GetBody = nil
+	if len(body) == 0 {
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+	}
 	return client.Do(req)
 }
 
 // broken says how an exchange failed; cancelled ones are told apart by the cause of ctx.
-func (a *attempt) broken(ctx context.Context, err error) fleet.RunResult {
+func (c *Client) broken(ctx context.Context, a *attempt, err error) fleet.RunResult {
 	cause := context.Cause(ctx)
 	if cause != nil && !errors.Is(cause, errSilent) {
 		return fleet.RunCancelled{}
@@ -105,13 +120,17 @@
 	b := fleet.RunBroken{Sent: a.sent.Load(), Passed: a.passed, Message: err.Error()}
 	if cause != nil {
 		b.Message = cause.Error()
+		// Connections go silent together; the next requests must not wait on the idle ones.
+		c.pooled.CloseIdleConnections()
 	}
-	b.Crashed = b.Sent && cause == nil
+	var bad badAnswer
+	b.Crashed = b.Sent && cause == nil && !errors.As(err, &bad)
 	return b
 }
 
-// rejected reads an error answer.
-func rejected(resp *http.Response) fleet.RunResult {
+// rejected reads an error answer. Engines answer 404 and 429 to requests that they did not start;
+// services may answer them to calls that ran, and say in a header if one did not.
+func rejected(resp *http.Response, engine bool) fleet.RunResult {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	if err != nil {
 		body = nil
@@ -122,8 +141,8 @@
 	if json.Unmarshal(body, &e) != nil || e.Error == "" {
 		e.Error = resp.Status
 	}
-	notRun := resp.Header.Get("X-Not-Run") == "true" || resp.StatusCode == http.StatusNotFound ||
-		resp.StatusCode == http.StatusTooManyRequests
+	notRun := resp.Header.Get("X-Not-Run") == "true" || engine &&
+		(resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusTooManyRequests)
 	return fleet.RunRejected{
 		NotRun:  notRun,
 		Leaving: resp.StatusCode == http.StatusServiceUnavailable && notRun,
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
-	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -70,51 +72,63 @@
 	if err != nil {
 		return fleet.RunRejected{NotRun: true, Invalid: true, Message: err.Error()}
 	}
-	a := &attempt{cancel: cancel}
-	watchdog := time.AfterFunc(c.cfg.FirstByte.Std(), func() { cancel(errSilent) })
-	defer watchdog.Stop()
+	a := &attempt{}
+	w := watch(ctx, cancel, c.cfg.Clock, c.cfg.FirstByte)
+	defer w.stop()
 	began := c.cfg.Clock.Now()
 	resp, err := c.post(ctx, c.pooled, a, "http://"+string(addr)+"/v1/generate", body, http.Header{})
 	if err != nil {
-		return a.broken(ctx, err)
+		return c.broken(ctx, a, err)
 	}
-	defer drain(resp.Body)
+	// A body that is closed before its end takes its connection with it.
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return rejected(resp)
+		return rejected(resp, true)
 	}
-	s := stream{client: c, attempt: a, watchdog: watchdog, sink: sink, gen: g, began: began, last: g.ResumeTokens}
+	s := stream{client: c, attempt: a, watchdog: w, sink: sink, gen: g, began: began, last: g.ResumeTokens}
 	s.prefix = append(strconv.AppendQuote([]byte(`data: {"id":`), string(g.ID)), ',')
-	if err := s.read(bufio.NewReaderSize(resp.Body, 16<<10)); !errors.Is(err, errDone) {
+	s.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	if err := s.read(bufio.NewReaderSize(resp.Body, maxEvent)); !errors.Is(err, errDone) {
 		if errors.Is(err, errLost) {
 			return fleet.RunCancelled{}
 		}
-		return a.broken(ctx, err)
+		return c.broken(ctx, a, err)
 	}
-	return s.whole()
+	result := s.whole()
+	w.limit(drainLimit)
+	drain(resp.Body)
+	return result
 }
 
 // stream is the state of one answer while it is read.
 type stream struct {
 	client   *Client
 	attempt  *attempt
-	watchdog *time.Timer
+	watchdog *watchdog
 	sink     Sink
 	gen      Generation
 	prefix   []byte
 	began    cs.Instant
 	first    cs.Instant
 	last     cs.Tokens
+	size     cs.Bytes
 	end      endMarker
+	// framed tells that the end of the body is told apart from the end of the connection.
+	framed bool
 }
 
 // read hands events on until the end marker or an error.
 func (s *stream) read(r *bufio.Reader) error {
 	for {
 		line, err := r.ReadSlice('\n')
-		if err != nil {
+		switch {
+		case errors.Is(err, io.EOF) && s.framed:
+			return badAnswer("the stream ended without its end marker")
+		case errors.Is(err, bufio.ErrBufferFull):
+			return badAnswer("an event is larger than the limit")
+		case err != nil:
 			return errors.Wrap(err, "stream broke off")
-		}
-		if len(bytes.TrimSpace(line)) == 0 {
+		case line[0] == '\n' || line[0] == '\r':
 			continue
 		}
 		if err := s.event(line, r.Buffered() > 1); err != nil {
@@ -126,37 +140,53 @@
 // event checks one event and hands it on.
 func (s *stream) event(line []byte, more bool) error {
 	if !bytes.HasPrefix(line, s.prefix) {
-		return errors.Newf("event of another request: %.80q", line)
+		return badAnswer(fmt.Sprintf("event of another request: %.80q", line))
 	}
 	rest := line[len(s.prefix):]
 	if bytes.HasPrefix(rest, []byte(`"done":true`)) {
 		return s.done(line)
 	}
-	n, ok := sequence(rest)
-	if !ok || n != s.last+1 {
-		return errors.Newf("event %d follows event %d", n, s.last)
-	}
-	s.last = n
-	if s.first == 0 {
-		s.first = s.client.cfg.Clock.Now()
+	if err := s.check(rest, line); err != nil {
+		return err
 	}
 	s.attempt.passed = true
 	// A slow caller must not look like a silent runner.
-	s.watchdog.Stop()
-	defer s.watchdog.Reset(s.client.cfg.Progress.Std())
-	if s.sink(line, n, more) != nil {
+	s.watchdog.pause()
+	if s.sink(line, s.last, more) != nil {
 		return errLost
 	}
+	if s.first == 0 {
+		s.first = s.client.cfg.Clock.Now()
+		s.watchdog.limit(s.client.cfg.Progress)
+	} else {
+		s.watchdog.progress()
+	}
+	return nil
+}
+
+// check refuses an event out of sequence, without a text, or beyond the bounds of the request.
+func (s *stream) check(rest, line []byte) error {
+	n, ok := sequence(rest)
+	if !ok || n != s.last+1 {
+		return badAnswer(fmt.Sprintf("event %d follows event %d", n, s.last))
+	}
+	if _, ok := text(line); !ok {
+		return badAnswer(fmt.Sprintf("event %d has no text: %.80q", n, line))
+	}
+	s.last, s.size = n, s.size+cs.Bytes(len(line))
+	if n > s.gen.MaxTokens || s.size > s.client.cfg.MaxAnswer {
+		return badAnswer(fmt.Sprintf("the answer goes on beyond %d tokens or %d bytes", s.gen.MaxTokens, s.client.cfg.MaxAnswer))
+	}
 	return nil
 }
 
 // done checks the end marker.
 func (s *stream) done(line []byte) error {
 	if err := json.Unmarshal(line[len("data: "):], &s.end); err != nil {
-		return errors.Wrap(err, "end marker")
+		return badAnswer("end marker: " + err.Error())
 	}
 	if s.end.Tokens != s.last {
-		return errors.Newf("end marker tells %d tokens after event %d", s.end.Tokens, s.last)
+		return badAnswer(fmt.Sprintf("end marker tells %d tokens after event %d", s.end.Tokens, s.last))
 	}
 	return errDone
 }
@@ -176,6 +206,9 @@
 	return w
 }
 
+// maxDigits bounds the digits of a sequence number, so that it cannot overflow.
+const maxDigits = 9
+
 // sequence reads the number of `"n":N,`.
 func sequence(rest []byte) (cs.Tokens, bool) {
 	const name = `"n":`
@@ -183,7 +216,7 @@
 		return 0, false
 	}
 	n := cs.Tokens(0)
-	for i := len(name); i < len(rest); i++ {
+	for i := len(name); i < len(rest) && i <= len(name)+maxDigits; i++ {
 		d := rest[i]
 		if d < '0' || d > '9' {
 			return n, i > len(name)
@@ -195,11 +228,29 @@
 
 // Text returns the text of an event, as Sink gets it.
 func Text(event []byte) string {
+	t, _ := text(event)
+	return string(t)
+}
+
+// text returns the text of an event, or false if there is none. It decodes only texts with escapes.
+func text(event []byte) ([]byte, bool) {
+	const name = `,"text":"`
+	if i := bytes.Index(event, []byte(name)); i >= 0 {
+		rest := bytes.TrimRight(event[i+len(name):], "\r\n")
+		plain, ok := bytes.CutSuffix(rest, []byte(`"}`))
+		if ok && !bytes.ContainsFunc(plain, escaped) {
+			return plain, true
+		}
+	}
 	var e struct {
-		Text string `json:"text"`
+		Text *string `json:"text"`
 	}
-	if json.Unmarshal(bytes.TrimPrefix(event, []byte("data: ")), &e) != nil {
-		return ""
+	if json.Unmarshal(bytes.TrimPrefix(event, []byte("data: ")), &e) != nil || e.Text == nil {
+		return nil, false
 	}
-	return e.Text
+	return []byte(*e.Text), true
 }
+
+// escaped tells whether JSON may not hold a rune in a string without an escape, or whether the rune
+// begins one.
+func escaped(r rune) bool { return r == '"' || r == '\\' || r < ' ' || r == utf8.RuneError }
