relay: end resumed streams, bound waits and add tests and a benchmark

Cause, found by reading and shown by tests that failed before: - A stream of which only the end marker was lost never ended: the resumed run passes no event, so that no run counted as the winner. - A whole answer of a run that had passed nothing was reported as the answer of the request, which the loop then dropped. - The first-token time reported for a runner held the time in the queue. - A write to a caller had no time limit before the first flush, and that of the last flush after a pause. - An order to stop a run of an item stopped a later run of it; two runs of the same attempt had the same id in the engine. - A keyed call whose caller left while its begin was recorded never ran and had no recorded outcome; after Close such a call waited for good.

Also changed, without a test that failed before: a run dispatched while its caller leaves is cancelled; no goroutine starts after Close; the text of an answer is decoded outside the lock that the control loop takes; the events of all runs of a session count towards MaxAnswer, which bounds its memory.

Ruled out: lost or doubled tokens on a resume, two runs of a hedge that both pass, a slow caller that blocks the loop (the tests passed before, too).

--- a/engine/call.go
+++ b/engine/call.go
@@ -125,6 +125,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	drain(resp.Body)
 	return nil
 }
@@ -142,6 +143,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	defer drain(resp.Body)
 	switch {
 	case resp.StatusCode == http.StatusConflict:
--- a/engine/client.go
+++ b/engine/client.go
@@ -39,7 +39,7 @@
 	FirstByte cs.Span
 	// Progress bounds the silence between two events of a stream.
 	Progress cs.Span
-	// MaxAnswer bounds a service's answer and the events of one run of a stream.
+	// MaxAnswer bounds a service's answer and the events of a stream, those of earlier runs included.
 	MaxAnswer cs.Bytes
 }
 
@@ -161,6 +161,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	defer drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("%s: %s", url, resp.Status)
@@ -168,8 +169,5 @@
 	return json.NewDecoder(io.LimitReader(resp.Body, int64(c.cfg.MaxAnswer))).Decode(v)
 }
 
-// drain reads a small rest, so that the connection can be used again, and closes the body.
-func drain(body io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, body, maxErrorBody)
-	_ = body.Close()
-}
+// drain reads a small rest, so that the connection can be used again.
+func drain(body io.Reader) { _, _ = io.CopyN(io.Discard, body, maxErrorBody) }
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -115,6 +115,8 @@
 	text, result := generate(newClient(t, longLimit, longLimit), addr, engine.Generation{})
 	qt.Check(t, len(text) <= 64<<10, qt.IsTrue)
 	qt.Check(t, broken(t, result).Message, qt.Contains, "65536 bytes")
+	_, result = generate(newClient(t, longLimit, longLimit), serve(t, stream(token(1), marker(1))), engine.Generation{ResumeBytes: 64 << 10})
+	qt.Check(t, broken(t, result).Message, qt.Contains, "65536 bytes")
 }
 
 // A whole stream, resumed or with escapes, must not be taken for a faulty one.
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -24,6 +24,8 @@
 	// ResumeText and ResumeTokens are what earlier runs generated.
 	ResumeText   string
 	ResumeTokens cs.Tokens
+	// ResumeBytes is the size of their events, which counts towards Config.MaxAnswer.
+	ResumeBytes cs.Bytes
 }
 
 // Sink takes the events of a stream, each with its line end; the bytes are valid during the call.
@@ -85,7 +87,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return rejected(resp, true)
 	}
-	s := stream{client: c, attempt: a, watchdog: w, sink: sink, gen: g, began: began, last: g.ResumeTokens}
+	s := stream{client: c, attempt: a, watchdog: w, sink: sink, gen: g, began: began, last: g.ResumeTokens, size: g.ResumeBytes}
 	s.prefix = append(strconv.AppendQuote([]byte(`data: {"id":`), string(g.ID)), ',')
 	s.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	if err := s.read(bufio.NewReaderSize(resp.Body, maxEvent)); !errors.Is(err, errDone) {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -29,11 +29,15 @@
 		return Answer{}, err
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Answer{
-		Text: textOf(s.passed), Tokens: s.tokens,
-		FirstToken: s.first.Sub(s.arrived), Took: r.cfg.Clock.Now().Sub(s.arrived),
-	}, nil
+	passed, first := s.passed, s.first
+	a := Answer{Tokens: s.tokens, Took: r.cfg.Clock.Now().Sub(s.arrived)}
+	s.mu.Unlock()
+	a.FirstToken = a.Took
+	if first != 0 {
+		a.FirstToken = first.Sub(s.arrived)
+	}
+	a.Text = textOf(passed) // not under the lock, for which the control loop may wait
+	return a, nil
 }
 
 // Stream runs a generation; it returns once the first event has come, or with a refusal. The reader
@@ -82,10 +86,12 @@
 	if b.pipe == nil {
 		r, w := io.Pipe()
 		b.pipe = r
-		b.session.relay.start(func() {
+		if !b.session.relay.start(func() {
 			_, err := b.WriteTo(w)
 			_ = w.CloseWithError(err)
-		})
+		}) {
+			_ = w.CloseWithError(errClosed)
+		}
 	}
 	return b.pipe.Read(p)
 }
@@ -107,12 +113,7 @@
 	s.out = out
 	passed := s.passed
 	s.mu.Unlock()
-	for line := range bytes.Lines(passed) {
-		if err := out.event(line, true); err != nil {
-			return err
-		}
-	}
-	return out.flush()
+	return out.events(passed, false)
 }
 
 func (s *session) isGone() bool {
@@ -128,7 +129,9 @@
 	}
 	var b strings.Builder
 	for line := range bytes.Lines(events) {
-		b.WriteString(engine.Text(line))
+		if len(line) > 1 {
+			b.WriteString(engine.Text(line))
+		}
 	}
 	return b.String()
 }
--- /dev/null
+++ b/relay/bench_test.go
@@ -0,0 +1,176 @@
+package relay_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+// The load of BenchmarkRelay: 36,000 tokens a second, the target of one daemon.
+const (
+	benchStreams = 1200
+	benchTokens  = 60
+	benchGap     = 33 * time.Millisecond
+	benchGroups  = 10
+	// loadVariable is set in the process that stands for the runners and the callers.
+	loadVariable = "CROCUSSTILE_RELAY_LOAD"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(loadVariable) != "" {
+		runLoad()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// BenchmarkRelay reports the cores that this process uses to relay 36,000 tokens a second, each in
+// a packet of its own. Runners and callers are another process.
+func BenchmarkRelay(b *testing.B) {
+	child := exec.Command(os.Args[0], "-test.run=^$")
+	child.Env = append(os.Environ(), loadVariable+"=1")
+	child.Stderr = os.Stderr
+	in, err := child.StdinPipe()
+	qt.Assert(b, err, qt.IsNil)
+	out, err := child.StdoutPipe()
+	qt.Assert(b, err, qt.IsNil)
+	qt.Assert(b, child.Start(), qt.IsNil)
+	b.Cleanup(func() { _ = in.Close(); _ = child.Wait() })
+	lines := bufio.NewScanner(out)
+	lines.Scan()
+	w := newWorld(b, cs.Address(lines.Text()))
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, err := w.relay.Stream(r.Context(), w.request(benchTokens))
+		if err != nil {
+			http.Error(rw, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		defer body.Close()
+		_, _ = body.(io.WriterTo).WriteTo(rw)
+	}))
+	b.Cleanup(server.Close)
+	var began time.Time
+	var cpu time.Duration
+	for b.Loop() {
+		fmt.Fprintln(in, server.Listener.Addr())
+		lines.Scan() // all streams are open
+		began, cpu = time.Now(), cpuTime(b)
+		lines.Scan()
+		qt.Assert(b, lines.Text(), qt.Equals, strconv.Itoa(benchStreams*benchTokens))
+	}
+	took := time.Since(began)
+	b.ReportMetric(float64(cpuTime(b)-cpu)/float64(took), "cores")
+	b.ReportMetric(benchStreams*benchTokens/took.Seconds(), "tokens/s")
+	b.ReportMetric(float64(cpuTime(b)-cpu)/(benchStreams*benchTokens), "cpu-ns/token")
+}
+
+// cpuTime returns the processor time of this process.
+func cpuTime(t testing.TB) time.Duration {
+	var u syscall.Rusage
+	qt.Assert(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u), qt.IsNil)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// runLoad serves as runner and caller: for each address on standard input it opens all streams
+// there, sends their tokens at the given pace and prints how many came back.
+func runLoad() {
+	var mu sync.Mutex
+	var open []*benchStream
+	ready := make(chan struct{}, benchStreams)
+	source := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body struct{ ID string }
+		if json.NewDecoder(r.Body).Decode(&body) != nil || r.URL.Path != "/v1/generate" {
+			return
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		mu.Lock()
+		open = append(open, &benchStream{conn: conn, id: body.ID})
+		mu.Unlock()
+		ready <- struct{}{}
+	}))
+	fmt.Println(source.Listener.Addr())
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); open = nil {
+		var callers sync.WaitGroup
+		var tokens atomic.Int64
+		for range benchStreams {
+			callers.Go(func() { tokens.Add(readStream(in.Text())) })
+		}
+		for range benchStreams {
+			<-ready
+		}
+		fmt.Println("open")
+		due := time.Now()
+		for range benchTokens {
+			for g := range benchGroups {
+				for i := g; i < len(open); i += benchGroups {
+					open[i].token()
+				}
+				due = due.Add(benchGap / benchGroups)
+				time.Sleep(time.Until(due))
+			}
+		}
+		for _, s := range open {
+			s.end()
+		}
+		callers.Wait()
+		fmt.Println(tokens.Load())
+	}
+}
+
+// benchStream is a stream of the load's runner.
+type benchStream struct {
+	conn net.Conn
+	id   string
+	n    int
+}
+
+func (s *benchStream) token() {
+	s.n++
+	s.chunk(fmt.Sprintf("data: {\"id\":%q,\"n\":%d,\"text\":\" token%d\"}\n\n", s.id, s.n, s.n))
+}
+
+func (s *benchStream) end() {
+	s.chunk(fmt.Sprintf("data: {\"id\":%q,\"done\":true,\"tokens\":%d}\n\n", s.id, s.n))
+	_, _ = io.WriteString(s.conn, "0\r\n\r\n")
+	_ = s.conn.Close()
+}
+
+func (s *benchStream) chunk(event string) {
+	_, _ = fmt.Fprintf(s.conn, "%x\r\n%s\r\n", len(event), event)
+}
+
+// readStream asks for a stream and returns the number of its tokens.
+func readStream(address string) (n int64) {
+	resp, err := http.Get("http://" + address)
+	if err != nil {
+		panic(err)
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if strings.Contains(lines.Text(), `"n":`) {
+			n++
+		}
+	}
+	return n
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -35,6 +35,9 @@
 		body, err := r.callOnce(ctx, req, c)
 		return CallAnswer{Body: body}, err
 	}
+	// The caller may leave, but a call that the log says to have begun runs and is recorded.
+	ctx, cancel := r.detach(ctx)
+	defer cancel()
 	id := cs.NewCallID(req.Tenant, req.Key)
 	shard := cs.ShardOf(string(id), c.Shards)
 	begin := cs.BeginCall{Call: id, Hash: req.Hash, VM: r.cfg.VM}
@@ -51,8 +54,6 @@
 	case !leave.Run:
 		return CallAnswer{Body: leave.Answer, Joined: true}, nil
 	}
-	// The caller may leave, but the outcome is recorded all the same.
-	ctx = context.WithoutCancel(ctx)
 	body, err := r.callOnce(ctx, req, c)
 	end := cs.EndCall{Call: id, Answer: body, Refusal: refusalOf(err)}
 	if _, endErr := r.Query(ctx, shard, end, endCallLimit); endErr != nil {
--- a/relay/item.go
+++ b/relay/item.go
@@ -14,13 +14,14 @@
 // itemRun is a batch item that runs on a runner.
 type itemRun struct {
 	run
-	id cs.RequestID
+	id      cs.RequestID
+	attempt cs.Attempt
 }
 
 // RunItem runs a batch item; fleet.ItemRunEnded follows.
 func (r *Relay) RunItem(a fleet.RunItem) {
 	ctx, cancel := context.WithCancel(r.ctx)
-	x := &itemRun{run: run{cancel: cancel, address: a.Address}, id: itemRequestID(a.Item)}
+	x := &itemRun{run: run{cancel: cancel, address: a.Address}, id: r.itemRequestID(a.Item), attempt: a.Item.Attempt}
 	r.mu.Lock()
 	r.items[a.Item.Key] = x
 	r.mu.Unlock()
@@ -40,10 +41,10 @@
 	})
 }
 
-// itemRequestID is unique for each attempt of an item, so that a late answer is told apart.
-func itemRequestID(g cs.GrantedItem) cs.RequestID {
-	return cs.RequestID("item-" + string(g.Key.Job) + "-" + strconv.Itoa(int(g.Key.Index)) +
-		"-" + strconv.Itoa(int(g.Attempt)) + "-" + strconv.Itoa(int(g.Tokens)))
+// itemRequestID is unique for each run of an item on any VM, so that a late answer is told apart and
+// an engine stops only the run that is meant.
+func (r *Relay) itemRequestID(g cs.GrantedItem) cs.RequestID {
+	return cs.RequestID("item-"+string(g.Key.Job)+"-"+strconv.Itoa(int(g.Key.Index))+"-") + r.NewID()
 }
 
 // exchange runs an item on its runner and returns how it went.
@@ -75,7 +76,7 @@
 	r.mu.Lock()
 	x := r.items[a.Key]
 	r.mu.Unlock()
-	if x != nil {
+	if x != nil && x.attempt == a.Attempt {
 		x.cancel()
 		r.cancelOn(x.address, x.id)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/engine"
 	"github.com/crocusstile/crocusstile/fleet"
@@ -18,6 +20,9 @@
 // cancelTimeout bounds an order to an engine to stop a run.
 const cancelTimeout = 2 * cs.Second
 
+// queryGrace is the time beyond a query's limit in which the control loop answers that it is over.
+const queryGrace = cs.Second
+
 // Config holds what a Relay needs.
 type Config struct {
 	// Clock tells the time.
@@ -36,6 +41,9 @@
 
 // Relay holds the sessions of a VM. It carries out the loop's actions on requests, items and
 // queries.
+//
+// Its memory is bounded: each session, query and ticket belongs to a caller that waits, each item to
+// a batch slot, and Config.MaxAnswer of the engine client bounds what one of them holds.
 type Relay struct {
 	cfg    Config
 	ctx    context.Context
@@ -62,7 +70,9 @@
 
 // Close ends all runs and waits for their goroutines.
 func (r *Relay) Close() {
+	r.mu.Lock()
 	r.cancel()
+	r.mu.Unlock()
 	r.wg.Wait()
 	r.cfg.Engine.Close()
 }
@@ -70,13 +80,25 @@
 // post hands an event to the loop; it fails only when the process ends.
 func (r *Relay) post(e fleet.Event) { _ = r.cfg.Post(r.ctx, e) }
 
-// start runs f in a goroutine that Close waits for.
-func (r *Relay) start(f func()) {
-	r.wg.Add(1)
-	go func() {
-		defer r.wg.Done()
-		f()
-	}()
+// errClosed says that the relay takes no more work.
+var errClosed = errors.New("the relay is closed")
+
+// start runs f in a goroutine that Close waits for; it returns false after Close.
+func (r *Relay) start(f func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ctx.Err() != nil {
+		return false
+	}
+	r.wg.Go(f)
+	return true
+}
+
+// detach returns a context that the caller's leaving does not end, but Close does.
+func (r *Relay) detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(r.ctx, cancel)
+	return ctx, func() { stop(); cancel() }
 }
 
 // cancelOn tells an engine to stop a run, so that its slot is free at once.
@@ -88,8 +110,10 @@
 	})
 }
 
-// Query asks the owner of a shard and waits for the answer or the end of ctx.
+// Query asks the owner of a shard and waits for the answer, the end of ctx or the limit.
 func (r *Relay) Query(ctx context.Context, shard cs.ShardID, q cs.ShardQuery, limit cs.Span) (cs.ShardAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, (limit + queryGrace).Std())
+	defer cancel()
 	id, ch := r.ids.Add(1), make(chan cs.ShardAnswer, 1)
 	r.mu.Lock()
 	r.queries[id] = ch
--- a/relay/session.go
+++ b/relay/session.go
@@ -32,7 +32,9 @@
 	runs    map[cs.Attempt]*run
 	// winner is the run whose events are passed on; 0 before the first event.
 	winner cs.Attempt
-	// passed holds the events passed on, from which a broken stream is resumed.
+	// passed holds the events passed on, each with a blank line, from which a broken stream is
+	// resumed. Bytes are only appended, with both locks held. Config.MaxAnswer of the engine client
+	// bounds it.
 	passed []byte
 	tokens cs.Tokens
 	first  cs.Instant
@@ -49,6 +51,7 @@
 type run struct {
 	cancel  context.CancelFunc
 	address cs.Address
+	began   cs.Instant
 }
 
 // NewID returns an id for a request that this VM takes.
@@ -93,26 +96,39 @@
 		r.cfg.Meter.Time(meter.QueueWait, s.req.Tenant, s.req.Class, r.cfg.Clock.Now().Sub(s.arrived))
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
+	x := &run{cancel: cancel, address: d.Address, began: r.cfg.Clock.Now()}
 	s.mu.Lock()
-	s.runs[d.Attempt] = &run{cancel: cancel, address: d.Address}
+	s.runs[d.Attempt] = x
+	if s.gone {
+		cancel() // close did not see this run
+	}
 	s.mu.Unlock()
 	r.start(func() {
 		defer cancel()
-		result := s.run(ctx, d)
-		s.mu.Lock()
-		delete(s.runs, d.Attempt)
-		if s.winner == d.Attempt {
-			if _, whole := result.(fleet.RunWhole); whole {
-				s.end(nil, s.answer)
-			} else {
-				s.winner = 0 // the next attempt resumes the stream
-			}
-		}
-		s.mu.Unlock()
+		result := s.settle(d.Attempt, s.run(ctx, d, x))
 		r.post(fleet.RequestEnded{ID: d.ID, Attempt: d.Attempt, Result: result})
 	})
 }
 
+// settle notes the end of a run; it returns the result, or fleet.RunCancelled for a whole answer that
+// is not the one passed on.
+func (s *session) settle(a cs.Attempt, result fleet.RunResult) fleet.RunResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.runs, a)
+	whole, ok := result.(fleet.RunWhole)
+	switch {
+	case ok && whole.Tokens == s.tokens && (s.winner == a || s.winner == 0):
+		s.winner = a // also if no event was left to come before the end marker
+		s.end(nil, s.answer)
+	case s.winner == a:
+		s.winner = 0 // the next attempt resumes the stream
+	case ok:
+		return fleet.RunCancelled{}
+	}
+	return result
+}
+
 // CancelRun stops one dispatch, in the engine too.
 func (r *Relay) CancelRun(c fleet.CancelRun) {
 	s := r.session(c.ID)
@@ -149,14 +165,17 @@
 }
 
 // run exchanges the request with a runner.
-func (s *session) run(ctx context.Context, d fleet.Dispatch) fleet.RunResult {
+func (s *session) run(ctx context.Context, d fleet.Dispatch, x *run) fleet.RunResult {
 	switch t := s.req.Target.(type) {
 	case cs.Generation:
 		s.mu.Lock()
-		g := engine.Generation{ID: s.req.ID, Generation: t, ResumeTokens: s.tokens, ResumeText: textOf(s.passed)}
+		passed, tokens := s.passed, s.tokens
 		s.mu.Unlock()
+		g := engine.Generation{
+			ID: s.req.ID, Generation: t, ResumeTokens: tokens, ResumeText: textOf(passed), ResumeBytes: cs.Bytes(len(passed)),
+		}
 		return s.relay.cfg.Engine.Generate(ctx, d.Address, g, func(event []byte, n cs.Tokens, more bool) error {
-			return s.emit(d.Attempt, event, n, more)
+			return s.emit(d.Attempt, x, event, n, more)
 		})
 	case cs.ServiceCall:
 		body, result := s.relay.cfg.Engine.Call(ctx, d.Address, s.req.ID, t, s.req.Key, s.req.NonIdempotent, s.timeout)
@@ -174,22 +193,22 @@
 }
 
 // emit passes an event on if the run is the first to bring one.
-func (s *session) emit(a cs.Attempt, event []byte, n cs.Tokens, more bool) error {
+func (s *session) emit(a cs.Attempt, x *run, event []byte, n cs.Tokens, more bool) error {
 	s.writing.Lock()
 	defer s.writing.Unlock()
+	before := len(s.passed)
 	first, err := s.accept(a, event, n)
 	if err != nil {
 		return err
 	}
 	if first {
-		took := s.first.Sub(s.arrived)
-		s.relay.cfg.Meter.Time(meter.FirstToken, s.req.Tenant, s.req.Class, took)
-		s.relay.post(fleet.RequestFirstToken{ID: s.req.ID, Attempt: a, Took: took})
+		s.relay.cfg.Meter.Time(meter.FirstToken, s.req.Tenant, s.req.Class, s.first.Sub(s.arrived))
+		s.relay.post(fleet.RequestFirstToken{ID: s.req.ID, Attempt: a, Took: s.first.Sub(x.began)})
 	}
 	if s.out == nil {
 		return nil
 	}
-	if err := s.out.event(event, more); err != nil {
+	if err := s.out.events(s.passed[before:], more); err != nil {
 		s.leave()
 		return errLost
 	}
@@ -204,7 +223,7 @@
 		return false, errLost
 	}
 	s.winner = a
-	s.passed, s.tokens = append(s.passed, event...), n
+	s.passed, s.tokens = append(append(s.passed, event...), lineEnd), n
 	if s.first != 0 {
 		return false, nil
 	}
@@ -224,15 +243,15 @@
 // wait blocks until the first event has come, or the outcome is known; with whole, until the latter.
 // It returns an error when ctx ends first.
 func (s *session) wait(ctx context.Context, whole bool) error {
-	stop := context.AfterFunc(ctx, s.leave)
-	defer stop()
+	defer context.AfterFunc(ctx, s.leave)()
+	defer context.AfterFunc(s.relay.ctx, s.leave)()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for !s.ended && !s.gone && (whole || s.first == 0) {
 		s.changed.Wait()
 	}
 	if s.gone && !s.ended {
-		return &cs.Refusal{Reason: cs.ReasonExpired, Ran: cs.RanUnknown, Message: "the caller went away"}
+		return &cs.Refusal{Reason: cs.ReasonExpired, Ran: cs.RanUnknown, Message: "the caller or this VM went away"}
 	}
 	if s.ended && s.refusal != nil && (whole || s.first == 0) {
 		return s.refusal
--- /dev/null
+++ b/relay/world_test.go
@@ -0,0 +1,175 @@
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/engine"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/meter"
+	"github.com/crocusstile/crocusstile/relay"
+)
+
+// patience bounds the wait for what must happen.
+const patience = 10 * time.Second
+
+// world is a relay whose control loop is the test: it dispatches each request to the first runner
+// and notes the events.
+type world struct {
+	relay  *relay.Relay
+	clock  *cs.Clock
+	runner cs.Address
+	// decide is called with each event instead of the dispatch to runner; may be nil.
+	decide func(fleet.Event)
+
+	mu      sync.Mutex
+	events  []fleet.Event
+	changed chan struct{}
+}
+
+func newWorld(t testing.TB, runner cs.Address) *world { return newWorldAt(t, runner, cs.NewClock()) }
+
+func newWorldAt(t testing.TB, runner cs.Address, clock *cs.Clock) *world {
+	w := &world{runner: runner, clock: clock, changed: make(chan struct{})}
+	m := meter.New(zerolog.Nop())
+	w.relay = relay.New(relay.Config{
+		Clock: clock, Meter: m, Post: w.post, VM: "vm-1", Prefix: "vm-1-x",
+		Engine: engine.New(engine.Config{
+			Clock: clock, DialTimeout: 5 * cs.Second, FirstByte: 20 * cs.Second, Progress: 20 * cs.Second,
+			MaxAnswer: 1 << 20,
+		}),
+	})
+	t.Cleanup(func() {
+		w.relay.Close()
+		qt.Check(t, m.Close(), qt.IsNil)
+	})
+	return w
+}
+
+func (w *world) post(_ context.Context, e fleet.Event) error {
+	w.mu.Lock()
+	w.events = append(w.events, e)
+	close(w.changed)
+	w.changed = make(chan struct{})
+	w.mu.Unlock()
+	if w.decide != nil {
+		w.decide(e)
+	} else if a, ok := e.(fleet.RequestArrived); ok {
+		w.dispatch(a.Request.ID, 1, w.runner)
+	}
+	return nil
+}
+
+func (w *world) dispatch(id cs.RequestID, a cs.Attempt, addr cs.Address) {
+	w.relay.Dispatch(fleet.Dispatch{ID: id, Attempt: a, Address: addr})
+}
+
+// await waits for an event that the function accepts and returns it.
+func (w *world) await(t testing.TB, accept func(fleet.Event) bool) fleet.Event {
+	t.Helper()
+	for timeout := time.After(patience); ; {
+		w.mu.Lock()
+		i, changed, events := slices.IndexFunc(w.events, accept), w.changed, w.events
+		w.mu.Unlock()
+		if i >= 0 {
+			return events[i]
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			t.Fatalf("no such event among %#v", events)
+		}
+	}
+}
+
+// ended waits for the end of an attempt and returns its result.
+func (w *world) ended(t testing.TB, a cs.Attempt) fleet.RunResult {
+	t.Helper()
+	return w.await(t, func(e fleet.Event) bool {
+		x, ok := e.(fleet.RequestEnded)
+		return ok && x.Attempt == a
+	}).(fleet.RequestEnded).Result
+}
+
+// request returns a request for a number of tokens.
+func (w *world) request(tokens cs.Tokens) cs.Request {
+	return cs.Request{
+		ID: w.relay.NewID(), Tenant: "tenant",
+		Target: cs.Generation{Model: "tutor", Version: "v1", Prompt: "prompt", MaxTokens: tokens},
+	}
+}
+
+// ask streams an answer and returns what the caller gets.
+func (w *world) ask(t testing.TB, tokens cs.Tokens) string {
+	t.Helper()
+	body, err := w.relay.Stream(t.Context(), w.request(tokens))
+	qt.Assert(t, err, qt.IsNil)
+	defer body.Close()
+	var got strings.Builder
+	_, err = body.(io.WriterTo).WriteTo(&got)
+	qt.Assert(t, err, qt.IsNil)
+	return got.String()
+}
+
+// within fails the test if f does not return in time.
+func within(t testing.TB, what string, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() { defer close(done); f() }()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Fatalf("%s does not return", what)
+	}
+}
+
+// runnerRequest is what a runner is asked.
+type runnerRequest struct {
+	ID           string
+	ResumeText   string
+	ResumeTokens int
+	w            http.ResponseWriter
+	gone         <-chan struct{}
+	cancel       bool // the request is one to cancel a run
+}
+
+// runner answers requests as the test says; a cancellation is one too.
+func runner(t testing.TB, answer func(runnerRequest)) cs.Address {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := runnerRequest{w: w, gone: r.Context().Done(), cancel: r.URL.Path == "/v1/cancel"}
+		body, _ := io.ReadAll(r.Body)
+		_ = json.Unmarshal(body, &q)
+		answer(q)
+	}))
+	t.Cleanup(s.Close)
+	return cs.Address(s.Listener.Addr().String())
+}
+
+// tokens sends the events of some tokens, whose text names the source.
+func (q runnerRequest) tokens(source string, from, to int) {
+	for n := from; n <= to; n++ {
+		fmt.Fprint(q.w, event(q.ID, source, n))
+	}
+	q.w.(http.Flusher).Flush()
+}
+
+func (q runnerRequest) end(n int) {
+	fmt.Fprintf(q.w, "data: {\"id\":%q,\"done\":true,\"tokens\":%d,\"load\":{}}\n\n", q.ID, n)
+}
+
+func event(id, source string, n int) string {
+	return fmt.Sprintf("data: {\"id\":%q,\"n\":%d,\"text\":\" %s%d\"}\n\n", id, n, source, n)
+}
--- a/relay/writer.go
+++ b/relay/writer.go
@@ -9,16 +9,21 @@
 	cs "github.com/crocusstile/crocusstile"
 )
 
-// writeLimit bounds one write to a caller; one that takes nothing for so long is given up.
-const writeLimit = 30 * cs.Second
+const (
+	// writeLimit bounds a write to a caller; one that takes nothing for so long is given up.
+	writeLimit = 30 * cs.Second
+	// renewEvery is the time between two renewals of the limit, which cost more than a small write.
+	renewEvery = cs.Second
+)
 
-// lineEnd ends a server-sent event.
-var lineEnd = []byte("\n")
+// lineEnd ends a server-sent event, as a blank line after it.
+const lineEnd = '\n'
 
 // callerWriter writes server-sent events to a caller.
 type callerWriter struct {
 	w       io.Writer
 	control *http.ResponseController // nil if w is no http.ResponseWriter
+	renewAt time.Time
 	n       int64
 }
 
@@ -30,29 +35,26 @@
 	return c
 }
 
-// event writes an event, which ends with a line end; with more the flush is put off.
-func (c *callerWriter) event(event []byte, more bool) error {
-	if err := c.write(event); err != nil {
-		return err
-	}
-	if err := c.write(lineEnd); err != nil || more {
-		return err
-	}
-	return c.flush()
-}
-
-func (c *callerWriter) write(p []byte) error {
+// events writes events, each with its blank line; with more the flush is put off.
+func (c *callerWriter) events(p []byte, more bool) error {
+	c.renew()
 	n, err := c.w.Write(p)
 	c.n += int64(n)
-	return err
+	if err != nil || more || c.control == nil {
+		return err
+	}
+	return c.control.Flush()
 }
 
-func (c *callerWriter) flush() error {
-	if c.control == nil {
-		return nil
+// renew sets the time limit before a write, since a write of more than the buffer holds goes to the
+// connection without a flush.
+func (c *callerWriter) renew() {
+	now := time.Now()
+	if c.control == nil || now.Before(c.renewAt) {
+		return
 	}
-	_ = c.control.SetWriteDeadline(time.Now().Add(writeLimit.Std())) // not all writers have deadlines
-	return c.control.Flush()
+	c.renewAt = now.Add(renewEvery.Std())
+	_ = c.control.SetWriteDeadline(now.Add(writeLimit.Std())) // not all writers have deadlines
 }
 
 // end writes the end marker.
@@ -84,8 +86,5 @@
 	if err != nil {
 		return err
 	}
-	if err := c.write(append(append([]byte("data: "), body...), '\n')); err != nil {
-		return err
-	}
-	return c.event(nil, false)
+	return c.events(append(append([]byte("data: "), body...), lineEnd, lineEnd), false)
 }
