--- a/front/call.go
+++ b/front/call.go
@@ -21,10 +21,13 @@
 	}
 	state := f.serviceInForce(cs.ServiceID(p.Service))
 	nonIdempotent := p.NonIdempotent || slices.Contains(state.NonIdempotent, p.Method)
-	req := f.request(
+	req, err := f.request(
 		caller{p.Tenant, p.Class, p.DeadlineMs, p.IdempotencyKey, nonIdempotent},
 		cs.ServiceCall{Service: cs.ServiceID(p.Service), Method: p.Method, Body: body},
 	)
+	if err != nil {
+		return nil, servicesError(err)
+	}
 	a, err := f.cfg.Relay.Call(ctx, req, relay.CallConfig{Timeout: state.Timeout, Shards: f.cfg.Shards, Limit: queryLimit})
 	if err != nil {
 		return nil, servicesError(err)
--- a/front/error.go
+++ b/front/error.go
@@ -73,11 +73,11 @@
 func (e errorBody) StatusCode() int { return e.status }
 
 // format gives errors of goa's own the form of all others; goa also hands it the refusals.
-func format(_ context.Context, err error) goahttp.Statuser {
+func format(_ context.Context, err error) goahttp.Statuser { //nolint:misspell // the name is goa's
 	if b := refusalOf(err); b != nil {
 		return errorBody{Name: b.Name, Message: b.Message, Field: deref(b.Field), Ran: b.Ran}
 	}
-	e := errorBody{Name: cs.ReasonInvalid.String(), Message: err.Error(), Ran: cs.RanNotRun.String(), status: http.StatusBadRequest}
+	e := errorBody{Name: cs.ReasonInvalid.String(), Message: shorten(err.Error()), Ran: cs.RanNotRun.String(), status: http.StatusBadRequest}
 	var g *goa.ServiceError
 	switch {
 	case !errors.As(err, &g):
@@ -93,6 +93,16 @@
 	return e
 }
 
+// maxMessage bounds the message of an error of goa's, which shows the value that is wrong.
+const maxMessage = 500
+
+func shorten(message string) string {
+	if len(message) <= maxMessage {
+		return message
+	}
+	return strings.ToValidUTF8(message[:maxMessage], "") + "..."
+}
+
 // tooLarge names the error of a body above the limit.
 const tooLarge = "too_large"
 
@@ -107,11 +117,16 @@
 	dec.DisallowUnknownFields()
 	dec.UseNumber()
 	err := dec.Decode(v)
-	if err == nil && dec.More() {
-		err = errors.New("more than one JSON value in the body")
+	if errors.Is(err, io.EOF) {
+		return err // goa says that the body is missing
 	}
-	if err == nil || errors.Is(err, io.EOF) {
-		return err
+	if err == nil {
+		if _, err = dec.Token(); errors.Is(err, io.EOF) {
+			return nil
+		}
+		if !errors.HasType(err, (*http.MaxBytesError)(nil)) {
+			err = errors.New("more than one JSON value in the body")
+		}
 	}
 	return decodeError(err)
 }
--- a/front/front.go
+++ b/front/front.go
@@ -32,6 +32,13 @@
 // defaultDeadline bounds an online request that names no deadline.
 const defaultDeadline = 2 * cs.Minute
 
+// maxDeadline and maxDue bound the times that callers name, so that no time derived from them
+// overflows.
+const (
+	maxDeadline = 24 * cs.Hour
+	maxDue      = 366 * 24 * cs.Hour
+)
+
 // queryLimit bounds the wait for the owner of a shard.
 const queryLimit = 15 * cs.Second
 
@@ -111,7 +118,7 @@
 }
 
 // request returns a request of a caller.
-func (f *Front) request(c caller, target cs.Target) cs.Request {
+func (f *Front) request(c caller, target cs.Target) (cs.Request, error) {
 	req := cs.Request{
 		ID: f.cfg.Relay.NewID(), Tenant: cs.TenantID(c.tenant), Target: target,
 		Key: cs.IdempotencyKey(deref(c.key)), NonIdempotent: c.nonIdempotent, Hash: cs.HashTarget(target),
@@ -123,8 +130,11 @@
 	if c.deadlineMs != nil {
 		limit = cs.Span(*c.deadlineMs)
 	}
+	if limit > maxDeadline {
+		return req, cs.Invalid("deadlineMs", "must be at most %d", maxDeadline)
+	}
 	req.Deadline = f.cfg.Clock.Now().Add(limit)
-	return req
+	return req, nil
 }
 
 // deref returns what p points to, or the zero value.
--- a/front/inference.go
+++ b/front/inference.go
@@ -9,7 +9,7 @@
 )
 
 // generation returns the request of an ask or answer.
-func (f *Front) generation(p *inference.Ask2) cs.Request {
+func (f *Front) generation(p *inference.Ask2) (cs.Request, error) {
 	g := cs.Generation{
 		Model: cs.ModelID(p.Model), Adapter: cs.AdapterID(deref(p.Adapter)),
 		Version: cs.VersionID(deref(p.Version)), Prompt: p.Prompt, MaxTokens: cs.Tokens(p.MaxTokens),
@@ -22,7 +22,10 @@
 
 // Ask streams an answer.
 func (f *Front) Ask(ctx context.Context, p *inference.Ask2) (*inference.AskResult, io.ReadCloser, error) {
-	req := f.generation(p)
+	req, err := f.generation(p)
+	if err != nil {
+		return nil, nil, inferenceError(err)
+	}
 	body, err := f.cfg.Relay.Stream(ctx, req)
 	if err != nil {
 		return nil, nil, inferenceError(err)
@@ -32,7 +35,10 @@
 
 // Answer returns a whole answer.
 func (f *Front) Answer(ctx context.Context, p *inference.Ask2) (*inference.AnswerResult, error) {
-	req := f.generation(p)
+	req, err := f.generation(p)
+	if err != nil {
+		return nil, inferenceError(err)
+	}
 	a, err := f.cfg.Relay.Answer(ctx, req)
 	if err != nil {
 		return nil, inferenceError(err)
--- a/front/job.go
+++ b/front/job.go
@@ -30,6 +30,9 @@
 	if p.DueMs != nil {
 		due = cs.Span(*p.DueMs)
 	}
+	if due > maxDue {
+		return nil, jobsError(cs.Invalid("dueMs", "must be at most %d", maxDue))
+	}
 	job := cs.Job{
 		ID:     cs.NewJobID(cs.TenantID(p.Tenant), cs.IdempotencyKey(p.Key)),
 		Tenant: cs.TenantID(p.Tenant), Key: cs.IdempotencyKey(p.Key), Content: content,
@@ -133,6 +136,8 @@
 func toTarget(x *jobs.Item) (target cs.Target, field, problem string) {
 	if x.Service != nil {
 		switch {
+		case *x.Service == "":
+			return nil, "service", "must not be empty"
 		case x.Model != nil || x.Prompt != nil:
 			return nil, "service", "an item has either a service or a model"
 		case deref(x.Method) == "":
--- a/front/operator.go
+++ b/front/operator.go
@@ -101,6 +101,9 @@
 	}
 	if s := p.Service; s != nil {
 		states++
+		if ms := cs.Span(deref(s.TimeoutMs)); ms < 0 || ms > maxDeadline {
+			return t, cs.Invalid("service.timeoutMs", "must be between 0 and %d", maxDeadline)
+		}
 		t.State = cs.Service{
 			Name: cs.ServiceID(s.Name), NonIdempotent: s.NonIdempotent, Timeout: cs.Span(deref(s.TimeoutMs)),
 		}
