Test the decisions and draw further runners only under load

Cause: with two candidates for each content a burst of one content waited 1.2 s to 2.3 s behind two runners; the decisions had no tests of their own. Ruled out: a bound on the load alone (a third runner in a loaded fleet); counting requests instead of this VM's share (12 requests of six VMs on 8 slots). Change: further runners are drawn once both candidates are above the bound and this VM has used its share of them.

--- /dev/null
+++ b/batch/batch_test.go
@@ -0,0 +1,135 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+const at cs.Instant = 1_000_000
+
+// tables returns the sender of n runners with 8 slots, and two owners with items.
+func tables(n int) *fleet.Tables {
+	self := cs.VM{ID: "vm0", DataCentre: "a"}
+	t := fleet.New(fleet.DefaultConfig(), self, at, 1)
+	t.VMs.Insert(self.ID, fleet.VM{VM: self, Live: true})
+	for _, id := range []cs.VMID{"vm1", "vm2"} {
+		t.VMs.Insert(id, fleet.VM{
+			VM: cs.VM{ID: id, DataCentre: "a"}, Live: true, Linked: true, Backlog: map[cs.ShardID]cs.ItemIndex{1: 1 << 20},
+		})
+	}
+	for i := range n {
+		id := cs.RunnerID(fmt.Sprint("r", i))
+		t.Runners.Insert(id, fleet.Runner{
+			Runner: cs.Runner{ID: id, DataCentre: "a", Slots: 8}, Sender: "vm0", BatchLimit: 8, ReportAt: at,
+			Report: cs.LoadReport{Loaded: []cs.LoadedModel{{Model: "m"}}},
+		})
+	}
+	return t
+}
+
+func run(t *fleet.Tables, events ...fleet.Event) []fleet.Action {
+	var out fleet.Actions
+	t.Events = events
+	Settle(t, at, &out)
+	Yield(t, at, &out)
+	Offer(t, at, &out)
+	return out.List
+}
+
+func sent[M cs.PeerMessage](list []fleet.Action) (found []M) {
+	for _, a := range list {
+		if s, ok := a.(fleet.Send); ok {
+			if m, ok := s.Message.(M); ok {
+				found = append(found, m)
+			}
+		}
+	}
+	return found
+}
+
+func stopped(list []fleet.Action) (n int) {
+	for _, a := range list {
+		if _, ok := a.(fleet.StopItem); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func grant(offer uint64, n int) fleet.PeerSaid {
+	m := cs.ItemsGranted{Offer: offer, Runner: "r0", Shard: 1}
+	for i := range n {
+		item := cs.Item{Target: cs.Generation{Model: "m", Prompt: fmt.Sprint(i), MaxTokens: 100}}
+		m.Items = append(m.Items, cs.GrantedItem{Key: cs.ItemKey{Job: "j", Index: cs.ItemIndex(i)}, Attempt: 1, Item: item})
+	}
+	return fleet.PeerSaid{From: "vm1", Message: m}
+}
+
+// TestOffer guards against batch that takes slots which online requests need.
+func TestOffer(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*fleet.Tables, *fleet.Runner)
+		want   cs.Slots
+	}{
+		"idle":           {func(*fleet.Tables, *fleet.Runner) {}, 7},
+		"weight 0":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Weight = 0 }, 8},
+		"online":         {func(_ *fleet.Tables, r *fleet.Runner) { r.Online, r.Peers = 2, 1; r.ReportAt = 0 }, 4},
+		"limit":          {func(_ *fleet.Tables, r *fleet.Runner) { r.BatchLimit = 3.9 }, 3},
+		"yield":          {func(_ *fleet.Tables, r *fleet.Runner) { r.YieldUntil = at + 1 }, 0},
+		"draining":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Drain.Phase = fleet.DrainWaiting }, 0},
+		"another sender": {func(_ *fleet.Tables, r *fleet.Runner) { r.Sender = "vm1" }, 0},
+		"down":           {func(_ *fleet.Tables, r *fleet.Runner) { r.DownSince = at }, 0},
+		"no batch":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Policy.NoBatch = true }, 0},
+	} {
+		tb := tables(1)
+		c.change(tb, tb.Runners.Get("r0"))
+		var total cs.Slots
+		for _, o := range sent[cs.SlotsOffered](run(tb)) {
+			total += o.Slots
+		}
+		qt.Check(t, total, qt.Equals, c.want, qt.Commentf(name))
+	}
+}
+
+// TestGrantYieldReturn guards against runs that are not stopped in the tick of a yield, and against
+// outcomes that are lost when the owner dies.
+func TestGrantYieldReturn(t *testing.T) {
+	tb := tables(1)
+	offers := sent[cs.SlotsOffered](run(tb))
+	run(tb, grant(offers[0].Offer, 6))
+	r := tb.Runners.Get("r0")
+	qt.Assert(t, r.Batch, qt.Equals, cs.Slots(6))
+	yielded := run(tb, fleet.PeerSaid{From: "vm2", Message: cs.Yield{Runner: "r0", Slots: 3}})
+	qt.Assert(t, stopped(yielded), qt.Equals, 2) // 6 + 3 - 8 and one to spare
+	tb.VMs.Get("vm1").Live = false
+	end := fleet.ItemRunEnded{Key: cs.ItemKey{Job: "j"}, Attempt: 1, Output: "ab", Tokens: 2, Result: fleet.RunCancelled{}}
+	qt.Assert(t, sent[cs.ItemReturned](run(tb, end)), qt.HasLen, 0)
+	tb.VMs.Get("vm2").Beat.Owned = []cs.OwnedShard{{Shard: 1}}
+	tb.Runs.Get(end.Key).RetryAt = at
+	qt.Check(t, sent[cs.ItemReturned](run(tb)), qt.DeepEquals,
+		[]cs.ItemReturned{{Key: end.Key, Attempt: 1, Stopped: true, Output: "ab", Tokens: 2}})
+	r.Sender = "vm2"
+	tb.VMs.Get("vm0").SendingAt = 0
+	qt.Check(t, stopped(run(tb)), qt.Equals, 4)
+}
+
+func BenchmarkOffer(b *testing.B) {
+	for _, n := range []int{12, 100, 400} {
+		b.Run(fmt.Sprint("runners=", n), func(b *testing.B) {
+			tb := tables(n)
+			var out fleet.Actions
+			for b.Loop() {
+				out.Reset()
+				Offer(tb, at, &out)
+				for _, r := range tb.Runners.All() {
+					r.Offers, r.Offered = r.Offers[:0], 0
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,110 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+const at cs.Instant = 1_000_000
+
+func tables(n int) *fleet.Tables {
+	self := cs.VM{ID: "vm0", DataCentre: "a"}
+	t := fleet.New(fleet.DefaultConfig(), self, at, 1)
+	t.VMs.Insert(self.ID, fleet.VM{VM: self, Live: true})
+	for i := range n {
+		id := cs.RunnerID(fmt.Sprint("r", i))
+		t.Runners.Insert(id, fleet.Runner{
+			Runner: cs.Runner{ID: id, Slots: 32}, Sender: "vm0", SenderSince: at - 10_000, LimitAt: at,
+			Report: cs.LoadReport{Loaded: []cs.LoadedModel{{Model: "m"}}}, FirstToken: 100, Samples: 9, SampledAt: at,
+		})
+	}
+	return t
+}
+
+// TestBudget guards against retries above a tenth of the requests, and against a VM on which a
+// single request cannot be retried.
+func TestBudget(t *testing.T) {
+	tb, spent, now := tables(0), 0, at
+	qt.Assert(t, Spend(tb, now), qt.IsTrue)
+	for range 1000 {
+		now = now.Add(10)
+		Earn(tb, now)
+		if Spend(tb, now) {
+			spent++
+		}
+	}
+	qt.Check(t, spent <= 100, qt.IsTrue, qt.Commentf("%d retries of 1000 requests", spent))
+	qt.Check(t, spent >= 70, qt.IsTrue, qt.Commentf("%d retries of 1000 requests", spent))
+}
+
+// TestEjectsAtMostAThird guards against ejections that leave too few runners, and against ejections
+// that do not grow.
+func TestEjectsAtMostAThird(t *testing.T) {
+	tb := tables(7)
+	var out fleet.Actions
+	for _, r := range tb.Runners.All() {
+		for range ejectFailures {
+			observeBroken(tb, r, fleet.RunBroken{}, at, &out)
+		}
+	}
+	ejected := 0
+	for _, r := range tb.Runners.All() {
+		if !Usable(r, at) {
+			ejected++
+		}
+	}
+	qt.Check(t, ejected, qt.Equals, 2)
+	r, spans := tb.Runners.Get("r0"), []cs.Span{cs.Second}
+	for range 4 {
+		now := r.EjectedUntil
+		Outrun(tb, r, now, &out)
+		spans = append(spans, r.EjectedUntil.Sub(now))
+	}
+	qt.Check(t, spans, qt.DeepEquals, []cs.Span{cs.Second, 4 * cs.Second, 16 * cs.Second, cs.Minute, cs.Minute})
+}
+
+// TestAdapt guards against a limit that rises too slowly to use capacity that is idle for seconds, or
+// stays up while online requests are slow.
+func TestAdapt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limit  float64
+		change func(*fleet.Runner)
+		want   float64
+	}{
+		{"ramp in a second", 1, func(*fleet.Runner) {}, 32},
+		{"new sender", 8, func(r *fleet.Runner) { r.SenderSince = at }, 1},
+		{"above the target", 10, func(r *fleet.Runner) { r.FirstToken = 1600 }, 7},
+		{"above the base", 10, func(r *fleet.Runner) { r.BaseFirstToken = 60 }, 7},
+		{"old sample", 31, func(r *fleet.Runner) { r.FirstToken, r.SampledAt = 1600, at-5000 }, 32},
+		{"after a yield", 5, func(r *fleet.Runner) { r.YieldUntil = at + 2000 }, 5},
+	} {
+		tb := tables(1)
+		r := tb.Runners.Get("r0")
+		r.BatchLimit = c.limit
+		c.change(r)
+		var out fleet.Actions
+		Adapt(tb, at.Add(cs.Second), &out)
+		qt.Check(t, r.BatchLimit, qt.Equals, c.want, qt.Commentf(c.name))
+	}
+}
+
+func BenchmarkAdapt(b *testing.B) {
+	for _, n := range []int{12, 100, 400} {
+		b.Run(fmt.Sprint("runners=", n), func(b *testing.B) {
+			tb := tables(n)
+			var out fleet.Actions
+			now := at
+			for b.Loop() {
+				now = now.Add(adaptEvery)
+				out.Reset()
+				Adapt(tb, now, &out)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/bench_test.go
@@ -0,0 +1,49 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// BenchmarkDispatch measures one tick that sends all queued requests.
+func BenchmarkDispatch(b *testing.B) {
+	for _, runners := range []int{12, 100, 400} {
+		for _, queued := range []int{10, 100, 1000} {
+			b.Run(fmt.Sprintf("runners=%d/queued=%d", runners, queued), func(b *testing.B) {
+				var out fleet.Actions
+				for b.Loop() {
+					b.StopTimer()
+					tb := tables(runners)
+					tb.Config.MaxQueued = queued
+					for i := range queued {
+						tb.Events = append(tb.Events, fleet.RequestArrived{Request: request(cs.RequestID(fmt.Sprint(i)))})
+					}
+					Admit(tb, at, &out)
+					out.Reset()
+					b.StartTimer()
+					Dispatch(tb, at, &out)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkIdleTick measures a tick of the package without events, with requests in flight.
+func BenchmarkIdleTick(b *testing.B) {
+	tb := tables(400)
+	for i := range 250 {
+		step(tb, at, fleet.RequestArrived{Request: request(cs.RequestID(fmt.Sprint(i)))})
+		step(tb, at, fleet.RequestFirstToken{ID: cs.RequestID(fmt.Sprint(i)), Attempt: 1, Took: 100})
+	}
+	tb.Events = nil
+	var out fleet.Actions
+	for b.Loop() {
+		out.Reset()
+		Settle(tb, at, &out)
+		Admit(tb, at, &out)
+		Dispatch(tb, at, &out)
+	}
+}
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -13,6 +13,8 @@
 	key poolKey
 	// local are those of the own data centre, remote the others.
 	local, remote group
+	// share is this VM's share of a runner: one of the live VMs of the data centre.
+	share float64
 	// median is the median first-token time in milliseconds; 0 while unknown.
 	median   float64
 	measured bool
@@ -35,6 +37,8 @@
 	slots  cs.Slots
 	online cs.Slots
 	total  float64
+	// trial means that the runner was ejected and has not answered in good time since.
+	trial bool
 }
 
 // poolKey identifies a kind of target.
@@ -67,7 +71,7 @@
 			return p
 		}
 	}
-	p := &pool{key: key}
+	p := &pool{key: key, share: 1 / float64(d.liveVMs())}
 	target = d.deployedVersion(target)
 	for _, r := range d.t.Runners.All() {
 		if limit.Usable(r, d.now) && limit.Serves(r, target) {
@@ -78,12 +82,23 @@
 	return p
 }
 
+// liveVMs counts the live VMs of the own data centre, this one included.
+func (d *round) liveVMs() int {
+	n := 1
+	for id, vm := range d.t.VMs.All() {
+		if id != d.t.Self.ID && vm.Live && vm.DataCentre == d.t.Self.DataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *pool) add(r *fleet.Runner, near bool, now cs.Instant) {
 	g := &p.remote
 	if near {
 		g = &p.local
 	}
-	c := candidate{group: g, row: r, key: limit.RunnerKey(r.ID), slots: limit.Slots(r)}
+	c := candidate{group: g, row: r, key: limit.RunnerKey(r.ID), slots: limit.Slots(r), trial: r.Ejections > 0}
 	c.measure(now)
 	g.list = append(g.list, c)
 	g.seen += c.seen()
