Gather remote runners on demand and bound claims and failures

Cause: Dispatch walked the runners of all data centres for each target; claims grew without a load report; a runner that fails at once looked idle and drew traffic. Change: runners of other data centres are gathered only if the own ones do not do; claims are bounded by the slots; failures raise the expected time; a runner on trial is ejected at its first failure; a service's timeout bounds the deadline; batch runs of quarantined contents stop.

--- a/batch/yield.go
+++ b/batch/yield.go
@@ -7,6 +7,7 @@
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/limit"
+	"github.com/crocusstile/crocusstile/quarantine"
 )
 
 // yieldPause is the time after a yield during which a runner gets no new batch runs. It covers the
@@ -18,17 +19,15 @@
 const yieldMargin cs.Slots = 1
 
 // Yield stops batch runs where online requests need their slots, and all runs that this VM must not
-// continue: those on runners of which it is no longer the batch sender, and those of a VM that
-// leaves.
+// continue: those on runners of which it is no longer the batch sender, those of a VM that leaves, and
+// those of quarantined contents.
 func Yield(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case fleet.PeerSaid:
 			if m, ok := e.Message.(cs.Yield); ok {
 				if r := t.Runners.Get(m.Runner); r != nil && r.Sender == t.Self.ID {
-					for range m.Slots {
-						r.Claims = append(r.Claims, now)
-					}
+					claim(r, m.Slots, now)
 					yield(t, r, 0, now, out)
 				}
 			}
@@ -51,7 +50,16 @@
 		}
 	}
 	if fresh || t.Drain.Phase >= fleet.DrainFinishing {
-		release(t, out)
+		release(t, now, out)
+	}
+}
+
+// claim notes slots that peers take. Claims last until the runner's next load, and no more of them
+// count than online requests can be on the runner.
+func claim(r *fleet.Runner, n cs.Slots, now cs.Instant) {
+	room := limit.Slots(r) - cs.Slots(len(r.Claims))
+	for range min(n, room) {
+		r.Claims = append(r.Claims, now)
 	}
 }
 
@@ -106,12 +114,17 @@
 
 // release stops the runs that this VM must not continue. Those that must not be repeated go on, since
 // a stopped one could not run again.
-func release(t *fleet.Tables, out *fleet.Actions) {
+func release(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
 	for _, run := range t.Runs.All() {
 		r := t.Runners.Get(run.Runner)
 		lost := r == nil || r.Sender != t.Self.ID || t.Drain.Phase >= fleet.DrainFinishing
-		if lost && !run.Item.NonIdempotent {
+		if lost && !run.Item.NonIdempotent || barred(t, run, now) {
 			stop(run, out)
 		}
 	}
 }
+
+// barred reports whether a run's content was quarantined since it started.
+func barred(t *fleet.Tables, run *fleet.Run, now cs.Instant) bool {
+	return t.Suspects.Len() > 0 && quarantine.Blocked(t, cs.HashTarget(run.Item.Target), now)
+}
--- a/limit/observe.go
+++ b/limit/observe.go
@@ -123,11 +123,16 @@
 }
 
 func observeBroken(t *fleet.Tables, r *fleet.Runner, x fleet.RunBroken, now cs.Instant, out *fleet.Actions) {
-	r.Failures++
 	if x.Crashed {
 		markDown(r, now, out)
 	}
-	if r.Failures >= ejectFailures {
+	failed(t, r, now, out)
+}
+
+// failed counts a failure. A runner on trial after an ejection is ejected again at once.
+func failed(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
+	r.Failures++
+	if r.Failures >= ejectFailures || r.Ejections > 0 {
 		eject(t, r, now, out)
 	}
 }
@@ -140,10 +145,7 @@
 	if x.Invalid {
 		return
 	}
-	r.Failures++
-	if r.Failures >= ejectFailures {
-		eject(t, r, now, out)
-	}
+	failed(t, r, now, out)
 }
 
 func observeReport(t *fleet.Tables, e fleet.LoadReported, now cs.Instant) {
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -108,6 +108,9 @@
 	if k := t.Tickets.Get(cs.Service{Name: call.Service}.Scope()); k != nil {
 		s, isService := k.Ticket.State.(cs.Service)
 		r.NonIdempotent = r.NonIdempotent || isService && slices.Contains(s.NonIdempotent, call.Method)
+		if s.Timeout > 0 {
+			r.Deadline = min(r.Deadline, now.Add(s.Timeout))
+		}
 	}
 }
 
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -24,6 +24,8 @@
 	distance = 20.0
 	// assumedFirstToken stands in for first-token times that are not known yet, in milliseconds.
 	assumedFirstToken = 100.0
+	// maxPenalty bounds the failures in a row that each double the expected time.
+	maxPenalty = 4
 	// forget is the age in milliseconds at which the distance of a runner's average from the
 	// median counts half, so that a runner that was slow is tried again.
 	forget = 10_000.0
@@ -35,16 +37,16 @@
 		return d.chooseSuspect(p, q)
 	}
 	if d.t.Config.Policy.RoundRobin {
-		return inTurn(p, q)
+		return d.inTurn(p, q)
 	}
 	if p.full && len(q.Tried) == 0 {
 		return nil
 	}
-	near := d.draw(p, &p.local, q)
+	near := d.draw(p, p.local, q)
 	if near != nil && near.online < near.slots {
 		return near
 	}
-	far := d.draw(p, &p.remote, q)
+	far := d.draw(p, d.far(p, q.Target), q)
 	if near == nil && far == nil && len(q.Tried) == 0 {
 		p.full = true
 	}
@@ -60,7 +62,7 @@
 	if !ok {
 		return nil
 	}
-	for _, g := range [...]*group{&p.local, &p.remote} {
+	for _, g := range [...]*group{p.local, d.far(p, q.Target)} {
 		for i := range g.list {
 			if c := &g.list[i]; c.row.ID == id && c.hasRoom() {
 				return c
@@ -71,10 +73,10 @@
 }
 
 // inTurn returns the runner with the fewest dispatches, without regard to load: the baseline.
-func inTurn(p *pool, q *fleet.Request) *candidate {
-	g := &p.local
+func (d *round) inTurn(p *pool, q *fleet.Request) *candidate {
+	g := p.local
 	if len(g.list) == 0 {
-		g = &p.remote
+		g = d.far(p, q.Target)
 	}
 	var best *candidate
 	for i := range g.list {
@@ -180,6 +182,8 @@
 		age := float64(d.now.Sub(c.row.SampledAt))
 		own += (c.row.FirstToken - usual) * math.Exp2(-age/forget)
 	}
+	// A runner that fails at once looks idle and would draw the traffic.
+	own *= math.Exp2(float64(min(c.row.Failures, maxPenalty)))
 	slots := float64(c.slots)
 	// Batch counts half, since it gives way.
 	seen := c.seen()
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -11,8 +11,8 @@
 // pool holds the runners that can serve one kind of target.
 type pool struct {
 	key poolKey
-	// local are those of the own data centre, remote the others.
-	local, remote group
+	// local are those of the own data centre, remote the others; remote is nil until it is needed.
+	local, remote *group
 	// share is this VM's share of a runner: one of the live VMs of the data centre.
 	share float64
 	// median is the median first-token time in milliseconds; 0 while unknown.
@@ -72,65 +72,62 @@
 		}
 	}
 	p := &pool{key: key, share: 1 / float64(d.liveVMs())}
-	target = d.deployedVersion(target)
-	for _, r := range d.t.Runners.All() {
-		if limit.Usable(r, d.now) && limit.Serves(r, target) {
-			p.add(r, r.DataCentre == d.t.Self.DataCentre, d.now)
-		}
-	}
+	p.local = d.gather(target, true)
 	d.pools = append(d.pools, p)
 	return p
 }
 
-// liveVMs counts the live VMs of the own data centre, this one included.
-func (d *round) liveVMs() int {
-	n := 1
-	for id, vm := range d.t.VMs.All() {
-		if id != d.t.Self.ID && vm.Live && vm.DataCentre == d.t.Self.DataCentre {
-			n++
-		}
-	}
-	return n
-}
-
-func (p *pool) add(r *fleet.Runner, near bool, now cs.Instant) {
-	g := &p.remote
-	if near {
-		g = &p.local
+// far returns the runners of other data centres, which are gathered only if the own ones do not do.
+func (d *round) far(p *pool, target cs.Target) *group {
+	if p.remote == nil {
+		p.remote = d.gather(target, false)
 	}
-	c := candidate{group: g, row: r, key: limit.RunnerKey(r.ID), slots: limit.Slots(r), trial: r.Ejections > 0}
-	c.measure(now)
-	g.list = append(g.list, c)
-	g.seen += c.seen()
+	return p.remote
 }
 
-// deployedVersion adds the deployed version to a generation that names none, if runners hold several
-// versions of the model and one of them the deployed one.
-func (d *round) deployedVersion(target cs.Target) cs.Target {
-	g, ok := target.(cs.Generation)
-	if !ok || g.Version != "" || !d.severalVersions(g.Model) {
-		return target
+// gather lists the usable runners for a target in the own data centre, or in the others. A
+// generation that names no version gets the deployed one while runners hold several.
+func (d *round) gather(target cs.Target, near bool) *group {
+	g := d.list(target, near)
+	gen, ok := target.(cs.Generation)
+	if !ok || gen.Version != "" || !g.severalVersions(gen.Model) {
+		return g
 	}
 	for _, k := range d.t.Tickets.All() {
 		dep, ok := k.Ticket.State.(cs.Deployment)
-		if !ok || dep.Model != g.Model {
+		if !ok || dep.Model != gen.Model {
 			continue
 		}
-		x := g
-		x.Version = dep.Version
-		for _, r := range d.t.Runners.All() {
-			if limit.Up(r) && limit.Serves(r, x) {
-				return x
-			}
+		gen.Version = dep.Version
+		if only := d.list(gen, near); len(only.list) > 0 {
+			return only
 		}
 	}
-	return target
+	return g
 }
 
-func (d *round) severalVersions(m cs.ModelID) bool {
-	var first cs.VersionID
+func (d *round) list(target cs.Target, near bool) *group {
+	g := &group{}
 	for _, r := range d.t.Runners.All() {
-		for _, l := range r.Report.Loaded {
+		if (r.DataCentre == d.t.Self.DataCentre) == near && limit.Usable(r, d.now) && limit.Serves(r, target) {
+			g.add(r, d.now)
+		}
+	}
+	return g
+}
+
+func (g *group) add(r *fleet.Runner, now cs.Instant) {
+	c := candidate{group: g, row: r, key: limit.RunnerKey(r.ID), slots: limit.Slots(r), trial: r.Ejections > 0}
+	c.measure(now)
+	g.list = append(g.list, c)
+	g.seen += c.seen()
+}
+
+// severalVersions reports whether the runners hold more than one version of a model.
+func (g *group) severalVersions(m cs.ModelID) bool {
+	var first cs.VersionID
+	for _, c := range g.list {
+		for _, l := range c.row.Report.Loaded {
 			if l.Model != m || l.Version == first {
 				continue
 			}
@@ -143,18 +140,28 @@
 	return false
 }
 
-// usual returns the median first-token time of the pool in milliseconds, or 0 while it is unknown.
+// liveVMs counts the live VMs of the own data centre, this one included.
+func (d *round) liveVMs() int {
+	n := 1
+	for id, vm := range d.t.VMs.All() {
+		if id != d.t.Self.ID && vm.Live && vm.DataCentre == d.t.Self.DataCentre {
+			n++
+		}
+	}
+	return n
+}
+
+// usual returns the median first-token time of the own runners in milliseconds, or 0 while it is
+// unknown.
 func (p *pool) usual() float64 {
 	if p.measured {
 		return p.median
 	}
 	p.measured = true
 	var all []float64
-	for _, g := range [...]*group{&p.local, &p.remote} {
-		for _, c := range g.list {
-			if c.row.FirstToken > 0 {
-				all = append(all, c.row.FirstToken)
-			}
+	for _, c := range p.local.list {
+		if c.row.FirstToken > 0 {
+			all = append(all, c.row.FirstToken)
 		}
 	}
 	if len(all) > 0 {
