Return items that did not run as not run and sum up offers anew

Cause: an item given back as stopped ends as unknown at its owner if it must not be repeated; the row of a runner's new process keeps Offered without the offers, so that slots were lost for ever. Ruled out: counting this VM's backlog from Job.Queue (owners keep lanes now, and WorkWaiting comes each second). Change: give back with a refusal that says not run; Offered is the sum of Offers; offers are withdrawn when the sender changes; heartbeats' backlogs are left to package membership, and the count of granted items to package job.

--- a/batch/grant.go
+++ b/batch/grant.go
@@ -15,19 +15,12 @@
 
 // take handles what owners said: work that waits, and items granted for offers.
 func take(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
-	if _, fresh := limit.Sending(t, now); fresh {
-		ownBacklog(t)
-	}
 	for _, e := range t.Events {
 		p, ok := e.(fleet.PeerSaid)
 		if !ok {
 			continue
 		}
 		switch m := p.Message.(type) {
-		case cs.Heartbeat:
-			if vm := t.VMs.Get(p.From); vm != nil {
-				backlog(vm, m.Owned)
-			}
 		case cs.WorkWaiting:
 			workWaiting(t, p.From, m, now)
 		case cs.ItemsGranted:
@@ -37,45 +30,6 @@
 	}
 }
 
-// ownBacklog counts the waiting items of the shards that this VM owns, of which it hears no heartbeat.
-func ownBacklog(t *fleet.Tables) {
-	self := t.VMs.Get(t.Self.ID)
-	if self == nil {
-		return
-	}
-	var owned []cs.OwnedShard
-	for id, s := range t.Shards.All() {
-		if s.Owned {
-			owned = append(owned, cs.OwnedShard{Shard: id})
-		}
-	}
-	if len(owned) == 0 {
-		return
-	}
-	for _, j := range t.Jobs.All() {
-		for i := range owned {
-			if owned[i].Shard == j.Shard {
-				owned[i].Waiting += cs.ItemIndex(len(j.Queue))
-			}
-		}
-	}
-	backlog(self, owned)
-}
-
-// backlog takes over the waiting items of a heartbeat.
-func backlog(vm *fleet.VM, owned []cs.OwnedShard) {
-	clear(vm.Backlog)
-	for _, o := range owned {
-		if o.Waiting == 0 {
-			continue
-		}
-		if vm.Backlog == nil {
-			vm.Backlog = make(map[cs.ShardID]cs.ItemIndex)
-		}
-		vm.Backlog[o.Shard] = o.Waiting
-	}
-}
-
 func workWaiting(t *fleet.Tables, from cs.VMID, m cs.WorkWaiting, now cs.Instant) {
 	vm := t.VMs.Get(from)
 	if vm == nil {
@@ -103,10 +57,6 @@
 			decline(r, from, now)
 		}
 	}
-	if len(m.Items) == 0 {
-		return
-	}
-	out.Count(fleet.CountItemsGranted, m.Items[0].Tenant, int64(len(m.Items)))
 	for _, item := range m.Items {
 		run := fleet.Run{GrantedItem: item, Runner: m.Runner, Owner: from, Shard: m.Shard, Since: now}
 		if !accepts(t, r, now) || !start(t, r, run, now, out) {
@@ -123,7 +73,7 @@
 	}
 	n := r.Offers[i].Slots
 	r.Offers = slices.Delete(r.Offers, i, i+1)
-	r.Offered -= n
+	r.Offered = max(r.Offered-n, 0)
 	return n
 }
 
@@ -180,11 +130,13 @@
 	return true
 }
 
-// giveBack returns an item that did not run. Without a refusal it counts as stopped.
+// giveBack returns an item that did not run, because of the refusal, or else for want of a slot.
 func giveBack(t *fleet.Tables, run fleet.Run, refusal *cs.Refusal, out *fleet.Actions) {
+	if refusal == nil {
+		refusal = cs.Refuse(cs.ReasonUnavailable, "the slot offered is taken")
+	}
 	run.Ended = &cs.ItemReturned{
-		Key: run.Key, Attempt: run.Attempt, Stopped: refusal == nil,
-		Output: run.Partial, Tokens: run.Tokens, Refusal: refusal,
+		Key: run.Key, Attempt: run.Attempt, Output: run.Partial, Tokens: run.Tokens, Refusal: refusal,
 	}
 	deliver(t, &run, out)
 }
--- a/batch/offer.go
+++ b/batch/offer.go
@@ -20,7 +20,10 @@
 		return
 	}
 	var owners []*fleet.VM
-	list, _ := limit.Sending(t, now)
+	list, fresh := limit.Sending(t, now)
+	if fresh {
+		withdraw(t)
+	}
 	for _, id := range list {
 		r := t.Runners.Get(id)
 		if r == nil {
@@ -67,18 +70,29 @@
 	return limit.Up(r) && now >= r.EjectedUntil
 }
 
-// expire drops offers without an answer.
+// expire drops offers without an answer. Offered is summed up anew, since the row of a runner's new
+// process keeps it without the offers.
 func expire(r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
+	r.Offered = 0
 	r.Offers = slices.DeleteFunc(r.Offers, func(o fleet.SlotOffer) bool {
-		if now.Sub(o.At) < offerFor {
-			out.WakeAt(o.At.Add(offerFor))
-			return false
+		if now.Sub(o.At) >= offerFor {
+			return true
 		}
-		r.Offered -= o.Slots
-		return true
+		r.Offered += o.Slots
+		out.WakeAt(o.At.Add(offerFor))
+		return false
 	})
 }
 
+// withdraw forgets the offers for runners of which this VM is no longer the batch sender.
+func withdraw(t *fleet.Tables) {
+	for _, r := range t.Runners.All() {
+		if r.Offered != 0 && r.Sender != t.Self.ID {
+			r.Offers, r.Offered = nil, 0
+		}
+	}
+}
+
 // waitingOwners lists the VMs with waiting items, those of the own data centre first and then the
 // one that has waited longest for an offer.
 func waitingOwners(t *fleet.Tables) []*fleet.VM {
--- a/routing/sim_test.go
+++ b/routing/sim_test.go
@@ -241,12 +241,12 @@
 			h.Online = append(h.Online, cs.RunnerCount{Runner: id, Count: r.Online})
 		}
 	}
-	if s.batchOn {
-		h.Owned = []cs.OwnedShard{{Waiting: 1000}}
-	}
 	for _, o := range s.vms {
 		row := o.t.VMs.Get(v.t.Self.ID)
 		row.Beat, row.BeatAt = h, s.now
+		if s.batchOn {
+			row.Backlog = map[cs.ShardID]cs.ItemIndex{0: 1000}
+		}
 		s.event(o, fleet.PeerSaid{From: v.t.Self.ID, Message: h})
 	}
 }
