--- a/batch/grant.go
+++ b/batch/grant.go
@@ -21,10 +21,6 @@
 			continue
 		}
 		switch m := p.Message.(type) {
-		case cs.Heartbeat:
-			if vm := t.VMs.Get(p.From); vm != nil {
-				backlog(vm, m.Owned)
-			}
 		case cs.WorkWaiting:
 			workWaiting(t, p.From, m, now)
 		case cs.ItemsGranted:
@@ -34,20 +30,6 @@
 	}
 }
 
-// backlog takes over the waiting items of a heartbeat.
-func backlog(vm *fleet.VM, owned []cs.OwnedShard) {
-	clear(vm.Backlog)
-	for _, o := range owned {
-		if o.Waiting == 0 {
-			continue
-		}
-		if vm.Backlog == nil {
-			vm.Backlog = make(map[cs.ShardID]cs.ItemIndex)
-		}
-		vm.Backlog[o.Shard] = o.Waiting
-	}
-}
-
 func workWaiting(t *fleet.Tables, from cs.VMID, m cs.WorkWaiting, now cs.Instant) {
 	vm := t.VMs.Get(from)
 	if vm == nil {
@@ -75,10 +57,6 @@
 			decline(r, from, now)
 		}
 	}
-	if len(m.Items) == 0 {
-		return
-	}
-	out.Count(fleet.CountItemsGranted, m.Items[0].Tenant, int64(len(m.Items)))
 	for _, item := range m.Items {
 		run := fleet.Run{GrantedItem: item, Grant: item.Attempt, Runner: m.Runner, Owner: from, Shard: m.Shard, Since: now}
 		if !accepts(t, r, now) || !start(t, r, run, now, out) {
@@ -95,7 +73,7 @@
 	}
 	n := r.Offers[i].Slots
 	r.Offers = slices.Delete(r.Offers, i, i+1)
-	r.Offered -= n
+	r.Offered = max(r.Offered-n, 0)
 	return n
 }
 
@@ -120,7 +98,8 @@
 // start runs an item unless quarantine bars it from the runner.
 func start(t *fleet.Tables, r *fleet.Runner, run fleet.Run, now cs.Instant, out *fleet.Actions) bool {
 	if old := t.Runs.Get(run.Key); old != nil {
-		return again(t, old, run, out)
+		adopt(old, run, now)
+		return true
 	}
 	h := cs.HashTarget(run.Item.Target)
 	if run.Suspect {
@@ -139,19 +118,6 @@
 	return true
 }
 
-// again handles a grant of an item that has a run here and reports whether it is settled: a grant that
-// came twice is ignored, and an outcome that could not be delivered goes to the new owner.
-func again(t *fleet.Tables, old *fleet.Run, run fleet.Run, out *fleet.Actions) bool {
-	if old.Ended == nil {
-		return old.Attempt == run.Attempt
-	}
-	back := *old.Ended
-	back.Attempt = run.Attempt
-	out.Add(fleet.Send{To: run.Owner, Message: back})
-	t.Runs.Delete(run.Key)
-	return true
-}
-
 // adopt gives the outcome of a run to the VM that granted the item anew: the same grant came twice,
 // or a new owner granted an item that still runs here or whose outcome nobody took.
 func adopt(old *fleet.Run, run fleet.Run, now cs.Instant) {
@@ -159,11 +125,13 @@
 	old.RetryAt = now
 }
 
-// giveBack returns an item that did not run. Without a refusal it counts as stopped.
+// giveBack returns an item that did not run, because of the refusal, or else for want of a slot.
 func giveBack(t *fleet.Tables, run fleet.Run, refusal *cs.Refusal, out *fleet.Actions) {
+	if refusal == nil {
+		refusal = cs.Refuse(cs.ReasonUnavailable, "the slot offered is taken")
+	}
 	run.Ended = &cs.ItemReturned{
-		Key: run.Key, Attempt: run.Attempt, Stopped: refusal == nil,
-		Output: run.Partial, Tokens: run.Tokens, Refusal: refusal,
+		Key: run.Key, Attempt: run.Attempt, Output: run.Partial, Tokens: run.Tokens, Refusal: refusal,
 	}
 	deliver(t, &run, out)
 }
