Return outcomes to the present owner of the shard

Cause: a former owner that wakes up told senders to stop runs that the new one had granted, and outcomes went to it first. Ruled out: waiting for the former owner to pass outcomes on (it may be frozen). Change: only the granting or the present owner stops a run; an outcome goes to the present owner if one is known.

--- a/batch/settle.go
+++ b/batch/settle.go
@@ -22,7 +22,7 @@
 			ended(t, e, now, out)
 		case fleet.PeerSaid:
 			if m, ok := e.Message.(cs.ItemsStop); ok {
-				stopJob(t, m.Job, out)
+				stopJob(t, m.Job, e.From, out)
 			}
 		case fleet.LinkOpened:
 			tellHeld(t, e.VM.ID, out)
@@ -90,15 +90,15 @@
 	return back
 }
 
-// deliver sends a run's outcome to the VM that granted the item, or if it is dead to the one that
-// owns the shard now, and reports whether there was one to send it to.
+// deliver sends a run's outcome to the VM that owns the shard now, or to the one that granted the
+// item if no owner is known, and reports whether it can be reached.
 func deliver(t *fleet.Tables, run *fleet.Run, out *fleet.Actions) bool {
 	run.Ended.Attempt = run.Grant
-	to := run.Owner
-	if !reachable(t, to) {
-		to = ownerOf(t, run.Shard)
-	}
+	to := ownerOf(t, run.Shard)
 	if to == "" {
+		to = run.Owner
+	}
+	if !reachable(t, to) {
 		return false
 	}
 	out.Add(fleet.Send{To: to, Message: *run.Ended})
@@ -155,10 +155,11 @@
 	})
 }
 
-// stopJob stops the runs of a cancelled job, whose outcomes are of no use.
-func stopJob(t *fleet.Tables, job cs.JobID, out *fleet.Actions) {
+// stopJob stops the runs of a job whose outcomes are of no use to the VM that says so: the one that
+// granted the items or that owns the shard now. A former owner cannot stop what a new one granted.
+func stopJob(t *fleet.Tables, job cs.JobID, from cs.VMID, out *fleet.Actions) {
 	t.Runs.DeleteFunc(func(k cs.ItemKey, run *fleet.Run) bool {
-		if k.Job != job {
+		if k.Job != job || run.Owner != from && ownerOf(t, run.Shard) != from {
 			return false
 		}
 		run.Discard = true
