--- a/control/loop.go
+++ b/control/loop.go
@@ -22,7 +22,8 @@
 // viewPeriod is the longest time for which the published view may lag behind the tables.
 const viewPeriod = 250 * cs.Millisecond
 
-// inboxSize bounds the events that wait for a tick; a sender of more waits.
+// inboxSize bounds the events that wait for a tick; a sender of more waits. Their senders bound the
+// size of an event: a body of a request, or one read of a stream of the log.
 const inboxSize = 8192
 
 // Config holds what a Loop needs.
@@ -133,10 +134,10 @@
 		system(t, now, &l.actions)
 	}
 	clear(t.Events) // lets go of what the events refer to
+	l.publish(now)  // before the actions, so that whom they answer sees the state of the answer
 	for _, a := range l.actions.List {
 		l.carryOut(a)
 	}
-	l.publish(now)
 	l.ticks.Add(1)
 	if w := l.actions.Wake(); w != 0 {
 		return min(w.Sub(now), maxSleep)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -43,7 +43,11 @@
 // buckets grow by half from 1 ms to about 3 minutes.
 var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 30)
 
-// Meter counts and measures; it is safe for concurrent use.
+// otherTenants stands for the tenants without figures of their own.
+const otherTenants cs.TenantID = "other"
+
+// Meter counts and measures; it is safe for concurrent use. Callers choose the names of tenants, so
+// that all it holds is bounded by maxTenants.
 type Meter struct {
 	scope    tally.Scope
 	closer   io.Closer
@@ -52,7 +56,7 @@
 
 	counters   sync.Map // counterKey to tally.Counter
 	histograms sync.Map // histogramKey to tally.Histogram
-	mu         sync.Mutex
+	mu         sync.RWMutex
 	tenants    map[cs.TenantID]bool
 }
 
@@ -86,22 +90,22 @@
 
 // Count adds to a counter.
 func (m *Meter) Count(c fleet.Counted) {
-	key := counterKey{c.Counter, c.Tenant}
+	key := counterKey{c.Counter, m.label(c.Tenant)}
 	if f, ok := m.counters.Load(key); ok {
 		f.(tally.Counter).Inc(c.N)
 		return
 	}
-	f := m.tagged(c.Tenant).Counter(c.Counter.String() + "_total")
+	f := m.tagged(key.tenant).Counter(c.Counter.String() + "_total")
 	m.counters.Store(key, f)
 	f.Inc(c.N)
 }
 
 // Time records a span.
 func (m *Meter) Time(what Timing, tenant cs.TenantID, class cs.Class, s cs.Span) {
-	key := histogramKey{what, tenant, class}
+	key := histogramKey{what, m.label(tenant), class}
 	f, ok := m.histograms.Load(key)
 	if !ok {
-		scope := m.tagged(tenant).Tagged(map[string]string{"class": class.String()})
+		scope := m.tagged(key.tenant).Tagged(map[string]string{"class": class.String()})
 		f = scope.Histogram(what.String()+"_seconds", buckets)
 		m.histograms.Store(key, f)
 	}
@@ -117,13 +121,27 @@
 	e.Msg(n.Change)
 }
 
-// tagged returns the scope of a tenant, or of "other" once there are many.
-func (m *Meter) tagged(tenant cs.TenantID) tally.Scope {
+// label returns the tenant under which figures are kept: its own name, or "other" once there are
+// many.
+func (m *Meter) label(tenant cs.TenantID) cs.TenantID {
+	m.mu.RLock()
+	known, full := m.tenants[tenant], len(m.tenants) >= maxTenants
+	m.mu.RUnlock()
+	if known {
+		return tenant
+	}
+	if full {
+		return otherTenants
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.tenants[tenant] && len(m.tenants) >= maxTenants {
-		tenant = "other"
+		return otherTenants
 	}
 	m.tenants[tenant] = true
-	return m.scope.Tagged(map[string]string{"tenant": string(tenant)})
+	return tenant
+}
+
+func (m *Meter) tagged(label cs.TenantID) tally.Scope {
+	return m.scope.Tagged(map[string]string{"tenant": string(label)})
 }
