--- a/batch/offer.go
+++ b/batch/offer.go
@@ -130,8 +130,8 @@
 	for _, vm := range owners {
 		share := (free + left - 1) / left
 		left--
-		if now < r.Declined[vm.ID] {
-			out.WakeAt(r.Declined[vm.ID])
+		if until := r.Declined[vm.ID].Until; now < until {
+			out.WakeAt(until)
 			continue
 		}
 		n := min(share, waiting(vm), free)
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -109,8 +109,8 @@
 	Offered cs.Slots
 	// Offers are the offers that Offered sums up.
 	Offers []SlotOffer
-	// Declined holds, by owner, until when it is not offered slots after it had no fitting items.
-	Declined map[cs.VMID]cs.Instant
+	// Declined holds the owners that had no fitting items for the last offer.
+	Declined map[cs.VMID]Decline
 	// YieldWanted counts slots that this VM's own online requests need back on this tick.
 	YieldWanted cs.Slots
 	// YieldUntil bars new batch runs after a yield.
@@ -128,6 +128,12 @@
 	By    cs.Slots
 }
 
+// Decline bars offers to an owner until an instant; For is the length of the bar.
+type Decline struct {
+	Until cs.Instant
+	For   cs.Span
+}
+
 // SlotOffer is an offer of batch slots that is not answered yet.
 type SlotOffer struct {
 	ID    uint64
@@ -147,6 +153,8 @@
 	Runs []RequestRun
 	// Tried are the runners of earlier attempts.
 	Tried []cs.RunnerID
+	// StuckSince is when the request began to wait for its first or next dispatch.
+	StuckSince cs.Instant
 	// RetryAt is when a request in PhaseBackoff is queued again.
 	RetryAt cs.Instant
 	// FirstTokenAt is when the first byte of the answer was passed on; 0 before.
@@ -388,9 +396,10 @@
 	Granted cs.Instant
 	// NotBefore delays the next run after a failure.
 	NotBefore cs.Instant
-	// Partial is what earlier runs generated.
-	Partial string
-	Tokens  cs.Tokens
+	// Partial is what earlier runs generated, with the version PartialBy.
+	Partial   string
+	PartialBy cs.VersionID
+	Tokens    cs.Tokens
 	// Suspect means that the item was in flight on a crashed runner.
 	Suspect bool
 	Output  string
@@ -446,6 +455,8 @@
 	// Recorded means that a record for the query may have reached the log.
 	Recorded bool
 
+	// Earlier means that Recorded was set before the records that the query now waits for.
+	Earlier bool
 	// Sends counts how often the query was forwarded.
 	Sends int
 	// Waiting means that a job or call of this VM answers the query when its record is read back.
@@ -457,6 +468,9 @@
 // Run is a batch item that this VM runs as the batch sender of a runner.
 type Run struct {
 	cs.GrantedItem
+	// Grant is the attempt under which the owner waits for the outcome. It differs from Attempt if
+	// the item was granted again while it ran.
+	Grant  cs.Attempt
 	Runner cs.RunnerID
 	Owner  cs.VMID // the VM that granted the item
 	Shard  cs.ShardID
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -227,6 +227,8 @@
 		{"call runs", begin, false, cs.ReasonExpired, cs.RanUnknown},
 		{"submit without log", job("c", 1, false), true, cs.ReasonUnavailable, cs.RanNotRun},
 		{"call without log", cs.BeginCall{Call: "d", Hash: 1, VM: "vm0"}, true, cs.ReasonUnavailable, cs.RanNotRun},
+		{"call not sent to the log", cs.BeginCall{Call: "e", Hash: 1, VM: "vm0"}, false, cs.ReasonExpired, cs.RanNotRun},
+		{"submit not sent to the log", job("e", 1, false), false, cs.ReasonExpired, cs.RanNotRun},
 		{"stop without log", cs.StopJob{Job: m.Job.ID, Tenant: "t"}, true, cs.ReasonExpired, cs.RanUnknown},
 	}
 	w := owned(t, 1) // one VM, so that no query is forwarded
@@ -235,6 +237,11 @@
 	w.until(cs.Second, func() bool { return w.answers[2] != nil })
 	qt.Assert(t, w.answers[2], qt.DeepEquals, cs.ShardAnswer(cs.CallAnswer{Run: true}))
 	for i, tt := range tests {
+		if tt.name == "call not sent to the log" {
+			w.until(6*cs.Second, func() bool { return false })
+			blocked := cs.LogBatch{Writer: 1, Fence: 99, Seq: 1 << 40}
+			w.nodes[0].t.Shards.Get(0).Inflight = &blocked // is never read back
+		}
 		if w.down != tt.down {
 			w.down = tt.down
 			w.until(6*cs.Second, func() bool { return false })
@@ -394,15 +401,170 @@
 	for len(w.runs) > 0 {
 		w.give(0, cs.ItemReturned{Output: "early"})
 	}
+	w.ask(0, 2, cs.BeginCall{Call: "c", Hash: 1, VM: "vm0"})
+	w.until(cs.Second, func() bool { return w.answers[2] != nil })
+	w.ask(0, 5, cs.BeginCall{Call: "open", Hash: 1, VM: "vm0"})
+	w.ask(0, 3, cs.EndCall{Call: "c", Answer: []byte("recorded")})
 	w.until(3*cs.Minute, func() bool { return false })
+	qt.Check(t, w.owner().t.Calls.Get("open").Ended, qt.IsFalse)
 	keep := slices.IndexFunc(w.log, func(b cs.LoggedBatch) bool { return b.At > w.now-20_000 })
 	w.log, w.first = w.log[keep:], w.log[keep].Offset
 	w.start(0, 50)
 	w.start(1, 51)
 	qt.Assert(t, w.until(30*cs.Second, func() bool { return w.owner() != nil }), qt.IsTrue)
+	w.ask(1, 4, cs.BeginCall{Call: "c", Hash: 1, VM: "vm1"})
 	qt.Assert(t, w.finish(m.Job.ID, 30*cs.Second), qt.IsTrue)
+	qt.Check(t, w.answers[4], qt.DeepEquals, cs.ShardAnswer(cs.CallAnswer{Answer: []byte("recorded")}))
 	qt.Assert(t, w.finish(once.Job.ID, 30*cs.Second), qt.IsTrue)
 	j := w.owner().t.Jobs.Get(m.Job.ID)
 	qt.Check(t, w.owner().t.Jobs.Get(once.Job.ID).Counts[cs.ItemUnknown], qt.Equals, cs.ItemIndex(4))
 	qt.Check(t, []any{j.Items[0].Output, j.Counts[cs.ItemDone]}, qt.DeepEquals, []any{"early", cs.ItemIndex(1000)})
 }
+
+// TestForward guards against a query that waits although a path to the owner exists, and against one
+// that circles between VMs.
+func TestForward(t *testing.T) {
+	tests := []struct {
+		name    string
+		links   []cs.VMID
+		from    cs.VMID
+		hops    int
+		sentTo  cs.VMID
+		without bool // no owner is known
+	}{
+		{"to the owner", []cs.VMID{"b1", "b2"}, "", 0, "b1", false},
+		{"through a VM of the owner's data centre", []cs.VMID{"b2"}, "", 0, "b2", false},
+		{"no path", []cs.VMID{"a1"}, "", 0, "", false},
+		{"not back", []cs.VMID{"b1"}, "b1", 1, "", false},
+		{"too many hops", []cs.VMID{"b1"}, "a1", maxHops, "", false},
+		{"no owner known", []cs.VMID{"b1", "b2"}, "", 0, "b1", true},
+	}
+	for _, tt := range tests {
+		tables, out := benchTables(), &fleet.Actions{}
+		tables.Shards.Delete(0)
+		tables.Drain.Phase = fleet.DrainWaiting // no candidate for an owner itself
+		for _, id := range []cs.VMID{"a1", "b1", "b2"} {
+			vm := fleet.VM{VM: cs.VM{ID: id, DataCentre: cs.DataCentreID(id[:1])}, Live: true, Linked: slices.Contains(tt.links, id)}
+			vm.Leaving = tt.without && id != "b1"
+			if id == "b1" && !tt.without {
+				vm.Beat.Owned = []cs.OwnedShard{{Fence: 3}}
+			}
+			tables.VMs.Insert(id, vm)
+		}
+		q := tables.Queries.Insert(1, fleet.Query{
+			Query: cs.StopJob{}, Since: tables.Started, Deadline: tables.Started + 10_000, From: tt.from, Hops: tt.hops,
+		})
+		Serve(tables, tables.Started, out)
+		qt.Check(t, q.SentTo, qt.Equals, tt.sentTo, qt.Commentf(tt.name))
+		qt.Check(t, q.Recorded, qt.Equals, tt.sentTo != "", qt.Commentf(tt.name))
+	}
+}
+
+// TestManyShards guards against shards that nobody owns, or two VMs claim, when there are several.
+func TestManyShards(t *testing.T) {
+	const shards = 16
+	vms := []cs.VM{{ID: "a", Incarnation: 1, DataCentre: "x"}, {ID: "b", Incarnation: 2, DataCentre: "x"}, {ID: "c", Incarnation: 3, DataCentre: "y"}}
+	claims, tails := map[cs.StreamID]int{}, map[cs.StreamID]int{}
+	for _, self := range vms {
+		c := testConfig()
+		c.Shards = shards
+		tables, out := fleet.New(c, self, 1_000_000, 1), &fleet.Actions{}
+		for _, vm := range vms {
+			tables.VMs.Insert(vm.ID, fleet.VM{VM: vm, Live: true, Linked: true})
+		}
+		tables.Log.ReadAt = tables.Started
+		tables.Events = []fleet.Event{fleet.ListRead{}}
+		Follow(tables, tables.Started, out)
+		tables.Events = nil
+		for _, a := range out.List {
+			if tail, ok := a.(fleet.Tail); ok {
+				tails[tail.Stream]++
+				tables.Events = append(tables.Events, fleet.LogRead{Stream: tail.Stream, End: true})
+			}
+		}
+		out.Reset()
+		Follow(tables, tables.Started.Add(300), out)
+		for _, a := range out.List {
+			if sent, ok := a.(fleet.Append); ok {
+				claims[sent.Stream]++
+			}
+		}
+	}
+	for i := range shards {
+		stream := cs.WorkStream(cs.ShardID(i))
+		qt.Check(t, claims[stream], qt.Equals, 1, qt.Commentf("%s", stream))
+		qt.Check(t, tails[stream] >= 1 && tails[stream] <= 2, qt.IsTrue, qt.Commentf("%s", stream))
+	}
+}
+
+// TestMatches guards against an item that runs on a model version that is not in force, or on a
+// runner that cannot run it.
+func TestMatches(t *testing.T) {
+	tables, _ := withJobs(0, 0)
+	tables.Tickets.Insert("deployment/d", fleet.Ticket{PlacedTicket: cs.PlacedTicket{Ticket: cs.Ticket{
+		State: cs.Deployment{Name: "d", Service: "g", Model: "m", Version: "2"},
+	}}})
+	engine := func(group cs.ServiceID, model cs.ModelID, version cs.VersionID) cs.SlotsOffered {
+		return cs.SlotsOffered{Service: group, Loaded: []cs.LoadedModel{{Model: "z", Version: "9"}, {Model: model, Version: version}}}
+	}
+	tests := []struct {
+		lane  fleet.Lane
+		offer cs.SlotsOffered
+		want  bool
+	}{
+		{fleet.Lane{Model: "m", Version: "1"}, engine("g", "m", "1"), true},
+		{fleet.Lane{Model: "m", Version: "1"}, engine("g", "m", "2"), false},
+		{fleet.Lane{Model: "m"}, engine("g", "m", "2"), true},
+		{fleet.Lane{Model: "m"}, engine("g", "m", "1"), false},
+		{fleet.Lane{Model: "m"}, engine("h", "m", "1"), true}, // no deployment on this group
+		{fleet.Lane{Model: "m"}, engine("g", "n", "2"), false},
+		{fleet.Lane{Service: "s"}, cs.SlotsOffered{Service: "s"}, true},
+		{fleet.Lane{Service: "s"}, cs.SlotsOffered{Service: "r"}, false},
+		{fleet.Lane{Service: "s"}, engine("s", "m", "1"), false},
+		{fleet.Lane{Model: "m"}, cs.SlotsOffered{Service: "g"}, false},
+	}
+	for _, tt := range tests {
+		v := &versions{}
+		qt.Check(t, v.matches(tables, &tt.lane, tt.offer), qt.Equals, tt.want, qt.Commentf("%v %v", tt.lane, tt.offer))
+	}
+}
+
+// TestTakeBack guards against an item that waits for ever for the outcome of its run, and against
+// one of a former owner that is run again while this VM still runs it.
+func TestTakeBack(t *testing.T) {
+	const now = cs.Instant(1_000_000)
+	tests := []struct {
+		name          string
+		nonIdempotent bool
+		dead          bool
+		after         cs.Span
+		state         cs.ItemState
+		attempts      cs.Attempt
+	}{
+		{"in time", false, false, maxRun - 1, cs.ItemRunning, 1},
+		{"too long", false, false, maxRun, cs.ItemWaiting, 1},
+		{"once, too long", true, false, maxRun, cs.ItemUnknown, 1},
+		{"sender dead", false, true, cs.Second, cs.ItemWaiting, 0},
+		{"once, sender dead", true, true, cs.Second, cs.ItemUnknown, 1},
+	}
+	for _, tt := range tests {
+		tables, out := withJobs(1, 1)
+		s, id := tables.Shards.Get(0), job("job0", 1, false).Job.ID
+		tables.VMs.Insert("vm1", fleet.VM{VM: cs.VM{ID: "vm1", Incarnation: 2}, Live: !tt.dead})
+		j := tables.Jobs.Get(id)
+		it := &j.Items[0]
+		it.NonIdempotent, it.Started, it.Attempts, it.Grants = tt.nonIdempotent, tt.nonIdempotent, 1, 1
+		lend(j, 0, it, "vm1", 2, now, now.Add(maxRun))
+		sweep(tables, 0, s, now.Add(tt.after), out)
+		qt.Check(t, []any{it.State, it.Attempts}, qt.DeepEquals, []any{tt.state, tt.attempts}, qt.Commentf(tt.name))
+	}
+	tables, out := withJobs(1, 2)
+	s, id := tables.Shards.Get(0), job("job0", 1, false).Job.ID
+	tables.Runs.Insert(cs.ItemKey{Job: id}, fleet.Run{GrantedItem: cs.GrantedItem{Attempt: 3}})
+	takeOver(tables, 0, s, now, out)
+	j := tables.Jobs.Get(id)
+	qt.Check(t, []any{j.Items[0].State, j.Items[1].State}, qt.DeepEquals, []any{cs.ItemRunning, cs.ItemWaiting})
+	qt.Check(t, j.Items[0].Attempts, qt.Equals, cs.Attempt(1))
+	sweep(tables, 0, s, now.Add(tables.Config.Lease), out)
+	qt.Check(t, j.Items[0].State, qt.Equals, cs.ItemWaiting)
+}
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -15,7 +15,7 @@
 	budgetSaved = 0.2
 	// budgetReserve is the number of retries that may always be saved up, so that a request on an
 	// idle VM can be retried.
-	budgetReserve = 2
+	budgetReserve = 3
 )
 
 // Earn credits the retry budget with one request.
--- a/routing/settle_test.go
+++ b/routing/settle_test.go
@@ -91,3 +91,24 @@
 		qt.Check(t, find[fleet.Send](list), qt.HasLen, c.want, qt.Commentf(name))
 	}
 }
+
+// TestNoRunnerLeft guards against a caller that waits for ever, and against a crash of the VM, when
+// all runners are down or the request may not run on any.
+func TestNoRunnerLeft(t *testing.T) {
+	for name, change := range map[string]func(*fleet.Tables){
+		"down": func(t *fleet.Tables) { t.Runners.Get("r0").DownSince = at },
+		"suspect": func(t *fleet.Tables) {
+			s := fleet.Suspect{Crashes: 1, Runners: []cs.RunnerID{"r0"}, Until: at + 60_000}
+			t.Suspects.Insert(cs.HashTarget(request("q").Target), s)
+			t.Runners.Get("r0").DownSince = at
+		},
+	} {
+		tb := tables(1)
+		change(tb)
+		qt.Assert(t, find[fleet.Finish](step(tb, at, fleet.RequestArrived{Request: request("q")})), qt.HasLen, 0, qt.Commentf(name))
+		got := find[fleet.Finish](step(tb, at.Add(longestStuck)))
+		qt.Assert(t, got, qt.HasLen, 1, qt.Commentf(name))
+		qt.Check(t, got[0].Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+		qt.Check(t, got[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
+	}
+}
