Try ejected runners only while the reserve for retries is whole

Cause: trials of ejected runners and their hedges used up the retry budget, so that requests that broke were refused for want of it.

--- a/limit/eject.go
+++ b/limit/eject.go
@@ -56,6 +56,12 @@
 	}
 }
 
+// MayTry reports whether a request may try a runner that was ejected. A trial may need a hedge, which
+// must not use up the reserve for retries, but it is not put off for more than ejectLongest.
+func MayTry(t *fleet.Tables, r *fleet.Runner, now cs.Instant) bool {
+	return r.Ejections == 0 || t.Budget.Tokens >= 0 || now.Sub(r.EjectedUntil) > ejectLongest
+}
+
 // Hung ejects a runner that has left a request without a first token for several times the usual time
 // and has given none to other requests meanwhile. The time so far counts as a sample, since the first
 // token can only take longer.
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -106,10 +106,21 @@
 	return g
 }
 
+// list leaves out ejected runners whose trial the retry budget does not allow, unless there are no
+// others.
 func (d *round) list(target cs.Target, near bool) *group {
-	g := &group{}
+	g, untried := &group{}, []*fleet.Runner(nil)
 	for _, r := range d.t.Runners.All() {
-		if (r.DataCentre == d.t.Self.DataCentre) == near && limit.Usable(r, d.now) && limit.Serves(r, target) {
+		switch {
+		case (r.DataCentre == d.t.Self.DataCentre) != near || !limit.Usable(r, d.now) || !limit.Serves(r, target):
+		case limit.MayTry(d.t, r, d.now):
+			g.add(r, d.now)
+		default:
+			untried = append(untried, r)
+		}
+	}
+	if len(g.list) == 0 {
+		for _, r := range untried {
 			g.add(r, d.now)
 		}
 	}
