--- a/batch/grant.go
+++ b/batch/grant.go
@@ -9,9 +9,14 @@
 	"github.com/crocusstile/crocusstile/quarantine"
 )
 
-// declinedFor is the time for which an owner without fitting items gets no offer for a runner,
-// unless it says that more work waits.
-const declinedFor = cs.Second
+// declinedFirst and declinedLongest bound the time for which an owner that granted fewer items than
+// it was offered gets no offer for the runner, unless it says that more work waits. The time doubles
+// with each empty grant: items that must be in the log before they run fit soon after, while items of
+// another model may not fit for long.
+const (
+	declinedFirst   = 50 * cs.Millisecond
+	declinedLongest = cs.Second
+)
 
 // take handles what owners said: work that waits, and items granted for offers.
 func take(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
@@ -54,7 +59,7 @@
 	if r != nil {
 		offered = closeOffer(r, m.Offer)
 		if cs.Slots(len(m.Items)) < offered {
-			decline(r, from, now)
+			decline(r, from, len(m.Items) == 0, now)
 		}
 	}
 	for _, item := range m.Items {
@@ -77,11 +82,16 @@
 	return n
 }
 
-func decline(r *fleet.Runner, owner cs.VMID, now cs.Instant) {
+// decline bars offers of the runner to an owner for a time.
+func decline(r *fleet.Runner, owner cs.VMID, empty bool, now cs.Instant) {
 	if r.Declined == nil {
-		r.Declined = make(map[cs.VMID]cs.Instant)
+		r.Declined = make(map[cs.VMID]fleet.Decline)
+	}
+	span := declinedFirst
+	if empty {
+		span = min(max(2*r.Declined[owner].For, declinedFirst), declinedLongest)
 	}
-	r.Declined[owner] = now.Add(declinedFor)
+	r.Declined[owner] = fleet.Decline{Until: now.Add(span), For: span}
 }
 
 // accepts reports whether a granted item still fits on the runner.
@@ -98,7 +108,7 @@
 // start runs an item unless quarantine bars it from the runner.
 func start(t *fleet.Tables, r *fleet.Runner, run fleet.Run, now cs.Instant, out *fleet.Actions) bool {
 	if old := t.Runs.Get(run.Key); old != nil {
-		adopt(old, run, now)
+		adopt(old, run, now, out)
 		return true
 	}
 	h := cs.HashTarget(run.Item.Target)
@@ -120,9 +130,10 @@
 
 // adopt gives the outcome of a run to the VM that granted the item anew: the same grant came twice,
 // or a new owner granted an item that still runs here or whose outcome nobody took.
-func adopt(old *fleet.Run, run fleet.Run, now cs.Instant) {
+func adopt(old *fleet.Run, run fleet.Run, now cs.Instant, out *fleet.Actions) {
 	old.Owner, old.Grant, old.Discard = run.Owner, run.Grant, false
 	old.RetryAt = now
+	out.WakeAt(now)
 }
 
 // giveBack returns an item that did not run, because of the refusal, or else for want of a slot.
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -109,8 +109,8 @@
 	Offered cs.Slots
 	// Offers are the offers that Offered sums up.
 	Offers []SlotOffer
-	// Declined holds, by owner, until when it is not offered slots after it had no fitting items.
-	Declined map[cs.VMID]cs.Instant
+	// Declined holds the owners that had no fitting items for the last offer.
+	Declined map[cs.VMID]Decline
 	// YieldWanted counts slots that this VM's own online requests need back on this tick.
 	YieldWanted cs.Slots
 	// YieldUntil bars new batch runs after a yield.
@@ -128,6 +128,12 @@
 	By    cs.Slots
 }
 
+// Decline bars offers to an owner until an instant; For is the length of the bar.
+type Decline struct {
+	Until cs.Instant
+	For   cs.Span
+}
+
 // SlotOffer is an offer of batch slots that is not answered yet.
 type SlotOffer struct {
 	ID    uint64
--- a/limit/eject.go
+++ b/limit/eject.go
@@ -56,6 +56,23 @@
 	}
 }
 
+// MayTry reports whether a request may try a runner that was ejected. A trial may need a hedge, which
+// must not use up the reserve for retries, but it is not put off for more than ejectLongest.
+func MayTry(t *fleet.Tables, r *fleet.Runner, now cs.Instant) bool {
+	return r.Ejections == 0 || t.Budget.Tokens >= 0 || now.Sub(r.EjectedUntil) > ejectLongest
+}
+
+// Hung ejects a runner that has left a request without a first token for several times the usual time
+// and has given none to other requests meanwhile. The time so far counts as a sample, since the first
+// token can only take longer.
+func Hung(t *fleet.Tables, r *fleet.Runner, since, now cs.Instant, out *fleet.Actions) {
+	quiet := r.SampledAt < since
+	Sample(t, r, now.Sub(since), now, out)
+	if quiet {
+		eject(t, r, now, out)
+	}
+}
+
 // Outrun ejects a runner again if a request that tried it after an ejection was answered by its hedge
 // first.
 func Outrun(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -134,7 +134,7 @@
 // giveUp ends a request that has waited long although no runner is usable: its caller had better
 // know. While runners are merely full the request waits to its deadline.
 func (d *round) giveUp(p *pool, q *fleet.Request) {
-	if len(p.local.list)+len(p.remote.list) > 0 {
+	if len(p.local.list)+len(d.far(p, q.Target).list) > 0 {
 		return
 	}
 	if d.now.Sub(q.StuckSince) < longestStuck {
--- a/routing/hedge.go
+++ b/routing/hedge.go
@@ -36,8 +36,7 @@
 	first := q.Runs[0]
 	slow := d.t.Runners.Get(first.Runner)
 	if slow != nil && slow.Ejections == 0 {
-		// The time so far is the least that the first token can take.
-		limit.Sample(d.t, slow, d.now.Sub(first.Since), d.now, d.out)
+		limit.Hung(d.t, slow, first.Since, d.now, d.out)
 	}
 	c := d.choose(d.pool(q.Target), q)
 	if c == nil || c.row.ID == first.Runner || c.online >= c.slots || !limit.Spend(d.t, d.now) {
