Keep hedges out of the reserve for retries

Cause: hedges used up the reserve of an idle VM, so that a request whose runner went silent was refused as unknown for want of a retry. Ruled out: hedges from saved tokens alone (below 20 requests/s on a VM none would be allowed). Change: a hedge is allowed only while the reserve is untouched.

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -40,6 +40,16 @@
 	return true
 }
 
+// SpendHedge takes a hedge out of the budget and reports whether it is allowed. It does not add to a
+// use of the reserve, which retries of broken requests need more.
+func SpendHedge(t *fleet.Tables, now cs.Instant) bool {
+	if t.Budget.Tokens < 0 {
+		t.Budget.Denied++
+		return false
+	}
+	return Spend(t, now)
+}
+
 // limitSaved drops what exceeds the part of the budget that may be saved up.
 func limitSaved(t *fleet.Tables, now cs.Instant) {
 	most := 0.0
--- a/routing/hedge.go
+++ b/routing/hedge.go
@@ -39,7 +39,7 @@
 		limit.Hung(d.t, slow, first.Since, d.now, d.out)
 	}
 	c := d.choose(d.pool(q.Target), q)
-	if c == nil || c.row.ID == first.Runner || c.online >= c.slots || !limit.Spend(d.t, d.now) {
+	if c == nil || c.row.ID == first.Runner || c.online >= c.slots || !limit.SpendHedge(d.t, d.now) {
 		return
 	}
 	d.out.Count(fleet.CountHedges, q.Tenant, 1)
