Give back to an owner's backlog what it did not grant

Cause: offers of runners that cannot run the waiting items took them off the owner's backlog, so that the right runner, which comes later, saw none. Ruled out: lost starts of items (the log held them), leaked offers (counted). Change: what an answer leaves ungranted is added to the backlog again.

--- a/batch/grant.go
+++ b/batch/grant.go
@@ -60,6 +60,7 @@
 		offered = closeOffer(r, m.Offer)
 		if cs.Slots(len(m.Items)) < offered {
 			decline(r, from, len(m.Items) == 0, now)
+			restore(t, from, m.Shard, offered-cs.Slots(len(m.Items)))
 		}
 	}
 	for _, item := range m.Items {
@@ -94,6 +95,14 @@
 	r.Declined[owner] = fleet.Decline{Until: now.Add(span), For: span}
 }
 
+// restore gives back to an owner's backlog what an offer had taken off and the owner did not grant:
+// those items are for other runners. Without it the runners that are offered first starve them.
+func restore(t *fleet.Tables, owner cs.VMID, s cs.ShardID, n cs.Slots) {
+	if vm := t.VMs.Get(owner); vm != nil && vm.Backlog != nil {
+		vm.Backlog[s] += cs.ItemIndex(n)
+	}
+}
+
 // accepts reports whether a granted item still fits on the runner.
 func accepts(t *fleet.Tables, r *fleet.Runner, now cs.Instant) bool {
 	if r == nil || r.Sender != t.Self.ID || t.Drain.Phase >= fleet.DrainFinishing || !healthy(r, now) {
