Refuse at once when a shard has no owner and the log is away

Cause: a query for such a shard waited to its deadline and was answered unknown, although nobody could have written a record for it. Ruled out: an answer from the VM that was ranked first (it owns nothing).

--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -40,6 +40,8 @@
 		{"run after cancel", Evidence{Observations: []Observation{accepted, Cancelled{Job: "j"}}, Unfinished: true, Starts: []Start{{At: 6000, Hash: 7}}, Streams: map[cs.StreamID][]cs.LoggedBatch{"work-000": claimed(job)}}, 2},
 		{"wrong answer", Evidence{Observations: []Observation{Answered{Got: "a", Want: "b"}}}, 4},
 		{"not run and ran", Evidence{Observations: []Observation{Refused{Hash: 7, Ran: cs.RanNotRun}}, Starts: []Start{{Hash: 7}}}, 5},
+		{"not run and ran before the resend", Evidence{Observations: []Observation{Refused{Hash: 7, Ran: cs.RanNotRun}, Answered{Hash: 7, Sent: 20}}, Starts: []Start{{Hash: 7, At: 10}}}, 5},
+		{"not run and resent", Evidence{Observations: []Observation{Refused{Hash: 7, Ran: cs.RanNotRun}, Answered{Hash: 7, Sent: 20}}, Starts: []Start{{Hash: 7, At: 30}}}, 0},
 		{"ran twice", Evidence{Starts: []Start{{Hash: 7, NonIdempotent: true}, {Hash: 7, NonIdempotent: true}}}, 6},
 		{"work for a leaving runner", Evidence{Observations: []Observation{Leaving{Runner: "r"}}, Starts: []Start{{Runner: "r", At: 3001}}}, 7},
 		{"cut off", Evidence{Observations: []Observation{CutOff{}}}, 8},
--- a/job/serve.go
+++ b/job/serve.go
@@ -190,6 +190,10 @@
 		return // this VM may become the owner yet
 	}
 	target := ownerOf(t, q.Shard)
+	if target == "" && logAway(t, now) {
+		refuse(t, id, q, cs.Refuse(cs.ReasonUnavailable, "shard %d has no owner and the log cannot be read", q.Shard), out)
+		return
+	}
 	if target == "" {
 		target, _ = ranked(q.Shard, candidates(t, now))
 	}
@@ -207,6 +211,11 @@
 	out.Add(fleet.Send{To: target, Message: cs.Forward{ID: id, Query: q.Query, Hops: q.Hops + 1}})
 }
 
+// logAway reports whether reads have failed for so long that no claim can be expected soon.
+func logAway(t *fleet.Tables, now cs.Instant) bool {
+	return t.Log.FailedAt > t.Log.ReadAt && now.Sub(max(t.Log.ReadAt, t.Started)) >= logDown
+}
+
 // answer ends a query.
 func answer(t *fleet.Tables, id uint64, a cs.ShardAnswer, out *fleet.Actions) {
 	q := t.Queries.Get(id)
