engine: do not hold an event back for a part of the next one

Cause, found by reading and shown by two cases that failed before: an event counted as followed by another if more than a byte was buffered. With line ends of two bytes, or with a part of the next event, its flush was put off until the next event was whole.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -150,6 +150,37 @@
 	}
 }
 
+// An event must not be held back for a further one of which only a part, or nothing, has come.
+func TestMoreMeansAWholeEvent(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent string
+		more bool
+	}{
+		"nothing":    {"\n\n", false},
+		"line end":   {"\r\n\r\n", false},
+		"a part":     {"\n\ndata: " + token(2)[:20], false},
+		"a further":  {"\n\ndata: " + token(2) + "\n\n", true},
+		"end marker": {"\n\ndata: " + marker(1) + "\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(w, "data: "+token(1)+test.sent)
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			})
+			var got bool
+			newClient(t, longLimit, longLimit).Generate(context.Background(), addr,
+				engine.Generation{ID: "r", Generation: cs.Generation{MaxTokens: 2}},
+				func(_ []byte, _ cs.Tokens, more bool) error {
+					got = more
+					return io.ErrClosedPipe
+				})
+			qt.Check(t, got, qt.Equals, test.more)
+		})
+	}
+}
+
 // The time that a caller takes must not count as silence of the runner.
 func TestSlowSinkIsNoSilence(t *testing.T) {
 	addr := serve(t, stream(token(1), token(2), marker(2)))
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -133,12 +133,19 @@
 		case line[0] == '\n' || line[0] == '\r':
 			continue
 		}
-		if err := s.event(line, r.Buffered() > 1); err != nil {
+		if err := s.event(line, another(r)); err != nil {
 			return err
 		}
 	}
 }
 
+// another tells whether a further event is at hand in full. One of which only a part has come may
+// take any time, and the event before it must not wait for it.
+func another(r *bufio.Reader) bool {
+	rest, _ := r.Peek(r.Buffered()) // what is buffered is there
+	return bytes.IndexByte(bytes.TrimLeft(rest, "\r\n"), '\n') >= 0
+}
+
 // event checks one event and hands it on.
 func (s *stream) event(line []byte, more bool) error {
 	if !bytes.HasPrefix(line, s.prefix) {
