crocusstiled: run at most two threads at once

Cause: with GOMAXPROCS=10, as on this machine, about a third of the daemon's profile was the scheduler: threads without work that search for some and are woken after each token.

Ruled out as the cause, by BenchmarkRelay before and after on the same code path: the timer and the write deadline set for each event, two writes for each event (about 6% of the profile; the difference is within the noise of 1 to 2 us a token). What is left is mostly two reads, one write and a wake-up for each token, which net/http and the runtime need.

Change: GOMAXPROCS is at most 2 unless the environment sets it.

--- a/cmd/crocusstiled/main.go
+++ b/cmd/crocusstiled/main.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -17,7 +18,14 @@
 	"github.com/crocusstile/crocusstile/setting"
 )
 
+// maxThreads bounds the threads that run at once, unless the environment sets GOMAXPROCS. With more,
+// threads without work search for some after each token: relaying costs up to twice as much.
+const maxThreads = 2
+
 func main() {
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), maxThreads))
+	}
 	settings := flag.String("settings", "", "settings `file` in JSON")
 	demo := flag.Bool("demo", false, "serve one data centre with embedded stand-ins and show what it does")
 	exit := flag.Bool("exit", false, "with -demo: end after the demonstration; status 0 only if it was correct")
