--- a/demo/demo.go
+++ b/demo/demo.go
@@ -59,7 +59,9 @@
 		if c.Exit {
 			return errDone
 		}
-		s.tellAddresses(c.Out)
+		if err := s.tellAddresses(c.Out); err != nil {
+			return err
+		}
 		select {
 		case sig := <-c.Stop:
 			stop <- sig
@@ -144,11 +146,13 @@
 }
 
 // tellAddresses prints where everything is.
-func (s *site) tellAddresses(w io.Writer) {
-	fmt.Fprintf(w, "\nserving on   http://%s\n", s.front.Addr())
-	fmt.Fprintf(w, "log          http://%s\nlist         http://%s\n", s.log, s.list)
+func (s *site) tellAddresses(w io.Writer) error {
+	line := func(name string, a cs.Address) string { return fmt.Sprintf("%-12s http://%s\n", name, a) }
+	text := "\n" + line("serving on", cs.Address(s.front.Addr().String())) + line("log", s.log) + line("list", s.list)
 	for _, e := range s.entries[1:] {
-		fmt.Fprintf(w, "%-12s http://%s\n", e.ID, e.Address)
+		text += line(e.ID, e.Address)
 	}
-	fmt.Fprintf(w, "try: go run ./cmd/crocusstile ask -addr %s -tenant muc -model %s \"How do I lift a crate?\"\n", s.front.Addr(), model)
+	text += fmt.Sprintf("try: go run ./cmd/crocusstile ask -addr %s -tenant muc -model %s \"How do I lift a crate?\"\n", s.front.Addr(), model)
+	_, err := io.WriteString(w, text)
+	return err
 }
--- a/demo/tour.go
+++ b/demo/tour.go
@@ -50,7 +50,10 @@
 	return nil
 }
 
-func (t *tour) say(format string, args ...any) { fmt.Fprintf(t.out, format+"\n", args...) }
+// say prints a line; the demonstration goes on if nobody reads it.
+func (t *tour) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(t.out, format+"\n", args...)
+}
 
 // waitReady waits until the daemon has read the platform's list.
 func (t *tour) waitReady(ctx context.Context) error {
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -47,7 +47,6 @@
 	dir string
 	log *process
 	dcs []*dataCentre
-	inc uint64
 }
 
 // dataCentre is one data centre: its processes, and the proxies through which it reaches the rest.
@@ -65,11 +64,10 @@
 // vm is an entry VM; its process may be replaced.
 type vm struct {
 	*process
-	id       string
-	address  cs.Address
-	settings string
-	dc       *dataCentre
-	starts   int
+	id      string
+	address cs.Address
+	dc      *dataCentre
+	starts  int
 }
 
 // backend is a runner or a plain service; its process may be replaced.
