--- a/e2e/cost_test.go
+++ b/e2e/cost_test.go
@@ -131,7 +131,7 @@
 // TestRelayCost guards against a byte path that takes more than a core for a VM's share of the peak.
 func TestRelayCost(t *testing.T) {
 	s := newSite(t, siteConfig{
-		dataCentres: []string{"muc-a"}, vms: 1, runners: 4, runnerArgs: []string{"-slots", "400", "-step-base", "20ms"},
+		dataCentres: []string{"muc-a"}, vms: 1, runners: 4, slots: 400, runnerArgs: []string{"-slots", "400", "-step-base", "20ms"},
 		control: map[string]any{"maxQueued": 4096},
 	})
 	c := newCaller(t, s)
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -34,6 +35,8 @@
 	defaults bool
 	// control overrides fields of the settings' control object.
 	control map[string]any
+	// slots is the number of slots that the list shows for a runner; 0 stands for 8.
+	slots cs.Slots
 	// runnerArgs, logArgs and listArgs are added to the stand-ins' arguments.
 	runnerArgs, logArgs, listArgs []string
 	// recordsArgs are added to those of the plain service.
@@ -189,7 +192,7 @@
 			list = append(list, standin.Entry{ID: v.id, Kind: standin.KindEntry, Address: at(v.address), DataCentre: id})
 		}
 		for _, r := range dc.runners {
-			list = append(list, standin.Entry{ID: r.id, Kind: standin.KindRunner, Service: engines, Address: at(r.address), DataCentre: id, Slots: 8})
+			list = append(list, standin.Entry{ID: r.id, Kind: standin.KindRunner, Service: engines, Address: at(r.address), DataCentre: id, Slots: cmp.Or(s.cfg.slots, 8)})
 		}
 		list = append(list, standin.Entry{ID: dc.records.id, Kind: standin.KindService, Service: recordsS, Address: at(dc.records.address), DataCentre: id, Slots: 8})
 	}
