Measure the capacity of each role of a VM

Ruled out: sums of the packages' own benchmarks, which miss the walks that systems repeat on each tick. Change: benchmarks named Capacity, each at three sizes or more.

--- /dev/null
+++ b/job/capacity_test.go
@@ -0,0 +1,91 @@
+package job
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// heapInUse returns the bytes in use after a collection.
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// capacityBatch returns a batch that opens a job of n items with prompts of 400 bytes, each a string
+// of its own, and, if ended is set, ends them with answers of 400 bytes.
+func capacityBatch(seq, n int, ended bool) cs.LoggedBatch {
+	m := job(fmt.Sprint("capacity", seq), n, false)
+	records := []cs.Record{cs.JobOpened{Job: m.Job}}
+	for i := range m.Items {
+		m.Items[i].Target = cs.Generation{Model: "tutor", Prompt: strings.Repeat("x", 400), MaxTokens: 100}
+	}
+	records = append(records, cs.JobItems{Job: m.Job.ID, Items: m.Items}, cs.JobSealed{Job: m.Job.ID})
+	if ended {
+		for i := range n {
+			records = append(records, cs.ItemEnded{Job: m.Job.ID, Result: cs.ItemResult{
+				Index: cs.ItemIndex(i), State: cs.ItemDone, Output: strings.Repeat("x", 400), Attempts: 1,
+			}})
+		}
+	}
+	return cs.LoggedBatch{Offset: cs.Offset(seq), At: 1, Batch: cs.LogBatch{Writer: 1, VM: "vm0", Seq: cs.Seq(seq + 1), Records: records}}
+}
+
+// BenchmarkCapacityItemMemory reports the memory of an item with a prompt of 400 bytes, waiting or
+// ended with an answer of 400 bytes, by the items of a job; and of a job of one item, by the jobs.
+func BenchmarkCapacityItemMemory(b *testing.B) {
+	for _, ended := range []bool{false, true} {
+		for _, n := range []int{1000, 10_000, 130_000} {
+			b.Run(fmt.Sprintf("ended=%t/items=%d", ended, n), func(b *testing.B) { measureRows(b, 1, n, ended) })
+		}
+		for _, n := range []int{100, 1000, 10_000} {
+			b.Run(fmt.Sprintf("ended=%t/jobs=%d", ended, n), func(b *testing.B) { measureRows(b, n, 1, ended) })
+		}
+	}
+}
+
+// measureRows reports the bytes that each item of a number of jobs takes once it is read from the log.
+func measureRows(b *testing.B, jobs, items int, ended bool) {
+	var bytes float64
+	for b.Loop() {
+		before := heapInUse()
+		t, out := benchTables(), &fleet.Actions{}
+		read := fleet.LogRead{Stream: cs.WorkStream(0), Next: cs.Offset(jobs + 1), End: true, Batches: []cs.LoggedBatch{claimed()}}
+		for i := range jobs {
+			read.Batches = append(read.Batches, capacityBatch(i+1, items, ended))
+		}
+		t.Events = []fleet.Event{read}
+		Follow(t, t.Started, out)
+		t.Events, read, out = nil, fleet.LogRead{}, nil
+		bytes = heapInUse() - before
+		runtime.KeepAlive(t)
+	}
+	b.ReportMetric(bytes/float64(jobs*items), "B/item")
+}
+
+// BenchmarkCapacityAppends reports the appends of a job for each 1,000 items, by its items: group
+// commit puts what ends between two appends into one.
+func BenchmarkCapacityAppends(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint("items=", n), func(b *testing.B) {
+			m, appends := job("capacity", n, false), 0
+			for b.Loop() {
+				w := newWorld(3)
+				w.until(cs.Minute, func() bool { return w.owner() != nil })
+				before := len(w.log)
+				w.ask(0, 1, m)
+				if !w.finish(m.Job.ID, cs.Hour) {
+					b.Fatal("the job did not end")
+				}
+				appends = len(w.log) - before
+			}
+			b.ReportMetric(float64(appends)/float64(n)*1000, "appends/1000items")
+		})
+	}
+}
--- /dev/null
+++ b/meter/capacity_test.go
@@ -0,0 +1,68 @@
+package meter
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// heapInUse returns the bytes in use after a collection.
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// use counts and measures a request of a tenant as the relay and the control loop do.
+func use(m *Meter, tenant cs.TenantID) {
+	m.Count(fleet.Counted{Counter: fleet.CountRequests, Tenant: tenant, N: 1})
+	m.Count(fleet.Counted{Counter: fleet.CountAnswered, Tenant: tenant, N: 1})
+	for _, what := range []Timing{QueueWait, FirstToken, TokenGap, Request} {
+		m.Time(what, tenant, cs.Online, 100)
+	}
+}
+
+// BenchmarkCapacityTenants measures the figures of a request, their memory and a scrape, by the
+// number of tenants.
+func BenchmarkCapacityTenants(b *testing.B) {
+	for _, n := range []int{10, 100, 200, 11_000} {
+		tenants := make([]cs.TenantID, n)
+		for i := range tenants {
+			tenants[i] = cs.TenantID(fmt.Sprintf("workspace-%05d", i))
+		}
+		b.Run(fmt.Sprint("request/tenants=", n), func(b *testing.B) {
+			before := heapInUse()
+			m := New(zerolog.Nop())
+			defer func() { _ = m.Close() }()
+			for _, t := range tenants {
+				use(m, t)
+			}
+			bytes := heapInUse() - before
+			for i := 0; b.Loop(); i++ {
+				use(m, tenants[i%n])
+			}
+			b.ReportMetric(bytes, "bytes")
+		})
+		b.Run(fmt.Sprint("scrape/tenants=", n), func(b *testing.B) {
+			m := New(zerolog.Nop())
+			defer func() { _ = m.Close() }()
+			for _, t := range tenants {
+				use(m, t)
+			}
+			var size int
+			for b.Loop() {
+				w := httptest.NewRecorder()
+				m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+				size = w.Body.Len()
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
