Look for waiting owners once in a tick

Cause: Offer kept the list of owners with waiting items as a nil slice, and walked all VMs again for each runner while no items waited. Ruled out: a list kept between ticks, which heartbeats would have to renew. Change: a flag tells whether the list was made on this tick.

--- a/batch/offer.go
+++ b/batch/offer.go
@@ -19,7 +19,10 @@
 	if t.Config.Policy.NoBatch {
 		return
 	}
-	var owners []*fleet.VM
+	var (
+		owners []*fleet.VM
+		listed bool
+	)
 	list, fresh := limit.Sending(t, now)
 	if fresh {
 		withdraw(t)
@@ -34,8 +37,8 @@
 		if free <= 0 {
 			continue
 		}
-		if owners == nil {
-			owners = waitingOwners(t)
+		if !listed {
+			owners, listed = waitingOwners(t), true
 		}
 		if len(owners) == 0 {
 			continue
