Make the view's slices at their final size

Cause: the view is copied four times a second, and its slices grew by doubling. Ruled out: a view made when it is read, which would need the tables' goroutine. Change: capacities from the tables.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -54,6 +54,8 @@
 		At: now, Self: t.Self, Drain: t.Drain.Phase, LogAge: t.Log.Age(now),
 		Ready:  t.Drain.Phase == DrainNone && t.Runners.Len() > 0,
 		Online: t.Requests.Len(), Batch: t.Runs.Len(),
+		VMs: make([]VMView, 0, t.VMs.Len()), Runners: make([]RunnerView, 0, t.Runners.Len()),
+		Tickets: make([]Ticket, 0, t.Tickets.Len()),
 	}
 	for _, vm := range t.VMs.All() {
 		v.VMs = append(v.VMs, VMView{VM: vm.VM, Live: vm.Live, Linked: vm.Linked, Heard: vm.Heard})
