Read the platform's list only when it has changed

Cause: a VM reads the whole list each second, 0.76 MB at 4,090 entries. Ruled out: slices by data centre, which the list's protocol does not have, and a longer poll, which would delay a leaving entry beyond 3 s.

--- a/standin/list.go
+++ b/standin/list.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 )
@@ -195,7 +199,19 @@
 	if !ok {
 		abort()
 	}
-	writeJSON(w, http.StatusOK, listBody{VMs: entries})
+	body, err := json.Marshal(listBody{VMs: entries})
+	if err != nil {
+		writeError(w, http.StatusInternalServerError, "cannot encode the list: %v", err)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // the client is gone if this fails
 }
 
 func (l *List) handlePut(w http.ResponseWriter, r *http.Request) {
