Measure the relay by its token rate and the memory of a stream

Cause: BenchmarkRelay has one size, so that it gives no slope. Ruled out: fewer tokens a stream, which changes the pace. Change: the number of streams is a parameter of the load process.

--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -25,17 +25,17 @@
 
 // The load of BenchmarkRelay: 36,000 tokens a second, the target of one daemon.
 const (
-	benchStreams = 1200
+	benchStreams = 1200 // of BenchmarkRelay
 	benchTokens  = 60
 	benchGap     = 33 * time.Millisecond
 	benchGroups  = 10
-	// loadVariable is set in the process that stands for the runners and the callers.
+	// loadVariable is the number of streams in the process that stands for the runners and the callers.
 	loadVariable = "CROCUSSTILE_RELAY_LOAD"
 )
 
 func TestMain(m *testing.M) {
-	if os.Getenv(loadVariable) != "" {
-		runLoad()
+	if streams, err := strconv.Atoi(os.Getenv(loadVariable)); err == nil {
+		runLoad(streams)
 		return
 	}
 	os.Exit(m.Run())
@@ -43,9 +43,18 @@
 
 // BenchmarkRelay reports the cores that this process uses to relay 36,000 tokens a second, each in
 // a packet of its own. Runners and callers are another process.
-func BenchmarkRelay(b *testing.B) {
+func BenchmarkRelay(b *testing.B) { measureRelay(b, benchStreams) }
+
+// BenchmarkCapacityRelay reports the same by the rate of tokens: each stream has 30 a second.
+func BenchmarkCapacityRelay(b *testing.B) {
+	for _, n := range []int{300, 600, benchStreams} {
+		b.Run(fmt.Sprint("streams=", n), func(b *testing.B) { measureRelay(b, n) })
+	}
+}
+
+func measureRelay(b *testing.B, streams int) {
 	child := exec.Command(os.Args[0], "-test.run=^$")
-	child.Env = append(os.Environ(), loadVariable+"=1")
+	child.Env = append(os.Environ(), loadVariable+"="+strconv.Itoa(streams))
 	child.Stderr = os.Stderr
 	in, err := child.StdinPipe()
 	qt.Assert(b, err, qt.IsNil)
@@ -73,12 +82,12 @@
 		lines.Scan() // all streams are open
 		began, cpu = time.Now(), cpuTime(b)
 		lines.Scan()
-		qt.Assert(b, lines.Text(), qt.Equals, strconv.Itoa(benchStreams*benchTokens))
+		qt.Assert(b, lines.Text(), qt.Equals, strconv.Itoa(streams*benchTokens))
 	}
 	took := time.Since(began)
 	b.ReportMetric(float64(cpuTime(b)-cpu)/float64(took), "cores")
-	b.ReportMetric(benchStreams*benchTokens/took.Seconds(), "tokens/s")
-	b.ReportMetric(float64(cpuTime(b)-cpu)/(benchStreams*benchTokens), "cpu-ns/token")
+	b.ReportMetric(float64(streams*benchTokens)/took.Seconds(), "tokens/s")
+	b.ReportMetric(float64(cpuTime(b)-cpu)/float64(streams*benchTokens), "cpu-ns/token")
 }
 
 // cpuTime returns the processor time of this process.
@@ -90,10 +99,10 @@
 
 // runLoad serves as runner and caller: for each address on standard input it opens all streams
 // there, sends their tokens at the given pace and prints how many came back.
-func runLoad() {
+func runLoad(streams int) {
 	var mu sync.Mutex
 	var open []*benchStream
-	ready := make(chan struct{}, benchStreams)
+	ready := make(chan struct{}, streams)
 	source := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var body struct{ ID string }
 		if json.NewDecoder(r.Body).Decode(&body) != nil || r.URL.Path != "/v1/generate" {
@@ -113,10 +122,10 @@
 	for in := bufio.NewScanner(os.Stdin); in.Scan(); open = nil {
 		var callers sync.WaitGroup
 		var tokens atomic.Int64
-		for range benchStreams {
+		for range streams {
 			callers.Go(func() { tokens.Add(readStream(in.Text())) })
 		}
-		for range benchStreams {
+		for range streams {
 			<-ready
 		}
 		fmt.Println("open")
--- /dev/null
+++ b/relay/capacity_test.go
@@ -0,0 +1,64 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+// memoryInUse returns the bytes of heap and stacks in use after a collection.
+func memoryInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkCapacityStream reports the memory of an open stream, without its caller's connection, by
+// the number of streams. It contains the runner's end of the connection.
+func BenchmarkCapacityStream(b *testing.B) {
+	for _, n := range []int{100, 400, 1200} {
+		b.Run(fmt.Sprint("streams=", n), func(b *testing.B) {
+			var bytes float64
+			for b.Loop() {
+				bytes = streamMemory(b, n)
+			}
+			b.ReportMetric(bytes/float64(n), "B/stream")
+		})
+	}
+}
+
+// streamMemory opens n streams that have brought one token and returns the memory that they take.
+func streamMemory(b *testing.B, n int) float64 {
+	release := make(chan struct{})
+	runner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body [1 << 10]byte
+		read, _ := r.Body.Read(body[:])
+		var id string
+		_, _ = fmt.Sscanf(string(body[:read]), `{"id":%q`, &id)
+		_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"n\":1,\"text\":\" token\"}\n\n", id)
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}))
+	w := newWorld(b, cs.Address(runner.Listener.Addr().String()))
+	before := memoryInUse()
+	for range n {
+		body, err := w.relay.Stream(b.Context(), w.request(100))
+		qt.Assert(b, err, qt.IsNil)
+		defer func() { _ = body.Close() }()
+		var first [16]byte
+		_, err = io.ReadFull(body, first[:])
+		qt.Assert(b, err, qt.IsNil)
+	}
+	used := memoryInUse() - before
+	close(release)
+	runner.Close()
+	return used
+}
