List the deployments once in a tick for placement orders

Cause: while a version was rolled out, each load report of an own runner walked all tickets again for each runner that held another version, and sorted all. Ruled out: fewer load reports, since one alone stopped the loop for seconds. Change: the deployments in force are listed once in a tick, and the rank of the reporting runner is counted instead of sorting all.

--- /dev/null
+++ b/placement/capacity_test.go
@@ -0,0 +1,54 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+)
+
+// BenchmarkCapacityOrder measures what one load report of an own runner costs, by runners and
+// tickets: while all runners hold the deployed version, and while they hold an old one and another
+// runner is to load the new one first.
+func BenchmarkCapacityOrder(b *testing.B) {
+	const now cs.Instant = 1_000_000
+	for _, rollout := range []bool{false, true} {
+		for _, s := range []struct{ runners, tickets int }{{18, 50}, {1200, 3700}, {3700, 11_000}} {
+			b.Run(fmt.Sprintf("rollout=%t/runners=%d/tickets=%d", rollout, s.runners, s.tickets), func(b *testing.B) {
+				t := fleet.New(fleet.DefaultConfig(), cs.VM{ID: "vm"}, now, 1)
+				put := func(state cs.ScopeState) {
+					t.Tickets.Insert(state.Scope(), fleet.Ticket{PlacedTicket: cs.PlacedTicket{Offset: 7, Ticket: cs.Ticket{State: state}}})
+				}
+				for i := range s.tickets {
+					put(cs.TenantLimits{Tenant: cs.TenantID(fmt.Sprint(i))})
+				}
+				d := cs.Deployment{Name: "d", Service: "g", Model: "m", Version: "2"}
+				put(d)
+				loaded := []cs.LoadedModel{{Model: "m", Version: "2"}}
+				if rollout {
+					loaded[0].Version = "1"
+				}
+				var last, first cs.RunnerID
+				for i := range s.runners {
+					id := cs.RunnerID(fmt.Sprintf("runner-%04d", i))
+					t.Runners.Insert(id, fleet.Runner{Runner: cs.Runner{ID: id, Service: "g"}, Sender: "vm", Report: cs.LoadReport{Loaded: loaded}})
+					key := string(d.Scope())
+					if last == "" || cs.Rendezvous(key, string(id)) < cs.Rendezvous(key, string(last)) {
+						last = id
+					}
+					first = id
+				}
+				if !rollout {
+					last = first
+				}
+				t.Events = []fleet.Event{fleet.LoadReported{Runner: last}}
+				var out fleet.Actions
+				for b.Loop() {
+					out.Reset()
+					Order(t, now, &out)
+				}
+			})
+		}
+	}
+}
--- a/placement/order.go
+++ b/placement/order.go
@@ -19,13 +19,17 @@
 //
 // A runner is looked at when its load report comes, so that ticks without reports cost nothing.
 func Order(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+	var deployed []deployment
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case fleet.OrderEnded:
 			ended(t, e, out)
 		case fleet.LoadReported:
 			if r := t.Runners.Get(e.Runner); r != nil && mayOrder(t, r, now) {
-				order(t, r, now, out)
+				if deployed == nil {
+					deployed = deployments(t)
+				}
+				order(t, deployed, r, now, out)
 			}
 		default:
 		}
@@ -70,19 +74,36 @@
 	return false
 }
 
-// order gives the runner the first order that a deployment calls for.
-func order(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
+// deployment is a deployment in force with the offset of its ticket.
+type deployment struct {
+	cs.Deployment
+	offset cs.Offset
+}
+
+// deployments lists the deployments in force. They are few beside the tickets of tenants, which are
+// not to be walked again for each runner.
+func deployments(t *fleet.Tables) []deployment {
+	list := []deployment{}
 	for _, k := range t.Tickets.All() {
-		d, ok := k.Ticket.State.(cs.Deployment)
-		if !ok || d.Service != r.Service {
+		if d, ok := k.Ticket.State.(cs.Deployment); ok {
+			list = append(list, deployment{d, k.Offset})
+		}
+	}
+	return list
+}
+
+// order gives the runner the first order that a deployment calls for.
+func order(t *fleet.Tables, deployed []deployment, r *fleet.Runner, now cs.Instant, out *fleet.Actions) {
+	for _, d := range deployed {
+		if d.Service != r.Service {
 			continue
 		}
-		if shouldLoad(t, r, d) {
-			give(r, cs.Order{Kind: cs.OrderLoad, Fence: k.Offset, Model: d.Model, Version: d.Version}, now, out)
+		if shouldLoad(t, deployed, r, d.Deployment) {
+			give(r, cs.Order{Kind: cs.OrderLoad, Fence: d.offset, Model: d.Model, Version: d.Version}, now, out)
 			return
 		}
-		if v, found := outdated(t, r, d); found {
-			give(r, cs.Order{Kind: cs.OrderUnload, Fence: k.Offset, Model: d.Model, Version: v}, now, out)
+		if v, found := outdated(t, deployed, r, d.Deployment); found {
+			give(r, cs.Order{Kind: cs.OrderUnload, Fence: d.offset, Model: d.Model, Version: v}, now, out)
 			return
 		}
 	}
--- a/placement/want.go
+++ b/placement/want.go
@@ -12,7 +12,7 @@
 //
 // All VMs rank the runners alike, and only the first Config.LoadsAtOnce that lack the version may
 // load it. This bounds the share of the weight store's rate that one deployment takes.
-func shouldLoad(t *fleet.Tables, r *fleet.Runner, d cs.Deployment) bool {
+func shouldLoad(t *fleet.Tables, deployed []deployment, r *fleet.Runner, d cs.Deployment) bool {
 	if holds(r, d.Model, d.Version) {
 		return false
 	}
@@ -28,7 +28,7 @@
 			have++
 			continue
 		}
-		if _, old := stale(t, o, d); old {
+		if _, old := stale(deployed, o, d); old {
 			outdated++
 		}
 		lack = append(lack, o)
@@ -38,15 +38,20 @@
 	if next <= 0 {
 		return false
 	}
-	slices.SortFunc(lack, func(a, b *fleet.Runner) int { return before(t, d, a, b) })
-	return slices.Contains(lack[:next], r)
+	ahead := 0
+	for _, o := range lack {
+		if o != r && before(deployed, d, o, r) < 0 {
+			ahead++
+		}
+	}
+	return ahead < next && slices.Contains(lack, r)
 }
 
 // before ranks runners for loading: those that hold a version of the model which no deployment names
 // come first, since they serve the model already.
-func before(t *fleet.Tables, d cs.Deployment, a, b *fleet.Runner) int {
-	_, oldA := stale(t, a, d)
-	_, oldB := stale(t, b, d)
+func before(deployed []deployment, d cs.Deployment, a, b *fleet.Runner) int {
+	_, oldA := stale(deployed, a, d)
+	_, oldB := stale(deployed, b, d)
 	if oldA != oldB {
 		if oldA {
 			return -1
@@ -94,8 +99,8 @@
 
 // outdated returns a version of the deployment's model to unload from the runner, once the runner
 // itself and enough others hold the deployment's version.
-func outdated(t *fleet.Tables, r *fleet.Runner, d cs.Deployment) (cs.VersionID, bool) {
-	v, old := stale(t, r, d)
+func outdated(t *fleet.Tables, deployed []deployment, r *fleet.Runner, d cs.Deployment) (cs.VersionID, bool) {
+	v, old := stale(deployed, r, d)
 	if !old || !holds(r, d.Model, d.Version) {
 		return "", false
 	}
@@ -109,9 +114,9 @@
 }
 
 // stale returns a version of the deployment's model on the runner that no deployment names.
-func stale(t *fleet.Tables, r *fleet.Runner, d cs.Deployment) (cs.VersionID, bool) {
+func stale(deployed []deployment, r *fleet.Runner, d cs.Deployment) (cs.VersionID, bool) {
 	for _, m := range r.Report.Loaded {
-		if m.Model == d.Model && m.Version != d.Version && !named(t, m) {
+		if m.Model == d.Model && m.Version != d.Version && !named(deployed, m) {
 			return m.Version, true
 		}
 	}
@@ -119,13 +124,8 @@
 }
 
 // named reports whether a deployment in force names the model and version.
-func named(t *fleet.Tables, m cs.LoadedModel) bool {
-	for _, k := range t.Tickets.All() {
-		if d, ok := k.Ticket.State.(cs.Deployment); ok && d.Model == m.Model && d.Version == m.Version {
-			return true
-		}
-	}
-	return false
+func named(deployed []deployment, m cs.LoadedModel) bool {
+	return slices.ContainsFunc(deployed, func(d deployment) bool { return d.Model == m.Model && d.Version == m.Version })
 }
 
 func holds(r *fleet.Runner, m cs.ModelID, v cs.VersionID) bool {
