Route to other data centres when the near runners fail

Cause: runners of other data centres are not polled, so that they counted as holding no model and were never chosen; retries of refused connections used up the retry budget and went to the same near runners again. Ruled out: polling all runners from all VMs (3,700 runners at the target size). Change: what a deployment names stands in for a report; a retry prefers a far runner over a near one that was tried; a connection that was not opened needs no budget. Conclusion: a data centre without runners is served by the others.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -43,10 +43,14 @@
 		return nil
 	}
 	near := d.draw(p, p.local, q)
-	if near != nil && near.online < near.slots {
+	tried := near != nil && avoid(q, near.row.ID)
+	if near != nil && near.online < near.slots && !tried {
 		return near
 	}
 	far := d.draw(p, d.far(p, q.Target), q)
+	if tried && far != nil && !avoid(q, far.row.ID) {
+		return far // all near runners have failed this request
+	}
 	if near == nil && far == nil && len(q.Tried) == 0 {
 		p.full = true
 	}
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -112,7 +112,7 @@
 	g, untried := &group{}, []*fleet.Runner(nil)
 	for _, r := range d.t.Runners.All() {
 		switch {
-		case (r.DataCentre == d.t.Self.DataCentre) != near || !limit.Usable(r, d.now) || !limit.Serves(r, target):
+		case (r.DataCentre == d.t.Self.DataCentre) != near || !limit.Usable(r, d.now) || !d.serves(r, target):
 		case limit.MayTry(d.t, r, d.now):
 			g.add(r, d.now)
 		default:
@@ -127,6 +127,23 @@
 	return g
 }
 
+// serves reports whether a runner holds what the target asks for. Runners of other data centres are
+// not polled from here, so that what their deployment names stands in for a report; a runner that
+// does not hold it refuses the request as not run.
+func (d *round) serves(r *fleet.Runner, target cs.Target) bool {
+	gen, ok := target.(cs.Generation)
+	if !ok || r.ReportAt != 0 || r.Kind != cs.KindEngine {
+		return limit.Serves(r, target)
+	}
+	for _, k := range d.t.Tickets.All() {
+		dep, ok := k.Ticket.State.(cs.Deployment)
+		if ok && dep.Service == r.Service && dep.Model == gen.Model && (gen.Version == "" || gen.Version == dep.Version) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *group) add(r *fleet.Runner, now cs.Instant) {
 	c := candidate{group: g, row: r, key: limit.RunnerKey(r.ID), slots: limit.Slots(r), trial: r.Ejections > 0}
 	c.measure(now)
--- a/routing/settle.go
+++ b/routing/settle.go
@@ -79,6 +79,8 @@
 	if x.Sent || x.Passed {
 		q.Unsure = true
 	}
+	// A connection that was not opened adds no load to the fleet, so that the retry needs no budget.
+	q.Free = !x.Sent
 	retry(t, q, now, out)
 }
 
