Avoid runners that owe a first token

Cause: a runner that takes requests and answers none kept its average, and where the two draws of a request named the same runner it had no alternative. In TestSilentRunner VM 1 sent requests at 0, 124, 227 and 320 ms to the silent runner, one more than hedge and retries can save. Ruled out: the retry budget alone; its bound stays.

Change: the age of the oldest run without a first token bounds the runner's expected first token from below, counted from the last first token that came. The second draw differs from the first where it can. A silent near runner is compared with those of other data centres.

--- a/limit/eject.go
+++ b/limit/eject.go
@@ -66,9 +66,10 @@
 // and has given none to other requests meanwhile. The time so far counts as a sample, since the first
 // token can only take longer.
 func Hung(t *fleet.Tables, r *fleet.Runner, since, now cs.Instant, out *fleet.Actions) {
-	quiet := r.SampledAt < since
+	sampled := r.SampledAt
 	Sample(t, r, now.Sub(since), now, out)
-	if quiet {
+	r.SampledAt = sampled // the last first token that came
+	if sampled < since {
 		eject(t, r, now, out)
 	}
 }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -43,7 +43,7 @@
 		return nil
 	}
 	near := d.draw(p, p.local, q)
-	if near != nil && near.online < near.slots {
+	if near != nil && near.online < near.slots && d.silence(near.row) < d.hedgeAfter(p, near.row) {
 		return near
 	}
 	far := d.draw(p, d.far(p, q.Target), q)
@@ -133,26 +133,31 @@
 	return float64(c.row.Online+1) > share*float64(c.slots) && c.seen() >= load
 }
 
-// ranked returns the runners ranked first for two keys among those that are not over a load. Those
-// with a free slot for online requests come before others with room, and those tried before last.
-// It returns nil for both if there are none.
+// ranked returns the runners ranked first for two keys among those that are not over a load. The
+// second differs from the first if there is another, so that a runner which is slow or silent always
+// has an alternative. Those with a free slot for online requests come before others with room, and
+// those tried before last. It returns nil for both if there are none.
 func (g *group) ranked(q *fleet.Request, keys [2]uint64, load, share float64) (best [2]*candidate) {
-	var (
-		high  [2]uint64
-		level int
-	)
+	top := 1
 	for i := range g.list {
-		c := &g.list[i]
-		l := c.level(q)
-		if l == 0 || l < level || c.over(load, share) {
-			continue
+		if c := &g.list[i]; !c.over(load, share) {
+			top = max(top, c.level(q))
 		}
-		for k, key := range keys {
-			if w := limit.Weight(key, c.key); l > level || best[k] == nil || w > high[k] {
-				best[k], high[k] = c, w
+	}
+	for k, key := range keys {
+		var high uint64
+		for i := range g.list {
+			c := &g.list[i]
+			if k == 1 && c == best[0] || c.level(q) != top || c.over(load, share) {
+				continue
+			}
+			if w := limit.Weight(key, c.key); best[k] == nil || w > high {
+				best[k], high = c, w
 			}
 		}
-		level = l
+	}
+	if best[1] == nil {
+		best[1] = best[0]
 	}
 	return best
 }
@@ -182,6 +187,8 @@
 		age := float64(d.now.Sub(c.row.SampledAt))
 		own += (c.row.FirstToken - usual) * math.Exp2(-age/forget)
 	}
+	// A runner that has fallen silent keeps its average.
+	own = max(own, float64(d.silence(c.row)))
 	// A runner that fails at once looks idle and would draw the traffic.
 	own *= math.Exp2(float64(min(c.row.Failures, maxPenalty)))
 	slots := float64(c.slots)
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -50,6 +50,8 @@
 	barred  []cs.RequestID
 	slow    []cs.RequestID
 	pools   []*pool
+	// oldest holds the start of the oldest run without a first token by runner.
+	oldest map[cs.RunnerID]cs.Instant
 }
 
 // collect walks the requests without a first token.
@@ -86,6 +88,9 @@
 		}
 		d.out.WakeAt(q.RetryAt)
 	case fleet.PhaseRunning:
+		for _, run := range q.Runs {
+			d.unanswered(run)
+		}
 		if quarantine.Blocked(d.t, q.Hash, d.now) {
 			d.barred = append(d.barred, q.ID)
 			return
