Decrease a batch limit once for each slow sample

Cause: Adapt multiplied the limit by 0.7 every 100 ms for as long as the same slow first token was younger than a second, up to ten times. Change: the row notes the sample of the last decrease; without a newer one the limit rises as usual.

--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -105,6 +105,8 @@
 	BatchLimit float64
 	// LimitAt is when BatchLimit was last adapted.
 	LimitAt cs.Instant
+	// SlowAt is when the first token came for which BatchLimit was last decreased.
+	SlowAt cs.Instant
 	// Offered counts slots that are offered to owners and not granted yet.
 	Offered cs.Slots
 	// Offers are the offers that Offered sums up.
--- a/limit/adapt.go
+++ b/limit/adapt.go
@@ -52,7 +52,9 @@
 	case now.Sub(r.SenderSince) < settling:
 		r.BatchLimit = 1
 	case now < r.YieldUntil:
-	case tooSlow(t.Config, r, now):
+	case r.SampledAt > r.SlowAt && tooSlow(t.Config, r, now):
+		// Each slow sample counts once: until the next one comes, nothing new is known.
+		r.SlowAt = r.SampledAt
 		r.BatchLimit = max(r.BatchLimit*decrease, 1)
 	default:
 		r.BatchLimit = min(max(r.BatchLimit, 1)+steps*max(slots/rampSteps, 1), slots)
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -81,6 +81,7 @@
 		{"new sender", 8, func(r *fleet.Runner) { r.SenderSince = at }, 1},
 		{"above the target", 10, func(r *fleet.Runner) { r.FirstToken = 1600 }, 7},
 		{"above the base", 10, func(r *fleet.Runner) { r.BaseFirstToken = 60 }, 7},
+		{"a sample counted before", 10, func(r *fleet.Runner) { r.FirstToken, r.SlowAt = 1600, at }, 32},
 		{"old sample", 31, func(r *fleet.Runner) { r.FirstToken, r.SampledAt = 1600, at-5000 }, 32},
 		{"after a yield", 5, func(r *fleet.Runner) { r.YieldUntil = at + 2000 }, 5},
 	} {
