Correct old load reports for what ended since

Cause: the stand-in runners report their load 300 ms late, but ages above 200 ms were cut to 200 ms and changes were kept as long. A batch run that ended or was stopped 200 to 300 ms ago counted as an online request of another VM, so that the sender stopped another run for it. A late report also replaced a newer answer. Change: reports up to 1 s old are believed and corrected, and an answer stays in use until a report describes a later time.

--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -61,9 +61,10 @@
 	Online cs.Slots
 	// Batch counts this VM's batch runs on the runner.
 	Batch cs.Slots
-	// Report is the newest load report, and ReportAt when it came.
-	Report   cs.LoadReport
-	ReportAt cs.Instant
+	// Report is the newest load report, ReportAt when it came, and ReportLag how old it was then.
+	Report    cs.LoadReport
+	ReportAt  cs.Instant
+	ReportLag cs.Span
 	// Answer is the load that the last answer brought, and AnswerAt when it came.
 	Answer   cs.Load
 	AnswerAt cs.Instant
--- a/limit/load.go
+++ b/limit/load.go
@@ -11,8 +11,11 @@
 const (
 	// reportHalfLife is the age at which a load report counts half.
 	reportHalfLife = cs.Second
-	// reportDelay is the time for which a runner's load may lack a request that was sent to it.
+	// reportDelay is the age assumed of a load report whose own time cannot be true.
 	reportDelay = 200 * cs.Millisecond
+	// longestDelay is the greatest age of a load report that is believed, and the time for which
+	// changes are kept to correct it.
+	longestDelay = cs.Second
 	// transit bounds the time for which a request is under way between VM and runner.
 	transit = 5 * cs.Millisecond
 	// maxChanges bounds the changes that are kept while no load comes.
@@ -24,12 +27,13 @@
 	return math.Exp2(-float64(max(age, 0)) / float64(reportHalfLife))
 }
 
-// Reported returns the newest load that the runner told and when it came.
+// Reported returns the newest load that the runner told and the time that it describes. A report that
+// comes after an answer may still be older than it.
 func Reported(r *fleet.Runner) (cs.Load, cs.Instant) {
-	if r.AnswerAt > r.ReportAt {
-		return r.Answer, r.AnswerAt
+	if told := r.ReportAt.Add(-r.ReportLag); r.AnswerAt <= told {
+		return r.Report.Load, told
 	}
-	return r.Report.Load, r.ReportAt
+	return r.Answer, r.AnswerAt
 }
 
 // Slots returns the number of requests the runner runs at once, at least 1.
@@ -70,7 +74,7 @@
 			r.LoadOnline -= c.By
 		}
 	}
-	r.Changes = slices.DeleteFunc(r.Changes, func(c fleet.LoadChange) bool { return now.Sub(c.At) > reportDelay })
+	r.Changes = slices.DeleteFunc(r.Changes, func(c fleet.LoadChange) bool { return now.Sub(c.At) > longestDelay })
 	r.Claims = slices.DeleteFunc(r.Claims, func(at cs.Instant) bool { return now.Sub(at) > lag+transit })
 }
 
--- a/limit/observe.go
+++ b/limit/observe.go
@@ -153,12 +153,14 @@
 	if r == nil {
 		return
 	}
-	r.Report, r.ReportAt = e.Report, now
 	lag := now.Sub(e.Report.At)
-	if lag < 0 || lag > reportDelay {
+	if lag < 0 || lag > longestDelay {
 		lag = reportDelay // the runner's clock differs from this one
 	}
-	renewed(r, lag, now)
+	r.Report, r.ReportAt, r.ReportLag = e.Report, now, lag
+	if now.Sub(r.AnswerAt) >= lag {
+		renewed(r, lag, now)
+	}
 	r.DownSince = 0
 }
 
