Announce every online request to the batch sender

A VM kept an announcement back while a load up to 800 ms old showed the runner less than half full, and the sender dropped one older than 5 ms at the next answer, although the request may still be on its way. Change: every dispatch is announced, and announcements count for 30 ms beyond a load. Tried and reverted: no slot to spare after a yield.

--- a/limit/load.go
+++ b/limit/load.go
@@ -18,6 +18,9 @@
 	longestDelay = cs.Second
 	// transit bounds the time for which a request is under way between VM and runner.
 	transit = 5 * cs.Millisecond
+	// claimed is the time for which a load may lack a request that a peer has announced. The
+	// announcement and the load come on other ways than the request and may overtake it.
+	claimed = 30 * cs.Millisecond
 	// maxChanges bounds the changes that are kept while no load comes.
 	maxChanges = 256
 )
@@ -75,7 +78,7 @@
 		}
 	}
 	r.Changes = slices.DeleteFunc(r.Changes, func(c fleet.LoadChange) bool { return now.Sub(c.At) > longestDelay })
-	r.Claims = slices.DeleteFunc(r.Claims, func(at cs.Instant) bool { return now.Sub(at) > lag+transit })
+	r.Claims = slices.DeleteFunc(r.Claims, func(at cs.Instant) bool { return now.Sub(at) > lag+claimed })
 }
 
 // Online estimates the online requests on the runner, of this VM and of others.
--- a/limit/load_test.go
+++ b/limit/load_test.go
@@ -32,3 +32,15 @@
 		qt.Check(t, Needed(r, at), qt.Equals, c.want, qt.Commentf(c.name))
 	}
 }
+
+// TestClaimsOutlastLoads guards against a load that was told before an announced request arrived and
+// makes the batch sender forget it.
+func TestClaimsOutlastLoads(t *testing.T) {
+	for age, want := range map[cs.Span]cs.Slots{10: 1, 29: 1, 31: 0} {
+		tb := tables(1)
+		r := tb.Runners.Get("r0")
+		r.Claims = []cs.Instant{at.Add(-age)}
+		answered(r, cs.Load{Running: 1, Slots: 8}, cs.Online, at)
+		qt.Check(t, cs.Slots(len(r.Claims)), qt.Equals, want, qt.Commentf("%v ago", age))
+	}
+}
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -178,10 +178,9 @@
 
 // claim tells the runner's batch sender of a request, so that the sender stops a batch run if the
 // request has no free slot. Other VMs may count on the same free slot, and batch may have filled the
-// runner since its last report, which only the sender knows. Nothing is sent for a runner that was
-// less than half full.
+// runner since its last report, which only the sender knows.
 func (d *round) claim(c *candidate) {
-	if d.t.Config.Policy.NoClasses || c.online > c.slots || 2*limit.Told(c.row) < c.slots {
+	if d.t.Config.Policy.NoClasses || c.online > c.slots {
 		return
 	}
 	switch c.row.Sender {
--- a/routing/settle_test.go
+++ b/routing/settle_test.go
@@ -112,3 +112,15 @@
 		qt.Check(t, got[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
 	}
 }
+
+// TestClaimsEachRequest guards against a batch sender that does not learn of an online request since
+// the last load showed a runner that batch has filled meanwhile.
+func TestClaimsEachRequest(t *testing.T) {
+	for _, running := range []cs.Slots{0, 3, 8} {
+		tb := tables(1)
+		tb.Runners.Get("r0").Report.Running = running
+		sent := find[fleet.Send](step(tb, at, fleet.RequestArrived{Request: request("q")}))
+		want := []fleet.Send{{To: "vm1", Message: cs.Yield{Runner: "r0", Slots: 1}}}
+		qt.Check(t, sent, qt.DeepEquals, want, qt.Commentf("%d run", running))
+	}
+}
