Leave the batch limit alone after a yield

Cause: a yield halved the limit although it stops exactly the runs whose slots are needed; slots stayed empty for some 100 ms each time. Change: only slow samples lower the limit.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -106,6 +106,7 @@
 	qt.Assert(t, r.Batch, qt.Equals, cs.Slots(6))
 	yielded := run(tb, fleet.PeerSaid{From: "vm2", Message: cs.Yield{Runner: "r0", Slots: 3}})
 	qt.Assert(t, stopped(yielded), qt.Equals, 2) // 6 + 3 - 8 and one to spare
+	qt.Check(t, r.BatchLimit, qt.Equals, 8.0)    // stopping what is needed says nothing about the limit
 	tb.VMs.Get("vm1").Live = false
 	end := fleet.ItemRunEnded{Key: cs.ItemKey{Job: "j"}, Attempt: 1, Output: "ab", Tokens: 2, Result: fleet.RunCancelled{}}
 	qt.Assert(t, sent[cs.ItemReturned](run(tb, end)), qt.HasLen, 0)
--- a/batch/yield.go
+++ b/batch/yield.go
@@ -94,9 +94,6 @@
 	}
 	out.Count(fleet.CountYields, "", int64(n))
 	r.YieldUntil = now.Add(yieldPause)
-	// Half the limit, but no less than what still runs: single yields are common beside steady
-	// online traffic and must not keep slots empty.
-	r.BatchLimit = max(r.BatchLimit/2, float64(int(r.Batch)-n), 1)
 }
 
 // left estimates the tokens that a run has yet to generate.
