Spread the starts of batch runs on a runner

Change: while online requests come, a runner's sender offers at most an eighth of its slots in the time between two tokens, scaled by the weight.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -76,15 +76,20 @@
 		change func(*fleet.Tables, *fleet.Runner)
 		want   cs.Slots
 	}{
-		"idle":           {func(*fleet.Tables, *fleet.Runner) {}, 7},
-		"weight 0":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Weight = 0 }, 8},
-		"online":         {func(_ *fleet.Tables, r *fleet.Runner) { r.Online, r.Peers = 2, 1; r.ReportAt = 0 }, 4},
-		"limit":          {func(_ *fleet.Tables, r *fleet.Runner) { r.BatchLimit = 3.9 }, 3},
-		"yield":          {func(_ *fleet.Tables, r *fleet.Runner) { r.YieldUntil = at + 1 }, 0},
-		"draining":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Drain.Phase = fleet.DrainWaiting }, 0},
-		"another sender": {func(_ *fleet.Tables, r *fleet.Runner) { r.Sender = "vm1" }, 0},
-		"down":           {func(_ *fleet.Tables, r *fleet.Runner) { r.DownSince = at }, 0},
-		"no batch":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Policy.NoBatch = true }, 0},
+		"idle":     {func(*fleet.Tables, *fleet.Runner) {}, 7},
+		"weight 0": {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Weight = 0 }, 8},
+		"online":   {func(_ *fleet.Tables, r *fleet.Runner) { r.Online, r.Peers = 2, 1; r.ReportAt = 0 }, 4},
+		"limit":    {func(_ *fleet.Tables, r *fleet.Runner) { r.BatchLimit = 3.9 }, 3},
+		"yield":    {func(_ *fleet.Tables, r *fleet.Runner) { r.YieldUntil = at + 1 }, 0},
+		"draining": {func(t *fleet.Tables, _ *fleet.Runner) { t.Drain.Phase = fleet.DrainWaiting }, 0},
+		"paced":    {func(_ *fleet.Tables, r *fleet.Runner) { r.OnlineAt = at - 500 }, 1},
+		"paced a moment ago": {func(_ *fleet.Tables, r *fleet.Runner) {
+			r.OnlineAt, r.PacedAt, r.Gap = at-500, at-20, 40
+		}, 0},
+		"online long ago": {func(_ *fleet.Tables, r *fleet.Runner) { r.OnlineAt, r.PacedAt = at-1500, at }, 7},
+		"another sender":  {func(_ *fleet.Tables, r *fleet.Runner) { r.Sender = "vm1" }, 0},
+		"down":            {func(_ *fleet.Tables, r *fleet.Runner) { r.DownSince = at }, 0},
+		"no batch":        {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Policy.NoBatch = true }, 0},
 	} {
 		tb := tables(1)
 		c.change(tb, tb.Runners.Get("r0"))
--- a/batch/offer.go
+++ b/batch/offer.go
@@ -9,8 +9,14 @@
 	"github.com/crocusstile/crocusstile/limit"
 )
 
-// offerFor is the time after which an offer without an answer expires.
-const offerFor = 500 * cs.Millisecond
+const (
+	// offerFor is the time after which an offer without an answer expires.
+	offerFor = 500 * cs.Millisecond
+	// onlineRecent is the time after an online request for which more are expected.
+	onlineRecent = cs.Second
+	// paceShare divides the slots of a runner into those that are offered at once.
+	paceShare cs.Slots = 8
+)
 
 // Offer offers the free batch slots of the runners of which this VM is the batch sender, and runs
 // the items granted for earlier offers.
@@ -44,8 +50,28 @@
 			out.WakeAt(r.YieldUntil)
 			continue
 		}
-		offerAll(t, r, free, owners, now, out)
+		if free = min(free, paced(t, r, now, out)); free > 0 {
+			offerAll(t, r, free, owners, now, out)
+		}
+	}
+}
+
+// paced returns the slots that may be offered at once on a runner. Runs that start together add up
+// their prefills in one step, and an online request in that step waits for all of them. While online
+// requests come, at most an eighth of the slots is offered in the time between two tokens, which is
+// scaled by the weight.
+func paced(t *fleet.Tables, r *fleet.Runner, now cs.Instant, out *fleet.Actions) cs.Slots {
+	slots := limit.Slots(r)
+	if t.Config.Policy.NoClasses || now.Sub(r.OnlineAt) > onlineRecent {
+		return slots
+	}
+	next := r.PacedAt.Add(cs.Span(float64(t.Config.Weight) * r.Gap))
+	if now < next {
+		out.WakeAt(next)
+		return 0
 	}
+	r.PacedAt = now
+	return max(slots/paceShare, 1)
 }
 
 // Free returns the slots of a runner that may be offered to batch now; it is not above 0 if there
--- a/batch/yield.go
+++ b/batch/yield.go
@@ -27,6 +27,7 @@
 		case fleet.PeerSaid:
 			if m, ok := e.Message.(cs.Yield); ok {
 				if r := t.Runners.Get(m.Runner); r != nil && r.Sender == t.Self.ID {
+					r.OnlineAt = now
 					claim(r, m.Slots, now)
 					yield(t, r, 0, now, out)
 				}
@@ -44,6 +45,9 @@
 		if load, at := limit.Reported(r); at == now {
 			wait = load.Waiting // requests that wait inside the runner beside batch runs
 		}
+		if r.YieldWanted > 0 {
+			r.OnlineAt = now
+		}
 		if r.YieldWanted > 0 || wait > 0 {
 			r.YieldWanted = 0
 			yield(t, r, wait, now, out)
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -116,6 +116,10 @@
 	Declined map[cs.VMID]Decline
 	// YieldWanted counts slots that this VM's own online requests need back on this tick.
 	YieldWanted cs.Slots
+	// OnlineAt is when the last online request was announced to this VM, if it is the sender.
+	OnlineAt cs.Instant
+	// PacedAt is when batch slots were last offered while online requests come.
+	PacedAt cs.Instant
 	// YieldUntil bars new batch runs after a yield.
 	YieldUntil cs.Instant
 	// OrderAt is when the last order went out.
