Start no batch run on the slot that a yield leaves free

Cause: a granted item took the last slot, and the next online request stopped it at once to restore the margin; its prefill was wasted. Change: a grant keeps the same margin as a yield.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -124,6 +124,18 @@
 	qt.Check(t, stopped(run(tb)), qt.Equals, 4)
 }
 
+// TestGrantKeepsMargin guards against granted items that start on the slot which the next online
+// request makes them give up.
+func TestGrantKeepsMargin(t *testing.T) {
+	for online, want := range map[cs.Slots]cs.Slots{0: 6, 1: 6, 2: 5, 4: 3} {
+		tb := tables(1)
+		offers := sent[cs.SlotsOffered](run(tb))
+		tb.Runners.Get("r0").Online = online
+		run(tb, grant(offers[0].Offer, 6))
+		qt.Check(t, tb.Runners.Get("r0").Batch, qt.Equals, want, qt.Commentf("%d online", online))
+	}
+}
+
 func BenchmarkOffer(b *testing.B) {
 	for _, n := range []int{12, 100, 400} {
 		b.Run(fmt.Sprint("runners=", n), func(b *testing.B) {
--- a/batch/grant.go
+++ b/batch/grant.go
@@ -111,7 +111,9 @@
 	if t.Config.Policy.NoClasses {
 		return r.Batch < limit.Slots(r)
 	}
-	return r.Batch+limit.Needed(r, now) < limit.Slots(r)
+	// A run that takes the margin is stopped at the next online request and has prefilled for nothing.
+	online := limit.Needed(r, now)
+	return online+r.Batch+margin(t, r, online) < limit.Slots(r)
 }
 
 // start runs an item unless quarantine bars it from the runner.
--- a/batch/yield.go
+++ b/batch/yield.go
@@ -71,8 +71,7 @@
 // as requests wait inside the runner.
 func yield(t *fleet.Tables, r *fleet.Runner, wait cs.Slots, now cs.Instant, out *fleet.Actions) {
 	online := limit.Needed(r, now)
-	margin := min(limit.Headroom(t.Config, r, online), yieldMargin)
-	over := max(online+margin+r.Batch-limit.Slots(r), wait)
+	over := max(online+margin(t, r, online)+r.Batch-limit.Slots(r), wait)
 	if t.Config.Policy.NoClasses || r.Batch == 0 || over <= 0 {
 		return
 	}
@@ -100,6 +99,11 @@
 	r.YieldUntil = now.Add(yieldPause)
 }
 
+// margin returns the slots that batch leaves free beside the given online requests.
+func margin(t *fleet.Tables, r *fleet.Runner, online cs.Slots) cs.Slots {
+	return min(limit.Headroom(t.Config, r, online), yieldMargin)
+}
+
 // left estimates the tokens that a run has yet to generate.
 func left(run *fleet.Run, r *fleet.Runner, now cs.Instant) float64 {
 	g, ok := run.Item.Target.(cs.Generation)
