--- a/load/caller.go
+++ b/load/caller.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	return decode(resp, out)
 }
 
@@ -43,11 +44,12 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	return decode(resp, out)
 }
 
+// decode reads a response; out may be nil.
 func decode(resp *http.Response, out any) error {
-	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return err
