--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -76,15 +76,20 @@
 		change func(*fleet.Tables, *fleet.Runner)
 		want   cs.Slots
 	}{
-		"idle":           {func(*fleet.Tables, *fleet.Runner) {}, 7},
-		"weight 0":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Weight = 0 }, 8},
-		"online":         {func(_ *fleet.Tables, r *fleet.Runner) { r.Online, r.Peers = 2, 1; r.ReportAt = 0 }, 4},
-		"limit":          {func(_ *fleet.Tables, r *fleet.Runner) { r.BatchLimit = 3.9 }, 3},
-		"yield":          {func(_ *fleet.Tables, r *fleet.Runner) { r.YieldUntil = at + 1 }, 0},
-		"draining":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Drain.Phase = fleet.DrainWaiting }, 0},
-		"another sender": {func(_ *fleet.Tables, r *fleet.Runner) { r.Sender = "vm1" }, 0},
-		"down":           {func(_ *fleet.Tables, r *fleet.Runner) { r.DownSince = at }, 0},
-		"no batch":       {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Policy.NoBatch = true }, 0},
+		"idle":     {func(*fleet.Tables, *fleet.Runner) {}, 7},
+		"weight 0": {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Weight = 0 }, 8},
+		"online":   {func(_ *fleet.Tables, r *fleet.Runner) { r.Online, r.Peers = 2, 1; r.ReportAt = 0 }, 4},
+		"limit":    {func(_ *fleet.Tables, r *fleet.Runner) { r.BatchLimit = 3.9 }, 3},
+		"yield":    {func(_ *fleet.Tables, r *fleet.Runner) { r.YieldUntil = at + 1 }, 0},
+		"draining": {func(t *fleet.Tables, _ *fleet.Runner) { t.Drain.Phase = fleet.DrainWaiting }, 0},
+		"paced":    {func(_ *fleet.Tables, r *fleet.Runner) { r.OnlineAt = at - 500 }, 1},
+		"paced a moment ago": {func(_ *fleet.Tables, r *fleet.Runner) {
+			r.OnlineAt, r.PacedAt, r.Gap = at-500, at-20, 40
+		}, 0},
+		"online long ago": {func(_ *fleet.Tables, r *fleet.Runner) { r.OnlineAt, r.PacedAt = at-1500, at }, 7},
+		"another sender":  {func(_ *fleet.Tables, r *fleet.Runner) { r.Sender = "vm1" }, 0},
+		"down":            {func(_ *fleet.Tables, r *fleet.Runner) { r.DownSince = at }, 0},
+		"no batch":        {func(t *fleet.Tables, _ *fleet.Runner) { t.Config.Policy.NoBatch = true }, 0},
 	} {
 		tb := tables(1)
 		c.change(tb, tb.Runners.Get("r0"))
@@ -106,6 +111,7 @@
 	qt.Assert(t, r.Batch, qt.Equals, cs.Slots(6))
 	yielded := run(tb, fleet.PeerSaid{From: "vm2", Message: cs.Yield{Runner: "r0", Slots: 3}})
 	qt.Assert(t, stopped(yielded), qt.Equals, 2) // 6 + 3 - 8 and one to spare
+	qt.Check(t, r.BatchLimit, qt.Equals, 8.0)    // stopping what is needed says nothing about the limit
 	tb.VMs.Get("vm1").Live = false
 	end := fleet.ItemRunEnded{Key: cs.ItemKey{Job: "j"}, Attempt: 1, Output: "ab", Tokens: 2, Result: fleet.RunCancelled{}}
 	qt.Assert(t, sent[cs.ItemReturned](run(tb, end)), qt.HasLen, 0)
@@ -118,6 +124,18 @@
 	qt.Check(t, stopped(run(tb)), qt.Equals, 4)
 }
 
+// TestGrantKeepsMargin guards against granted items that start on the slot which the next online
+// request makes them give up.
+func TestGrantKeepsMargin(t *testing.T) {
+	for online, want := range map[cs.Slots]cs.Slots{0: 6, 1: 6, 2: 5, 4: 3} {
+		tb := tables(1)
+		offers := sent[cs.SlotsOffered](run(tb))
+		tb.Runners.Get("r0").Online = online
+		run(tb, grant(offers[0].Offer, 6))
+		qt.Check(t, tb.Runners.Get("r0").Batch, qt.Equals, want, qt.Commentf("%d online", online))
+	}
+}
+
 func BenchmarkOffer(b *testing.B) {
 	for _, n := range []int{12, 100, 400} {
 		b.Run(fmt.Sprint("runners=", n), func(b *testing.B) {
--- a/batch/yield.go
+++ b/batch/yield.go
@@ -27,6 +27,7 @@
 		case fleet.PeerSaid:
 			if m, ok := e.Message.(cs.Yield); ok {
 				if r := t.Runners.Get(m.Runner); r != nil && r.Sender == t.Self.ID {
+					r.OnlineAt = now
 					claim(r, m.Slots, now)
 					yield(t, r, 0, now, out)
 				}
@@ -44,6 +45,9 @@
 		if load, at := limit.Reported(r); at == now {
 			wait = load.Waiting // requests that wait inside the runner beside batch runs
 		}
+		if r.YieldWanted > 0 {
+			r.OnlineAt = now
+		}
 		if r.YieldWanted > 0 || wait > 0 {
 			r.YieldWanted = 0
 			yield(t, r, wait, now, out)
@@ -67,8 +71,7 @@
 // as requests wait inside the runner.
 func yield(t *fleet.Tables, r *fleet.Runner, wait cs.Slots, now cs.Instant, out *fleet.Actions) {
 	online := limit.Needed(r, now)
-	margin := min(limit.Headroom(t.Config, r, online), yieldMargin)
-	over := max(online+margin+r.Batch-limit.Slots(r), wait)
+	over := max(online+margin(t, r, online)+r.Batch-limit.Slots(r), wait)
 	if t.Config.Policy.NoClasses || r.Batch == 0 || over <= 0 {
 		return
 	}
@@ -94,9 +97,11 @@
 	}
 	out.Count(fleet.CountYields, "", int64(n))
 	r.YieldUntil = now.Add(yieldPause)
-	// Half the limit, but no less than what still runs: single yields are common beside steady
-	// online traffic and must not keep slots empty.
-	r.BatchLimit = max(r.BatchLimit/2, float64(int(r.Batch)-n), 1)
+}
+
+// margin returns the slots that batch leaves free beside the given online requests.
+func margin(t *fleet.Tables, r *fleet.Runner, online cs.Slots) cs.Slots {
+	return min(limit.Headroom(t.Config, r, online), yieldMargin)
 }
 
 // left estimates the tokens that a run has yet to generate.
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -61,9 +61,10 @@
 	Online cs.Slots
 	// Batch counts this VM's batch runs on the runner.
 	Batch cs.Slots
-	// Report is the newest load report, and ReportAt when it came.
-	Report   cs.LoadReport
-	ReportAt cs.Instant
+	// Report is the newest load report, ReportAt when it came, and ReportLag how old it was then.
+	Report    cs.LoadReport
+	ReportAt  cs.Instant
+	ReportLag cs.Span
 	// Answer is the load that the last answer brought, and AnswerAt when it came.
 	Answer   cs.Load
 	AnswerAt cs.Instant
@@ -105,6 +106,8 @@
 	BatchLimit float64
 	// LimitAt is when BatchLimit was last adapted.
 	LimitAt cs.Instant
+	// SlowAt is when the first token came for which BatchLimit was last decreased.
+	SlowAt cs.Instant
 	// Offered counts slots that are offered to owners and not granted yet.
 	Offered cs.Slots
 	// Offers are the offers that Offered sums up.
@@ -113,6 +116,10 @@
 	Declined map[cs.VMID]Decline
 	// YieldWanted counts slots that this VM's own online requests need back on this tick.
 	YieldWanted cs.Slots
+	// OnlineAt is when the last online request was announced to this VM, if it is the sender.
+	OnlineAt cs.Instant
+	// PacedAt is when batch slots were last offered while online requests come.
+	PacedAt cs.Instant
 	// YieldUntil bars new batch runs after a yield.
 	YieldUntil cs.Instant
 	// OrderAt is when the last order went out.
--- a/load/caller.go
+++ b/load/caller.go
@@ -48,6 +48,7 @@
 	return decode(resp, out)
 }
 
+// decode reads a response; out may be nil.
 func decode(resp *http.Response, out any) error {
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
