--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -63,6 +63,14 @@
 	FreshSince cs.Instant
 }
 
+// Read notes that a read succeeded.
+func (l *LogState) Read(now cs.Instant) {
+	l.ReadAt = now
+	if l.FreshSince <= l.FailedAt {
+		l.FreshSince = now
+	}
+}
+
 // Age returns the time since the log was last read without an error.
 func (l LogState) Age(now cs.Instant) cs.Span { return now.Sub(l.ReadAt) }
 
--- a/job/follow.go
+++ b/job/follow.go
@@ -18,7 +18,7 @@
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case fleet.LogRead:
-			noteRead(t, now)
+			t.Log.Read(now)
 			readStream(t, e, now, out)
 		case fleet.LogFailed:
 			t.Log.FailedAt = now
@@ -46,14 +46,6 @@
 	}
 }
 
-// noteRead records that the log answered.
-func noteRead(t *fleet.Tables, now cs.Instant) {
-	t.Log.ReadAt = now
-	if t.Log.FreshSince == 0 || t.Log.FreshSince < t.Log.FailedAt {
-		t.Log.FreshSince = now
-	}
-}
-
 // shardOf returns the shard of a work stream.
 func shardOf(stream cs.StreamID) (cs.ShardID, bool) {
 	digits, ok := strings.CutPrefix(string(stream), "work-")
--- a/membership/track.go
+++ b/membership/track.go
@@ -59,20 +59,13 @@
 			out.Note("runner", "leaving", fleet.Field{Name: "runner", Value: r.ID})
 		}
 	case fleet.LogRead:
-		trackRead(t, now)
+		t.Log.Read(now)
 	case fleet.LogFailed:
 		t.Log.FailedAt = now
 	default: // of other packages
 	}
 }
 
-func trackRead(t *fleet.Tables, now cs.Instant) {
-	t.Log.ReadAt = now
-	if t.Log.FreshSince <= t.Log.FailedAt {
-		t.Log.FreshSince = now
-	}
-}
-
 // readList takes over the platform's list. A list without any entry is a fault of the list service,
 // since it would show at least this VM.
 func readList(t *fleet.Tables, now cs.Instant, out *fleet.Actions, list fleet.ListRead) {
