Prove five more failures end to end

Cause: rows of docs/proofs.md without a proof: a slow log, a runner that only the list shows as leaving, lost answers of a plain service, a drain and a cancellation during an outage of the log. Ruled out: package tests alone (they know no processes). Change: five end-to-end tests; each test logs what callers got and the appends.

--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -418,11 +418,42 @@
 	for _, name := range streams {
 		e.Streams[name] = c.readStream(name)
 	}
+	c.logCounts(e)
 	for _, v := range audit.Check(e) {
 		c.t.Error(v)
 	}
 }
 
+// logCounts logs what callers got and how many appends the work took.
+func (c *caller) logCounts(e audit.Evidence) {
+	c.t.Helper()
+	var answered, cutOff, items int
+	refused := map[cs.Ran]int{}
+	for _, o := range e.Observations {
+		switch o := o.(type) {
+		case audit.Answered:
+			answered++
+		case audit.Refused:
+			refused[o.Ran]++
+		case audit.CutOff:
+			cutOff++
+		case audit.Accepted:
+			items += len(o.Want)
+		default:
+		}
+	}
+	appends := 0
+	for name, batches := range e.Streams {
+		for _, b := range batches {
+			if name != cs.TicketStream && len(b.Batch.Records) > 0 {
+				appends++
+			}
+		}
+	}
+	c.t.Logf("answered %d, not run %d, failed %d, unknown %d, cut off %d; %d items, %d appends with records",
+		answered, refused[cs.RanNotRun], refused[cs.RanFailed], refused[cs.RanUnknown], cutOff, items, appends)
+}
+
 func readJournal(t *testing.T, path string) []standin.JournalEntry {
 	t.Helper()
 	text, err := os.ReadFile(path)
--- /dev/null
+++ b/e2e/platform_test.go
@@ -0,0 +1,136 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/crocusstile/crocusstile/standin"
+)
+
+// TestSlowLog guards against work that is lost or done twice, and online requests that wait, when
+// each request to the log takes a second.
+func TestSlowLog(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, twoSites())
+	c := newCaller(t, s)
+	c.setUp()
+	faults(t, s.log.address, map[string]any{"delay": "1s"})
+	j := newJob("slow-log", 60, 10)
+	_, err := c.submit(s.vms()[0], j)
+	qt.Assert(t, err, qt.IsNil)
+	for i := range 8 {
+		first, err := c.stream(s.vms()[i%4], "hebewerk", fmt.Sprintf("question %d beside a slow log", i), 5)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, first < time.Second, qt.IsTrue, qt.Commentf("%v", first))
+	}
+	_, err = c.mark(s.vms()[1], "slow", map[string]any{"slow": 1})
+	qt.Assert(t, err, qt.IsNil)
+	allDone(t, c.waitFinished(s.vms()[0], j, 60*time.Second), j)
+	c.check(false)
+}
+
+// TestRunnerLeavingInList guards against new work for a runner that only the list shows as leaving.
+func TestRunnerLeavingInList(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, twoSites())
+	c := newCaller(t, s)
+	c.setUp()
+	j := newJob("list-leaving", 300, 20)
+	_, err := c.submit(s.vms()[0], j)
+	qt.Assert(t, err, qt.IsNil)
+	r := s.dcs[0].runners[0]
+	for _, dc := range s.dcs {
+		for _, e := range s.entries(dc) {
+			if e.ID == r.id {
+				e.State = standin.StateLeaving
+				body := map[string]any{"vms": []standin.Entry{e}}
+				qt.Assert(t, sendJSON(t.Context(), http.MethodPost, dc.list.address, "/standin/vms", body, nil), qt.IsNil)
+			}
+		}
+	}
+	c.note(leaving(r))
+	qt.Assert(t, c.askAll("list leaving", 200, 8, 20), qt.Equals, 200)
+	allDone(t, c.waitFinished(s.vms()[0], j, 60*time.Second), j)
+	c.check(false)
+}
+
+// TestServiceAnswersLost guards against a mark that is registered again because its answer was lost
+// on the way.
+func TestServiceAnswersLost(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, twoSites())
+	c := newCaller(t, s)
+	c.setUp()
+	near := s.dcs[0]
+	near.records.kill() // the near VMs reach the far service through a proxy from now on
+	p := near.remote[s.dcs[1].records.address]
+	p.set(standin.DropAnswers{})
+	for m := range 2 {
+		key := ""
+		if m%2 == 0 {
+			key = fmt.Sprintf("dropped-%d", m)
+		}
+		for _, v := range near.vms {
+			_, err := c.mark(v, key, map[string]any{"dropped": m, "vm": key == "" && v == near.vms[0]})
+			qt.Assert(t, err, qt.IsNotNil)
+		}
+	}
+	p.set(standin.Pass{})
+	c.check(false)
+}
+
+// TestDrainDuringOutage guards against a shutdown that hangs or cuts off a request while the log is
+// down, and against items that are lost with it.
+func TestDrainDuringOutage(t *testing.T) {
+	t.Parallel()
+	cfg := twoSites()
+	cfg.control = map[string]any{"drainLimit": "8s"}
+	s := newSite(t, cfg)
+	c := newCaller(t, s)
+	c.setUp()
+	j := newJob("drained-in-outage", 200, 20)
+	_, err := c.submit(s.vms()[0], j)
+	qt.Assert(t, err, qt.IsNil)
+	owner, other := s.owner(j)
+	faults(t, s.log.address, map[string]any{"outage": true})
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.stream(owner, "hebewerk", "question while the log is down", 100)
+		done <- err
+	}()
+	time.Sleep(200 * time.Millisecond)
+	took, err := owner.terminate(40 * time.Second)
+	qt.Check(t, err, qt.IsNil)
+	t.Logf("drain during an outage took %v", took)
+	qt.Check(t, <-done, qt.IsNil)
+	faults(t, s.log.address, map[string]any{"outage": false})
+	allDone(t, c.waitFinished(other, j, 60*time.Second), j)
+	c.check(false)
+}
+
+// TestCancelDuringOutage guards against a cancellation during an outage that is acknowledged and
+// forgotten: it is acknowledged only once it is durable.
+func TestCancelDuringOutage(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, twoSites())
+	c := newCaller(t, s)
+	c.setUp()
+	j := newJob("cancelled-in-outage", 2000, 60)
+	_, err := c.submit(s.vms()[0], j)
+	qt.Assert(t, err, qt.IsNil)
+	faults(t, s.log.address, map[string]any{"outage": true})
+	time.Sleep(time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	err = sendJSON(ctx, http.MethodDelete, s.vms()[0].address, "/v1/jobs/"+string(j.id)+"?tenant=verein", nil, nil)
+	qt.Assert(t, err, qt.IsNotNil)
+	faults(t, s.log.address, map[string]any{"outage": false})
+	s.eventually(30*time.Second, "the cancellation acknowledged", func() bool { return c.cancel(s.vms()[1], j) == nil })
+	time.Sleep(8 * time.Second)
+	c.check(false)
+}
