Run a suspect item on the runner that quarantine gives it

Cause: where few items waited, the same runner was always offered first, and a suspect item that may run on another one only was given back without end. Ruled out: a limit on the time of suspicion alone (each grant renewed it). Change: a batch sender moves such an item to the right runner if it is the sender of that one too, and begins its offers with a random runner.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -8,6 +8,7 @@
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/quarantine"
 )
 
 const at cs.Instant = 1_000_000
@@ -151,3 +152,26 @@
 		})
 	}
 }
+
+// TestSuspectGoesToItsRunner guards against a suspect that is given back for ever because another
+// runner than the one that quarantine gives it is always offered first.
+func TestSuspectGoesToItsRunner(t *testing.T) {
+	for i := range 20 {
+		tb := tables(3)
+		g := grant(1, i+1)
+		items := g.Message.(cs.ItemsGranted)
+		items.Items = items.Items[i:]
+		items.Items[0].Suspect = true
+		g.Message = items
+		var on []cs.RunnerID
+		for _, a := range run(tb, g) {
+			if x, ok := a.(fleet.RunItem); ok {
+				on = append(on, x.Runner)
+			}
+		}
+		target := items.Items[0].Item.Target
+		want, ok := quarantine.Place(tb, cs.HashTarget(target), target, at)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, on, qt.DeepEquals, []cs.RunnerID{want})
+	}
+}
--- a/batch/grant.go
+++ b/batch/grant.go
@@ -65,12 +65,34 @@
 	}
 	for _, item := range m.Items {
 		run := fleet.Run{GrantedItem: item, Grant: item.Attempt, Runner: m.Runner, Owner: from, Shard: m.Shard, Since: now}
-		if !accepts(t, r, now) || !start(t, r, run, now, out) {
+		on := placed(t, r, run, now)
+		if on != nil {
+			run.Runner = on.ID
+		}
+		if !accepts(t, on, now) || !start(t, on, run, now, out) {
 			giveBack(t, run, nil, out)
 		}
 	}
 }
 
+// placed returns the runner for an item: a suspect goes to the one that quarantine gives it, if this
+// VM sends batch to that one too, and any other item to the one that was offered.
+func placed(t *fleet.Tables, offered *fleet.Runner, run fleet.Run, now cs.Instant) *fleet.Runner {
+	h := cs.HashTarget(run.Item.Target)
+	if run.Suspect {
+		quarantine.Mark(t, h, now)
+	}
+	if !quarantine.Suspect(t, h, now) {
+		return offered
+	}
+	if id, ok := quarantine.Place(t, h, run.Item.Target, now); ok {
+		if r := t.Runners.Get(id); r != nil && r.Sender == t.Self.ID {
+			return r
+		}
+	}
+	return offered
+}
+
 // closeOffer forgets an offer and returns its slots, 0 if it has expired.
 func closeOffer(r *fleet.Runner, id uint64) cs.Slots {
 	i := slices.IndexFunc(r.Offers, func(o fleet.SlotOffer) bool { return o.ID == id })
@@ -123,9 +145,6 @@
 		return true
 	}
 	h := cs.HashTarget(run.Item.Target)
-	if run.Suspect {
-		quarantine.Mark(t, h, now)
-	}
 	if quarantine.Blocked(t, h, now) {
 		giveBack(t, run, quarantine.Refusal(), out)
 		return true
--- a/batch/offer.go
+++ b/batch/offer.go
@@ -33,8 +33,13 @@
 	if fresh {
 		withdraw(t)
 	}
-	for _, id := range list {
-		r := t.Runners.Get(id)
+	// A random first runner gives each a turn where few items wait: a suspect may run on one only.
+	first := 0
+	if len(list) > 1 {
+		first = t.Rand.IntN(len(list))
+	}
+	for i := range list {
+		r := t.Runners.Get(list[(first+i)%len(list)])
 		if r == nil {
 			continue
 		}
