Name peers and owners in log lines without a second vm field

Ruled out: another name for the logger's own vm (it is on every line). Conclusion: each line is valid JSON with distinct keys.

--- a/job/apply.go
+++ b/job/apply.go
@@ -116,7 +116,7 @@
 	s.Claiming, s.Inflight = 0, nil
 	s.RenewedAt = now
 	dropUnsealed(t, id)
-	out.Note("shard "+string(s.Stream), "claimed", fleet.Field{Name: "vm", Value: string(s.VM)},
+	out.Note("shard "+string(s.Stream), "claimed", fleet.Field{Name: "owner", Value: string(s.VM)},
 		fleet.Field{Name: "claim", Value: int64(s.Claim)})
 	if own {
 		takeOver(t, id, s, now, out)
--- a/membership/judge.go
+++ b/membership/judge.go
@@ -90,5 +90,5 @@
 	if !live {
 		change = "dead"
 	}
-	out.Note("vm", change, fleet.Field{Name: "vm", Value: v.ID}, fleet.Field{Name: "incarnation", Value: v.Incarnation})
+	out.Note("vm", change, fleet.Field{Name: "peer", Value: v.ID}, fleet.Field{Name: "incarnation", Value: v.Incarnation})
 }
