Keep the digits of a service's numbers in the command-line tool

Cause: the tool decoded answers of plain services into float64, so that a 64-bit number lost its last digits (seen with a hash of 20 digits). Ruled out: the daemon (it passes the body on as it came). Conclusion: the tool prints what the service answered.

--- a/cli/clients.go
+++ b/cli/clients.go
@@ -1,6 +1,9 @@
 package cli
 
 import (
+	"encoding/json"
+	"net/http"
+
 	goahttp "goa.design/goa/v3/http"
 
 	inferencehttp "github.com/crocusstile/crocusstile/gen/http/inference/client"
@@ -10,17 +13,24 @@
 )
 
 func (s *session) inference() *inferencehttp.Client {
-	return inferencehttp.NewClient("http", s.addr, s.exchange, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return inferencehttp.NewClient("http", s.addr, s.exchange, goahttp.RequestEncoder, decoder, false)
 }
 
 func (s *session) services() *serviceshttp.Client {
-	return serviceshttp.NewClient("http", s.addr, s.exchange, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return serviceshttp.NewClient("http", s.addr, s.exchange, goahttp.RequestEncoder, decoder, false)
 }
 
 func (s *session) jobs() *jobshttp.Client {
-	return jobshttp.NewClient("http", s.addr, s.exchange, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return jobshttp.NewClient("http", s.addr, s.exchange, goahttp.RequestEncoder, decoder, false)
 }
 
 func (s *session) operations() *operationshttp.Client {
-	return operationshttp.NewClient("http", s.addr, s.exchange, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return operationshttp.NewClient("http", s.addr, s.exchange, goahttp.RequestEncoder, decoder, false)
+}
+
+// decoder reads JSON and keeps the digits of a service's numbers, which a float64 would round.
+func decoder(r *http.Response) goahttp.Decoder {
+	d := json.NewDecoder(r.Body)
+	d.UseNumber()
+	return d
 }
