Refuse requests on a VM that does not know the tickets yet

Cause: a VM that had just been replaced ran a request without a version, with whatever the runner held, since no deployment was in force there yet; a call that must not be repeated could have been taken for one that may. Ruled out: a crossed stream (the stand-in marks those with another id). Change: until tickets are read from the log or from a peer, or for 10 s, a VM is not ready and refuses requests as not run; after that it serves what it can and takes every service call for non-idempotent.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -6,15 +6,18 @@
 type View struct {
 	At   cs.Instant
 	Self cs.VM
-	// Ready means that the platform's list is read and that the VM is not leaving.
-	Ready   bool
-	Drain   DrainPhase
-	LogAge  cs.Span
-	VMs     []VMView
-	Runners []RunnerView
-	Tickets []Ticket
-	Shards  []ShardView
-	Jobs    []cs.JobStatus // of the shards this VM owns
+	// Ready means that the VM takes requests: the platform's list is read, the tickets are known or
+	// have not come for long, and the VM is not leaving.
+	Ready bool
+	// TicketsKnown means that the tickets in force have been read from the log or from a peer.
+	TicketsKnown bool
+	Drain        DrainPhase
+	LogAge       cs.Span
+	VMs          []VMView
+	Runners      []RunnerView
+	Tickets      []Ticket
+	Shards       []ShardView
+	Jobs         []cs.JobStatus // of the shards this VM owns
 	// Online counts requests in flight here, and Batch runs.
 	Online, Batch int
 }
@@ -52,7 +55,7 @@
 func NewView(t *Tables, now cs.Instant) *View {
 	v := &View{
 		At: now, Self: t.Self, Drain: t.Drain.Phase, LogAge: t.Log.Age(now),
-		Ready:  t.Drain.Phase == DrainNone && t.Runners.Len() > 0,
+		Ready: t.Drain.Phase == DrainNone && t.Runners.Len() > 0 && t.mayServe(now), TicketsKnown: t.TicketsKnown(),
 		Online: t.Requests.Len(), Batch: t.Runs.Len(),
 		VMs: make([]VMView, 0, t.VMs.Len()), Runners: make([]RunnerView, 0, t.Runners.Len()),
 		Tickets: make([]Ticket, 0, t.Tickets.Len()),
@@ -81,6 +84,19 @@
 	return v
 }
 
+// ticketWait is the time after its start for which a VM without tickets refuses requests. A VM that is
+// cut off from the log and from all peers serves what it can after that.
+const ticketWait = 10 * cs.Second
+
+// TicketsKnown reports whether the tickets in force have been read, from the log or from a peer.
+func (t *Tables) TicketsKnown() bool {
+	return t.TicketLog.CaughtUp || t.Tickets.Len() > 0 && t.TicketLog.BehindSince == 0
+}
+
+func (t *Tables) mayServe(now cs.Instant) bool {
+	return t.TicketsKnown() || now.Sub(t.Started) >= ticketWait
+}
+
 // Status counts the job's items by state.
 func (j *Job) Status() cs.JobStatus {
 	s := cs.JobStatus{
--- a/front/call.go
+++ b/front/call.go
@@ -20,7 +20,8 @@
 		return nil, servicesError(cs.Invalid("body", "%v", err))
 	}
 	state := f.serviceInForce(cs.ServiceID(p.Service))
-	nonIdempotent := p.NonIdempotent || slices.Contains(state.NonIdempotent, p.Method)
+	// Without tickets any call may be one that must not be repeated.
+	nonIdempotent := p.NonIdempotent || slices.Contains(state.NonIdempotent, p.Method) || !f.cfg.View().TicketsKnown
 	req, err := f.request(
 		caller{p.Tenant, p.Class, p.DeadlineMs, p.IdempotencyKey, nonIdempotent},
 		cs.ServiceCall{Service: cs.ServiceID(p.Service), Method: p.Method, Body: body},
--- a/front/front.go
+++ b/front/front.go
@@ -96,7 +96,7 @@
 	case v.Drain != fleet.DrainNone:
 		writeJSON(w, http.StatusServiceUnavailable, "leaving")
 	case !v.Ready:
-		writeJSON(w, http.StatusServiceUnavailable, "the platform's list is not read yet")
+		writeJSON(w, http.StatusServiceUnavailable, "the platform's list or the tickets are not read yet")
 	default:
 		writeJSON(w, http.StatusOK, "ready")
 	}
@@ -119,6 +119,9 @@
 
 // request returns a request of a caller.
 func (f *Front) request(c caller, target cs.Target) (cs.Request, error) {
+	if err := f.admit(); err != nil {
+		return cs.Request{}, err
+	}
 	req := cs.Request{
 		ID: f.cfg.Relay.NewID(), Tenant: cs.TenantID(c.tenant), Target: target,
 		Key: cs.IdempotencyKey(deref(c.key)), NonIdempotent: c.nonIdempotent, Hash: cs.HashTarget(target),
@@ -146,6 +149,16 @@
 	return *p
 }
 
+// admit refuses requests as long as a VM that has just started knows no tickets: it could run another
+// version than the one in force, or repeat a call that must not be repeated.
+func (f *Front) admit() error {
+	v := f.cfg.View()
+	if v.TicketsKnown || v.Ready || v.Drain != fleet.DrainNone {
+		return nil
+	}
+	return cs.Refuse(cs.ReasonUnavailable, "this VM has just started and does not know the tickets in force yet")
+}
+
 // versionInForce returns the version of a model that the deployment tickets name, or "".
 func (f *Front) versionInForce(m cs.ModelID) cs.VersionID {
 	for _, t := range f.cfg.View().Tickets {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -29,8 +29,15 @@
 
 // newFront serves with a control loop that decides on each event.
 func newFront(t *testing.T, decide func(*relay.Relay, fleet.Event)) http.Handler {
-	clock, m := cs.NewClock(), meter.New(zerolog.Nop())
+	clock := cs.NewClock()
 	tables := fleet.New(fleet.DefaultConfig(), cs.VM{ID: "vm-1"}, clock.Now(), 1)
+	tables.TicketLog.CaughtUp = true
+	return newFrontOver(t, clock, tables, decide)
+}
+
+// newFrontOver serves what the tables show.
+func newFrontOver(t *testing.T, clock *cs.Clock, tables *fleet.Tables, decide func(*relay.Relay, fleet.Event)) http.Handler {
+	m := meter.New(zerolog.Nop())
 	var r *relay.Relay
 	r = relay.New(relay.Config{
 		Clock: clock, Meter: m, VM: "vm-1", Prefix: "vm-1",
@@ -183,3 +190,19 @@
 	status, _ = send(h, "POST", "/v1/jobs", `{"tenant":"t","key":"k","items":[{"service":"s","method":"m","body":`+digits+`}]}`)
 	qt.Check(t, status, qt.Equals, http.StatusAccepted)
 }
+
+// TestFreshVMRefuses guards against a VM that runs another version than the one in force, or repeats
+// a call that must not be repeated, because it has not read the tickets yet.
+func TestFreshVMRefuses(t *testing.T) {
+	clock := cs.NewClock()
+	tables := fleet.New(fleet.DefaultConfig(), cs.VM{ID: "vm-1"}, clock.Now(), 1)
+	h := newFrontOver(t, clock, tables, func(*relay.Relay, fleet.Event) { t.Error("a request reached the control loop") })
+	for path, body := range map[string]string{
+		"/v1/answer":                 `{"tenant":"t","model":"m","prompt":"p"}`,
+		"/v1/services/records/write": `{"tenant":"t"}`,
+	} {
+		status, answer := send(h, http.MethodPost, path, body)
+		qt.Check(t, status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, answer, qt.Contains, `"ran":"notRun"`)
+	}
+}
