Read streamed answers in one place and drop state that nothing reads

Cause: the demonstration, the load generator and the end-to-end tests each had a reader of server-sent events; the phase of a request that waits for leave was never set, and the time of a failed list was never read. Ruled out: the tool's reader (it also checks ids and sequence and prints as the text comes), the generated code (goa writes it). Conclusion: one reader, and no state without a reader.

--- a/demo/tour.go
+++ b/demo/tour.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,7 +8,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -303,30 +301,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, 0, errors.Newf("ask: %s", resp.Status)
 	}
-	var text strings.Builder
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if first == 0 {
-			first = time.Since(began)
-		}
-		var e struct {
-			Text string `json:"text"`
-			Done bool   `json:"done"`
-		}
-		if err := json.Unmarshal([]byte(data), &e); err != nil {
-			return 0, 0, err
-		}
-		text.WriteString(e.Text)
-		if e.Done {
-			if want := standin.ExpectedText(model, "", version, prompt, tokens); text.String() != want {
-				return 0, 0, errors.Newf("ask: got %q, want %q", text.String(), want)
-			}
-			return first.Round(time.Millisecond), time.Since(began).Round(time.Millisecond), nil
-		}
+	a, err := standin.ReadAnswer(resp.Body)
+	switch want := standin.ExpectedText(model, "", version, prompt, tokens); {
+	case err != nil:
+		return 0, 0, errors.Wrap(err, "ask")
+	case a.Failure != nil:
+		return 0, 0, errors.Newf("ask: %s", a.Failure)
+	case a.Text != want:
+		return 0, 0, errors.Newf("ask: got %q, want %q", a.Text, want)
 	}
-	return 0, 0, errors.CombineErrors(errors.New("ask: the stream broke off"), lines.Err())
+	return a.First.Sub(began).Round(time.Millisecond), time.Since(began).Round(time.Millisecond), nil
 }
--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -9,7 +8,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -168,36 +166,21 @@
 		}
 		return 0, "", e
 	}
-	var b strings.Builder
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if first == 0 {
-			first = time.Since(began)
-		}
-		var e struct {
-			Text  string       `json:"text"`
-			Done  bool         `json:"done"`
-			Error *refusalBody `json:"error"`
-		}
-		if err := json.Unmarshal([]byte(data), &e); err != nil {
+	a, err := standin.ReadAnswer(resp.Body)
+	if !a.First.IsZero() {
+		first = a.First.Sub(began)
+	}
+	if err != nil {
+		return first, "", err
+	}
+	if a.Failure != nil {
+		e := &refusalBody{}
+		if err := json.Unmarshal(a.Failure, e); err != nil {
 			return first, "", err
 		}
-		if e.Error != nil {
-			return first, "", e.Error
-		}
-		b.WriteString(e.Text)
-		if e.Done {
-			return first, b.String(), nil
-		}
-	}
-	if err := lines.Err(); err != nil {
-		return first, "", fmt.Errorf("stream broke off: %w", err)
+		return first, "", e
 	}
-	return first, "", fmt.Errorf("stream broke off: %w", io.ErrUnexpectedEOF)
+	return first, a.Text, nil
 }
 
 // mark registers a mark by a call that must not be repeated; key may be empty.
--- a/fleet/phase_enumer.go
+++ b/fleet/phase_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PhaseName = "permitqueuedrunningbackoff"
+const _PhaseName = "queuedrunningbackoff"
 
-var _PhaseIndex = [...]uint8{0, 6, 12, 19, 26}
+var _PhaseIndex = [...]uint8{0, 6, 13, 20}
 
-const _PhaseLowerName = "permitqueuedrunningbackoff"
+const _PhaseLowerName = "queuedrunningbackoff"
 
 func (i Phase) String() string {
 	if i < 0 || i >= Phase(len(_PhaseIndex)-1) {
@@ -24,33 +24,29 @@
 // Re-run the stringer command to generate them again.
 func _PhaseNoOp() {
 	var x [1]struct{}
-	_ = x[PhasePermit-(0)]
-	_ = x[PhaseQueued-(1)]
-	_ = x[PhaseRunning-(2)]
-	_ = x[PhaseBackoff-(3)]
+	_ = x[PhaseQueued-(0)]
+	_ = x[PhaseRunning-(1)]
+	_ = x[PhaseBackoff-(2)]
 }
 
-var _PhaseValues = []Phase{PhasePermit, PhaseQueued, PhaseRunning, PhaseBackoff}
+var _PhaseValues = []Phase{PhaseQueued, PhaseRunning, PhaseBackoff}
 
 var _PhaseNameToValueMap = map[string]Phase{
-	_PhaseName[0:6]:   PhasePermit,
-	_PhaseName[6:12]:  PhaseQueued,
-	_PhaseName[12:19]: PhaseRunning,
-	_PhaseName[19:26]: PhaseBackoff,
+	_PhaseName[0:6]:   PhaseQueued,
+	_PhaseName[6:13]:  PhaseRunning,
+	_PhaseName[13:20]: PhaseBackoff,
 }
 
 var _PhaseLowerNameToValueMap = map[string]Phase{
-	_PhaseLowerName[0:6]:   PhasePermit,
-	_PhaseLowerName[6:12]:  PhaseQueued,
-	_PhaseLowerName[12:19]: PhaseRunning,
-	_PhaseLowerName[19:26]: PhaseBackoff,
+	_PhaseLowerName[0:6]:   PhaseQueued,
+	_PhaseLowerName[6:13]:  PhaseRunning,
+	_PhaseLowerName[13:20]: PhaseBackoff,
 }
 
 var _PhaseNames = []string{
 	_PhaseName[0:6],
-	_PhaseName[6:12],
-	_PhaseName[12:19],
-	_PhaseName[19:26],
+	_PhaseName[6:13],
+	_PhaseName[13:20],
 }
 
 // PhaseString retrieves an enum value from the enum constants string name.
--- a/fleet/request.go
+++ b/fleet/request.go
@@ -48,9 +48,7 @@
 
 // The phases of a request.
 const (
-	// PhasePermit waits for leave from the owner of the call's shard.
-	PhasePermit Phase = iota
-	PhaseQueued
+	PhaseQueued Phase = iota
 	PhaseRunning
 	// PhaseBackoff waits before a retry.
 	PhaseBackoff
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -7,8 +7,8 @@
 	// TickAt is when the last tick ran.
 	TickAt cs.Instant
 	// ListReadAt is when the platform's list was last read; the rows that it showed have it as
-	// their Listed. ListFailedAt is when a read last failed.
-	ListReadAt, ListFailedAt cs.Instant
+	// their Listed.
+	ListReadAt cs.Instant
 	// Verdicts times the sweep over VMs for their liveness, Dials the one for links to open and
 	// Senders the one over runners for their batch sender.
 	Verdicts, Dials, Senders Sweep
--- a/load/caller.go
+++ b/load/caller.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -160,37 +159,21 @@
 	return readAnswer(resp.Body, begin, prompt)
 }
 
-// readAnswer reads a stream to its end marker.
+// readAnswer reads a stream to its end marker and checks that the answer is whole.
 func readAnswer(r io.Reader, begin time.Time, prompt string) outcome {
-	var (
-		o    outcome
-		text strings.Builder
-	)
-	lines := bufio.NewScanner(r)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if o.first == 0 {
-			o.first = time.Since(begin)
-		}
-		var e struct {
-			Text string `json:"text"`
-			Done bool   `json:"done"`
-		}
-		if o.err = json.Unmarshal([]byte(data), &e); o.err != nil {
-			return o
-		}
-		text.WriteString(e.Text)
-		if e.Done {
-			o.gap = (time.Since(begin) - o.first) / time.Duration(onlineTok-1)
-			if text.String() != standin.ExpectedText(model, "", version, prompt, int(onlineTok)) {
-				o.err = errors.New("the answer is not whole")
-			}
-			return o
-		}
+	a, err := standin.ReadAnswer(r)
+	o := outcome{err: err}
+	if !a.First.IsZero() {
+		o.first = a.First.Sub(begin)
+	}
+	switch {
+	case err != nil:
+	case a.Failure != nil:
+		o.err = errors.Newf("the answer broke off: %s", a.Failure)
+	case a.Text != standin.ExpectedText(model, "", version, prompt, int(onlineTok)):
+		o.err = errors.New("the answer is not whole")
+	default:
+		o.gap = (time.Since(begin) - o.first) / time.Duration(onlineTok-1)
 	}
-	o.err = errors.New("the stream broke off")
 	return o
 }
--- a/membership/track.go
+++ b/membership/track.go
@@ -45,8 +45,6 @@
 	switch e := e.(type) {
 	case fleet.ListRead:
 		readList(t, now, out, e)
-	case fleet.ListFailed:
-		t.Membership.ListFailedAt = now
 	case fleet.LinkOpened:
 		openLink(t, now, out, e.VM)
 	case fleet.LinkClosed:
@@ -70,7 +68,6 @@
 // since it would show at least this VM.
 func readList(t *fleet.Tables, now cs.Instant, out *fleet.Actions, list fleet.ListRead) {
 	if len(list.VMs) == 0 && len(list.Runners) == 0 {
-		t.Membership.ListFailedAt = now
 		return
 	}
 	t.Membership.ListReadAt = now
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -103,7 +103,6 @@
 			return
 		}
 		d.out.WakeAt(q.HedgeAt)
-	case fleet.PhasePermit:
 	}
 }
 
--- /dev/null
+++ b/standin/answer.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Answer is a streamed answer as a caller of the system reads it.
+type Answer struct {
+	Text string
+	// First is when the first event came.
+	First time.Time
+	// Failure is the error of the event that ended the stream in place of the end marker; nil if
+	// there was none.
+	Failure json.RawMessage
+}
+
+// ReadAnswer reads server-sent events until the end marker or an event with an error. Without either
+// the answer is not whole, and the error says what ended it.
+func ReadAnswer(r io.Reader) (Answer, error) {
+	var (
+		a    Answer
+		text strings.Builder
+	)
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if a.First.IsZero() {
+			a.First = time.Now()
+		}
+		var e struct {
+			Text  string          `json:"text"`
+			Done  bool            `json:"done"`
+			Error json.RawMessage `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return a, err
+		}
+		text.WriteString(e.Text)
+		if e.Done || e.Error != nil {
+			a.Text, a.Failure = text.String(), e.Error
+			return a, nil
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return a, errors.Wrap(err, "stream broke off")
+	}
+	return a, errors.Wrap(io.ErrUnexpectedEOF, "stream broke off")
+}
