Keep one type for posting events and the rule on failed runners with their rows

Cause: the last read of the code found the type Post in three packages, a field of the online requests that nothing read, and bulk calling forward for what is a fact of a runner's row. Ruled out: a package of its own for the rule; it reads and writes the runner's row and the zone's only, and both are in gateway. Change: gateway.Post, Tables.Avoid; HeadPassed is gone from the row and from the outcome. The test of a caller who leaves asserted HeadPassed; it asserts now that the event that was passed on is known, which is stricter. Conclusion: fewer names; forward and bulk share rows, not functions.

--- a/bulk/settle.go
+++ b/bulk/settle.go
@@ -5,7 +5,6 @@
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
-	"github.com/crocusstile/crocusstile/forward"
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
@@ -66,7 +65,7 @@
 	case gateway.ItemNotRun:
 		w.NotBefore, n.Reason = now.Add(refusedPause), "not run"
 		if o.Gone || o.Unreachable {
-			forward.Avoid(t, runner, now, n.Reason, out)
+			t.Avoid(runner, now, n.Reason, out)
 		}
 	case gateway.ItemError:
 		w.NotBefore, n.Reason, n.Outcome = now.Add(errorPause), "error of the runner", http.StatusText(o.Status)
@@ -79,7 +78,7 @@
 	case gateway.ItemBroken:
 		w.NotBefore, n.Reason = now.Add(brokenPause), o.Error
 		if o.Disconnected {
-			forward.Avoid(t, runner, now, n.Reason, out)
+			t.Avoid(runner, now, n.Reason, out)
 			if e.LastEvent == 0 {
 				w.Crashed++
 			}
--- a/bulk/traffic.go
+++ b/bulk/traffic.go
@@ -19,13 +19,10 @@
 // errStopped is the cause of a run that this VM stopped.
 var errStopped = errors.New("stopped")
 
-// Post hands an event to the control loop.
-type Post func(context.Context, gateway.Event) error
-
 // Traffic carries the bytes of items and answers callers of jobs.
 type Traffic struct {
 	runners forward.Runners
-	post    Post
+	post    gateway.Post
 	tasks   sync.WaitGroup
 
 	mu      sync.Mutex
@@ -41,7 +38,7 @@
 }
 
 // NewTraffic returns traffic without a run.
-func NewTraffic(r forward.Runners, post Post) *Traffic {
+func NewTraffic(r forward.Runners, post gateway.Post) *Traffic {
 	return &Traffic{
 		runners: r, post: post, runs: make(map[run]context.CancelCauseFunc),
 		queries: make(map[gateway.QueryID]chan gateway.Action),
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -221,7 +221,7 @@
 	w := newWorld()
 	r := w.runner("a1", "a")
 	var out gateway.Actions
-	forward.Avoid(w.Tables, r, w.now, "no answer", &out)
+	w.Avoid(r, w.now, "no answer", &out)
 	w.now = w.now.Add(cs.Second)
 	sends, _ := w.tick(w.arrival(1, once), w.arrival(2, once))
 	c.Assert(sends, qt.HasLen, 1)
--- a/forward/session.go
+++ b/forward/session.go
@@ -105,7 +105,7 @@
 	if errors.As(err, &notRun) {
 		return gateway.OutcomeNotRun{Reason: notRun.Reason, Gone: notRun.Gone, Unreachable: notRun.Unreachable || silent}
 	}
-	out := gateway.OutcomeBroken{Error: err.Error(), HeadPassed: s.headPassed, LastEvent: s.lastEvent, Silent: silent}
+	out := gateway.OutcomeBroken{Error: err.Error(), LastEvent: s.lastEvent, Silent: silent}
 	var broken *BrokenError
 	if errors.As(err, &broken) {
 		out.Disconnected = broken.Disconnected && ctx.Err() == nil
--- a/forward/session_test.go
+++ b/forward/session_test.go
@@ -124,7 +124,7 @@
 		return nil
 	})
 	c.Assert(end, qt.Equals, forward.EndAbandoned{})
-	c.Assert(ended.HeadPassed, qt.IsTrue)
+	c.Assert(ended.LastEvent, qt.Equals, cs.EventID(1))
 	c.Assert(ended.Disconnected, qt.IsFalse)
 }
 
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -9,10 +9,6 @@
 
 // What a failed send leads to.
 const (
-	// avoidFirst is how long a runner that failed to answer is not chosen; it doubles with each
-	// failure in a row up to avoidMost.
-	avoidFirst = 400 * cs.Millisecond
-	avoidMost  = 3 * cs.Second
 	// retryGap is the pause before a request goes to another runner after a refusal.
 	retryGap = 5 * cs.Millisecond
 	// resumeGap is the pause before a stream goes on at another runner: the former one must have
@@ -31,7 +27,7 @@
 		switch e := e.(type) {
 		case gateway.ForwardBegan:
 			if f := t.Forwards.Get(e.ID); f != nil && f.Attempt == e.Attempt {
-				f.Executed, f.HeadPassed = true, true
+				f.Executed = true
 				if r := t.Runners.Get(f.Runner); r != nil {
 					r.Forgive()
 				}
@@ -93,7 +89,7 @@
 		n.Reason, n.Outcome = o.Reason, cs.RanNotRun.String()
 		f.NotBefore = now.Add(retryGap)
 		if o.Gone || o.Unreachable {
-			Avoid(t, runner, now, n.Reason, out)
+			t.Avoid(runner, now, n.Reason, out)
 		}
 	case gateway.OutcomeFailed:
 		f.Executed = true
@@ -101,18 +97,18 @@
 		n.Reason, n.Count, n.Outcome = "error of the runner", o.Status, cs.RanFailed.String()
 	case gateway.OutcomeBroken:
 		f.Executed = true
-		f.HeadPassed, f.LastEvent = f.HeadPassed || o.HeadPassed, o.LastEvent
+		f.LastEvent = o.LastEvent
 		f.Tried = append(f.Tried, f.Runner)
 		f.NotBefore = now.Add(resumeGap)
 		n.Reason, n.Outcome = o.Error, cs.RanUnknown.String()
 		if o.Disconnected {
-			Avoid(t, runner, now, n.Reason, out)
+			t.Avoid(runner, now, n.Reason, out)
 			suspect(t, f, now, out)
 		}
 		if o.Silent && runner != nil {
 			t.ZoneFailed(runner.Spec.DataCentre, now)
 			if runner.Silences++; runner.Silences >= maxSilences {
-				Avoid(t, runner, now, n.Reason, out)
+				t.Avoid(runner, now, n.Reason, out)
 			}
 		}
 	}
@@ -120,23 +116,6 @@
 	out.Note(n)
 }
 
-// Avoid keeps a runner that failed from being chosen for a while.
-func Avoid(t *gateway.Tables, r *gateway.Runner, now cs.Instant, reason string, out *gateway.Actions) {
-	if r == nil {
-		return
-	}
-	t.ZoneFailed(r.Spec.DataCentre, now)
-	if now < r.AvoidUntil && r.Failures > 0 {
-		return // what breaks at the same moment is one failure
-	}
-	span := min(avoidFirst<<min(r.Failures, 4), avoidMost)
-	r.Failures++
-	r.AvoidUntil = now.Add(span)
-	out.Note(gateway.Note{
-		Kind: gateway.NoteRunnerAvoided, Runner: r.Spec.ID, Reason: reason, Took: span, Count: r.Failures, Load: r.Load(),
-	})
-}
-
 // suspect counts a content whose runner's connection broke.
 func suspect(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) {
 	s := t.Suspects.Get(f.Content)
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -13,14 +13,11 @@
 // maxAnswer bounds an answer that is not a stream; it is held in memory until it is whole.
 const maxAnswer = 16 << 20
 
-// Post hands an event to the control loop.
-type Post func(context.Context, gateway.Event) error
-
 // TrafficConfig holds what Traffic needs.
 type TrafficConfig struct {
 	Clock   *cs.Clock
 	Runners Runners
-	Post    Post
+	Post    gateway.Post
 	// Began measures the time to the first byte of an answer, and Ended to its end.
 	Began, Ended func(route cs.RouteName, s cs.Span)
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -1,10 +1,17 @@
 package gateway
 
-import cs "github.com/crocusstile/crocusstile"
+import (
+	"context"
+
+	cs "github.com/crocusstile/crocusstile"
+)
 
 // Event is something that happened outside the control loop.
 type Event interface{ isEvent() }
 
+// Post hands an event to the control loop; it gives up when ctx ends.
+type Post func(ctx context.Context, e Event) error
+
 // What the store's feeds bring.
 type (
 	// CatalogRead brings a version of the catalog.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -38,8 +38,6 @@
 	NotBefore cs.Instant
 	// LastEvent is the id of the last event that was passed to the caller.
 	LastEvent cs.EventID
-	// HeadPassed means that the caller has the head of an answer.
-	HeadPassed bool
 }
 
 // Outcome is how one send to a runner ended.
@@ -66,7 +64,6 @@
 		Disconnected bool
 		// Silent means that nothing came for too long.
 		Silent     bool
-		HeadPassed bool
 		LastEvent  cs.EventID
 	}
 )
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -42,6 +42,30 @@
 	r.AvoidUntil, r.PeerAvoidUntil, r.Failures, r.Silences = 0, 0, 0, 0
 }
 
+// How long a runner that failed to answer is not chosen: avoidFirst, doubled with each failure in a row
+// up to avoidMost.
+const (
+	avoidFirst = 400 * cs.Millisecond
+	avoidMost  = 3 * cs.Second
+)
+
+// Avoid keeps a runner that failed from being chosen for a while; nil stands for one that is gone.
+func (t *Tables) Avoid(r *Runner, now cs.Instant, reason string, out *Actions) {
+	if r == nil {
+		return
+	}
+	t.ZoneFailed(r.Spec.DataCentre, now)
+	if now < r.AvoidUntil && r.Failures > 0 {
+		return // what breaks at the same moment is one failure
+	}
+	span := min(avoidFirst<<min(r.Failures, 4), avoidMost)
+	r.Failures++
+	r.AvoidUntil = now.Add(span)
+	out.Note(Note{
+		Kind: NoteRunnerAvoided, Runner: r.Spec.ID, Reason: reason, Took: span, Count: r.Failures, Load: r.Load(),
+	})
+}
+
 // Peer is another entry VM.
 type Peer struct {
 	VM cs.VM
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -24,7 +24,7 @@
 type Config struct {
 	// Listen is the address on which reports come and from which they are sent.
 	Listen cs.Address
-	Post   func(context.Context, gateway.Event) error
+	Post   gateway.Post
 	Log    zerolog.Logger
 }
 
--- a/roster/peers_test.go
+++ b/roster/peers_test.go
@@ -6,7 +6,6 @@
 	qt "github.com/frankban/quicktest"
 
 	cs "github.com/crocusstile/crocusstile"
-	"github.com/crocusstile/crocusstile/forward"
 	"github.com/crocusstile/crocusstile/gateway"
 	"github.com/crocusstile/crocusstile/roster"
 )
@@ -45,7 +44,7 @@
 	a, b := newTables("a"), newTables("b")
 	var out gateway.Actions
 	for _, vm := range []*gateway.Tables{a, b} {
-		forward.Avoid(vm, vm.Runners.Get("r"), start, "no answer", &out)
+		vm.Avoid(vm.Runners.Get("r"), start, "no answer", &out)
 	}
 	now := start
 	for now < start.Add(10*cs.Second) {
@@ -69,10 +68,10 @@
 	now := start.Add(cs.Second)
 	var out gateway.Actions
 	for range 4 {
-		forward.Avoid(a, a.Runners.Get("r"), now, "no answer", &out)
+		a.Avoid(a.Runners.Get("r"), now, "no answer", &out)
 		now = a.Runners.Get("r").AvoidUntil
 	}
-	forward.Avoid(a, a.Runners.Get("r"), now, "no answer", &out)
+	a.Avoid(a.Runners.Get("r"), now, "no answer", &out)
 	c.Assert(a.Reach("x", now), qt.Equals, gateway.ReachCut)
 	report.Order++
 	run(a, now.Add(10), roster.Peers, gateway.PeerReported{Address: "x1:1", Report: report})
