Tell in the log how many appends an acceptance took, and log conflicts

Change: jobAccepted has the number of appends and the age of the last one; a conflict is an appendFailed line; append_seconds is a histogram. Conclusion: a late acceptance can be told apart from a slow store.

--- a/bulk/append.go
+++ b/bulk/append.go
@@ -26,6 +26,10 @@
 			return
 		}
 		l.Conflicts++
+		out.Note(gateway.Note{
+			Kind: gateway.NoteAppendFailed, Outcome: "conflict", Reason: "another VM appended first", Count: len(l.InFlight.Changes),
+			Attempt: cs.Attempt(l.Conflicts), Took: now.Sub(l.SentAt),
+		})
 		withdraw(t, now.Add(randomSpan(t, conflictGap*cs.Span(min(l.Conflicts, maxConflict)))))
 	case gateway.AppendRefused:
 		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "notAppended", Reason: o.Reason, Count: len(l.InFlight.Changes)})
@@ -54,7 +58,7 @@
 	for _, p := range l.Proposals {
 		switch p := p.(type) {
 		case gateway.ProposeJob:
-			accept(p, now, out)
+			accept(p, l.Conflicts+l.Tries, now.Sub(l.SentAt), now, out)
 		case gateway.ProposeEnd:
 			out.Add(gateway.AnswerJob{Query: p.Query})
 			out.Note(gateway.Note{Kind: gateway.NoteJobEnded, Job: p.Job, Took: now.Sub(p.Since)})
--- a/bulk/batch.go
+++ b/bulk/batch.go
@@ -80,7 +80,7 @@
 
 func (b *batch) addJob(p gateway.ProposeJob) {
 	if b.t.Jobs.Get(p.Spec.ID) != nil {
-		accept(p, b.now, b.out)
+		accept(p, 0, 0, b.now, b.out)
 		return
 	}
 	same := func(s gateway.JobSpec) bool { return s.ID == p.Spec.ID }
--- a/bulk/commit.go
+++ b/bulk/commit.go
@@ -70,7 +70,7 @@
 	a := gateway.AppendJobs{
 		Mark: gateway.Mark{Writer: t.Self.Incarnation, Number: l.Number}, At: l.End, Changes: b.changes,
 	}
-	l.InFlight, l.Proposals, l.Tries = &a, b.proposals, 1
+	l.InFlight, l.Proposals, l.Tries, l.SentAt = &a, b.proposals, 1, now
 	out.Add(a)
 }
 
@@ -135,10 +135,12 @@
 	out.Note(gateway.Note{Kind: gateway.NoteJobRefused, Job: job, Took: took, Outcome: why.Ran.String(), Reason: why.Message})
 }
 
-// accept answers a caller whose job is in the log.
-func accept(p gateway.ProposeJob, now cs.Instant, out *gateway.Actions) {
+// accept answers a caller whose job is in the log; appends counts the appends that it took, and age is
+// the time since the last one was sent.
+func accept(p gateway.ProposeJob, appends int, age cs.Span, now cs.Instant, out *gateway.Actions) {
 	out.Add(gateway.AnswerJob{Query: p.Query})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteJobAccepted, Job: p.Spec.ID, Route: p.Spec.Route, Count: len(p.Spec.Items), Took: now.Sub(p.Since),
+		Attempt: cs.Attempt(appends), Age: age,
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,7 +118,7 @@
 		}
 	}
 	v.loop.ports = ports{
-		forward: v.forward, bulk: v.bulk, run: v.task, append: v.feeds.AppendJobs, read: v.feeds.ReadJobs,
+		forward: v.forward, bulk: v.bulk, run: v.task, append: v.append(clock), read: v.feeds.ReadJobs,
 		leaveGroup: v.feeds.LeaveGroup,
 		report:     v.gossip.Send, note: v.journal.note, items: v.ctx,
 		leave: sync.OnceFunc(func() { close(v.left) }),
@@ -126,6 +126,15 @@
 	return nil
 }
 
+// append returns the port that appends to the job log.
+func (v *VM) append(clock *cs.Clock) func(context.Context, gateway.AppendJobs) {
+	return func(ctx context.Context, a gateway.AppendJobs) {
+		begin := clock.Now()
+		v.feeds.AppendJobs(ctx, a)
+		v.journal.appended(clock.Now().Sub(begin))
+	}
+}
+
 // task runs a function that ends with the process.
 func (v *VM) task(f func(context.Context)) { v.tasks.Go(func() { f(v.ctx) }) }
 
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -97,6 +97,9 @@
 	j.meter.Time(meter.Request, cs.TenantID(route), cs.Online, s)
 }
 
+// appended measures the time of an append to the job log.
+func (j *journal) appended(s cs.Span) { j.meter.TimeAlone(meter.Append, s) }
+
 // run counts the lines that were left out until ctx ends.
 func (j *journal) run(ctx context.Context) error {
 	t := time.NewTicker(droppedPeriod.Std())
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -191,6 +191,8 @@
 	End cs.Offset
 	// InFlight is the append that waits for its answer, or nil.
 	InFlight *AppendJobs
+	// SentAt is when the append in flight was first sent.
+	SentAt cs.Instant
 	// Tries counts how often the append in flight was sent.
 	Tries int
 	// InDoubt means that the append in flight is to be sent again, because it got no answer and may
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,6 +35,8 @@
 	Request
 	// BatchItem is the time of one run of a batch item.
 	BatchItem
+	// Append is from the sending of an append to the job log to its answer.
+	Append
 )
 
 // maxTenants bounds the tenants with figures of their own, so that metrics stay in bounded memory;
@@ -115,6 +117,17 @@
 	f.(tally.Histogram).RecordDuration(s.Std())
 }
 
+// TimeAlone records a span that belongs to no tenant.
+func (m *Meter) TimeAlone(what Timing, s cs.Span) {
+	key := histogramKey{timing: what}
+	f, ok := m.histograms.Load(key)
+	if !ok {
+		f = m.scope.Histogram(what.String()+"_seconds", buckets)
+		m.histograms.Store(key, f)
+	}
+	f.(tally.Histogram).RecordDuration(s.Std())
+}
+
 // Note logs a change of state.
 func (m *Meter) Note(n fleet.Noted) {
 	e := m.log.Info().Str("subject", n.Subject)
--- a/meter/timing_enumer.go
+++ b/meter/timing_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _TimingName = "queue_waitfirst_tokentoken_gaprequestbatch_item"
+const _TimingName = "queue_waitfirst_tokentoken_gaprequestbatch_itemappend"
 
-var _TimingIndex = [...]uint8{0, 10, 21, 30, 37, 47}
+var _TimingIndex = [...]uint8{0, 10, 21, 30, 37, 47, 53}
 
-const _TimingLowerName = "queue_waitfirst_tokentoken_gaprequestbatch_item"
+const _TimingLowerName = "queue_waitfirst_tokentoken_gaprequestbatch_itemappend"
 
 func (i Timing) String() string {
 	if i < 0 || i >= Timing(len(_TimingIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[TokenGap-(2)]
 	_ = x[Request-(3)]
 	_ = x[BatchItem-(4)]
+	_ = x[Append-(5)]
 }
 
-var _TimingValues = []Timing{QueueWait, FirstToken, TokenGap, Request, BatchItem}
+var _TimingValues = []Timing{QueueWait, FirstToken, TokenGap, Request, BatchItem, Append}
 
 var _TimingNameToValueMap = map[string]Timing{
 	_TimingName[0:10]:  QueueWait,
@@ -39,6 +40,7 @@
 	_TimingName[21:30]: TokenGap,
 	_TimingName[30:37]: Request,
 	_TimingName[37:47]: BatchItem,
+	_TimingName[47:53]: Append,
 }
 
 var _TimingLowerNameToValueMap = map[string]Timing{
@@ -47,6 +49,7 @@
 	_TimingLowerName[21:30]: TokenGap,
 	_TimingLowerName[30:37]: Request,
 	_TimingLowerName[37:47]: BatchItem,
+	_TimingLowerName[47:53]: Append,
 }
 
 var _TimingNames = []string{
@@ -55,6 +58,7 @@
 	_TimingName[21:30],
 	_TimingName[30:37],
 	_TimingName[37:47],
+	_TimingName[47:53],
 }
 
 // TimingString retrieves an enum value from the enum constants string name.
