End the run of an item whose runner falls silent

A run of an item had no bound on silence, unlike an online request. Ruled out: the keep-alive probes of the connection; they are answered by the machine. Change: a run ends after 2 s without an event and goes on elsewhere after the last one; two silences in a row keep the runner from being chosen. The watch and the rule on silences are shared with online requests.

--- a/bulk/schedule.go
+++ b/bulk/schedule.go
@@ -19,6 +19,10 @@
 	// maxStarts bounds the starts of one round: prefills that begin together delay each other and the
 	// streams of the runner.
 	maxStarts = 4
+	// itemSilence is how long the runner of an item may be silent. Items start where a slot is free, and
+	// an engine's events follow each other within tens of milliseconds; the platform's callers give
+	// a stream up after the same pause.
+	itemSilence = 2 * cs.Second
 	// defaultDue orders jobs whose route the catalog no longer names.
 	defaultDue = 20 * cs.Second
 	// adoptWait is the pause before items of a job that is not new are started after a partition was
@@ -162,6 +166,7 @@
 	item := j.Spec.Items[k.Index]
 	out.Add(gateway.RunItem{
 		Key: k, Attempt: w.Attempt, Runner: r.Spec.ID, Address: r.Spec.Address, Host: j.Spec.Host, Item: item, LastEvent: w.LastEvent,
+		Silence: itemSilence,
 	})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteItemStarted, Job: k.Job, Item: item.ID, Runner: r.Spec.ID, Attempt: w.Attempt, Load: load,
--- a/bulk/settle.go
+++ b/bulk/settle.go
@@ -83,6 +83,9 @@
 				w.Crashed++
 			}
 		}
+		if o.Silent {
+			t.Silent(runner, now, n.Reason, out)
+		}
 	case gateway.ItemStopped:
 		n.Reason = "stopped"
 	}
--- a/bulk/traffic.go
+++ b/bulk/traffic.go
@@ -75,6 +75,8 @@
 // exchange runs an item once.
 func (t *Traffic) exchange(ctx context.Context, a gateway.RunItem) gateway.ItemRunEnded {
 	e := gateway.ItemRunEnded{Key: a.Key, Attempt: a.Attempt}
+	ctx, silence := forward.WatchSilence(ctx, a.Silence)
+	defer silence.Stop()
 	header := make(http.Header, len(a.Item.Header))
 	for name, value := range a.Item.Header {
 		header.Set(name, value)
@@ -93,7 +95,7 @@
 		e.Outcome = gateway.ItemError{Status: answer.Status, Never: answer.Status == http.StatusUnprocessableEntity}
 		return e
 	}
-	err = collect(answer, a.LastEvent, &e)
+	err = collect(answer, a.LastEvent, &e, func() { silence.Heard(a.Silence) })
 	if err != nil {
 		e.Outcome = outcomeOf(ctx, err)
 		return e
@@ -102,8 +104,8 @@
 	return e
 }
 
-// collect reads the events of an answer that follow the last one known.
-func collect(answer *forward.Answer, last cs.EventID, e *gateway.ItemRunEnded) error {
+// collect reads the events of an answer that follow the last one known, and calls heard at each.
+func collect(answer *forward.Answer, last cs.EventID, e *gateway.ItemRunEnded, heard func()) error {
 	if !answer.Signed {
 		return errors.New("success without a signature")
 	}
@@ -119,6 +121,7 @@
 		if err != nil {
 			return &forward.BrokenError{Cause: err, Disconnected: true}
 		}
+		heard()
 		if event.ID <= last {
 			continue // known from an earlier run, or no event of the output
 		}
@@ -140,11 +143,14 @@
 func outcomeOf(ctx context.Context, err error) gateway.ItemOutcome {
 	var notRun *forward.NotRunError
 	var broken *forward.BrokenError
+	silent := forward.IsSilent(ctx)
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !silent:
 		return gateway.ItemStopped{}
 	case errors.As(err, &notRun):
-		return gateway.ItemNotRun{Gone: notRun.Gone, Unreachable: notRun.Unreachable}
+		return gateway.ItemNotRun{Gone: notRun.Gone, Unreachable: notRun.Unreachable || silent}
+	case silent:
+		return gateway.ItemBroken{Error: forward.ErrSilent.Error(), Silent: true}
 	case errors.As(err, &broken):
 		return gateway.ItemBroken{Error: err.Error(), Disconnected: broken.Disconnected}
 	default:
--- /dev/null
+++ b/bulk/traffic_test.go
@@ -0,0 +1,65 @@
+package bulk_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/crocusstile/crocusstile/bulk"
+	"github.com/crocusstile/crocusstile/forward"
+	"github.com/crocusstile/crocusstile/gateway"
+)
+
+// mute is a runner that sends the text and then nothing, on a connection that stays open.
+type mute struct{ text string }
+
+func (m mute) Send(ctx context.Context, _ forward.Call, _ forward.Destination) (*forward.Answer, error) {
+	if m.text == "" {
+		<-ctx.Done()
+		return nil, &forward.BrokenError{Cause: ctx.Err()}
+	}
+	body := io.MultiReader(strings.NewReader(m.text), never{ctx})
+	return &forward.Answer{Status: http.StatusOK, Stream: true, Signed: true, Body: io.NopCloser(body)}, nil
+}
+
+type never struct{ ctx context.Context }
+
+func (n never) Read([]byte) (int, error) {
+	<-n.ctx.Done()
+	return 0, n.ctx.Err()
+}
+
+// A runner that fell silent on an open connection kept its item for ever: the run must end, and what
+// came before counts.
+func TestSilentRunnerLosesItsItem(t *testing.T) {
+	for name, text := range map[string]string{"no answer": "", "part of an answer": "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ended := make(chan gateway.ItemRunEnded, 1)
+			traffic := bulk.NewTraffic(mute{text}, func(_ context.Context, e gateway.Event) error {
+				ended <- e.(gateway.ItemRunEnded)
+				return nil
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			traffic.Run(ctx, gateway.RunItem{Silence: 50})
+			select {
+			case e := <-ended:
+				broken, ok := e.Outcome.(gateway.ItemBroken)
+				c.Assert(ok, qt.IsTrue, qt.Commentf("%#v", e.Outcome))
+				c.Assert(broken.Silent, qt.IsTrue)
+				c.Assert(broken.Disconnected, qt.IsFalse)
+				if text != "" {
+					c.Assert(string(e.Text), qt.Equals, "a\nb")
+				}
+			case <-time.After(5 * time.Second):
+				c.Fatal("the run did not end")
+			}
+		})
+	}
+}
--- a/forward/session.go
+++ b/forward/session.go
@@ -82,8 +82,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left.Std())
 	defer cancel()
-	ctx, silence := watchSilence(ctx, a.FirstByte)
-	defer silence.stop()
+	ctx, silence := WatchSilence(ctx, a.FirstByte)
+	defer silence.Stop()
 	answer, err := s.traffic.cfg.Runners.Send(ctx, s.call, Destination{
 		Runner: a.Runner, Address: a.Address, Left: left, LastEvent: a.LastEvent, Fresh: a.Fresh,
 	})
@@ -100,7 +100,7 @@
 // broken turns the error of a send into its outcome. A send that ended with its context, because the
 // caller left or the time was up, says nothing of the runner.
 func (s *session) broken(ctx context.Context, err error) gateway.Outcome {
-	silent := errors.Is(context.Cause(ctx), errSilent)
+	silent := IsSilent(ctx)
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
 		return gateway.OutcomeNotRun{Reason: notRun.Reason, Gone: notRun.Gone, Unreachable: notRun.Unreachable || silent}
@@ -152,7 +152,7 @@
 }
 
 // stream passes whole events on as they come.
-func (s *session) stream(ctx context.Context, a gateway.Send, answer *Answer, silence *silence) gateway.Outcome {
+func (s *session) stream(ctx context.Context, a gateway.Send, answer *Answer, silence *Silence) gateway.Outcome {
 	if !answer.Signed {
 		return s.broken(ctx, errors.New("success without a signature"))
 	}
@@ -165,7 +165,7 @@
 		if err != nil {
 			return s.broken(ctx, &BrokenError{Cause: err, Disconnected: true})
 		}
-		silence.heard(a.Gap)
+		silence.Heard(a.Gap)
 		if e.ID != 0 {
 			if e.ID <= s.lastEvent {
 				continue // passed on by an earlier runner
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -14,9 +14,6 @@
 	// resumeGap is the pause before a stream goes on at another runner: the former one must have
 	// noticed that its connection has closed.
 	resumeGap = 30 * cs.Millisecond
-	// maxSilences is the number of sends in a row without an answer in time after which a runner is
-	// taken for unreachable; one alone may have waited behind others.
-	maxSilences = 2
 	// maxRefusals bounds the sends of one request that runners refused without running it.
 	maxRefusals = 12
 )
@@ -105,11 +102,8 @@
 			t.Avoid(runner, now, n.Reason, out)
 			suspect(t, f, now, out)
 		}
-		if o.Silent && runner != nil {
-			t.ZoneFailed(runner.Spec.DataCentre, now)
-			if runner.Silences++; runner.Silences >= maxSilences {
-				t.Avoid(runner, now, n.Reason, out)
-			}
+		if o.Silent {
+			t.Silent(runner, now, n.Reason, out)
 		}
 	}
 	n.Kind = gateway.NoteRequestRetried
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -51,6 +51,8 @@
 		Host      string
 		Item      Item
 		LastEvent cs.EventID
+		// Silence bounds the wait for each event; a run that exceeds it ends as silent. 0 sets no bound.
+		Silence cs.Span
 	}
 	// StopItem stops a run, at the runner too.
 	StopItem struct {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -63,8 +63,8 @@
 		// Disconnected means that the connection broke, as when the runner crashes.
 		Disconnected bool
 		// Silent means that nothing came for too long.
-		Silent     bool
-		LastEvent  cs.EventID
+		Silent    bool
+		LastEvent cs.EventID
 	}
 )
 
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -113,6 +113,8 @@
 	ItemBroken struct {
 		Error        string
 		Disconnected bool
+		// Silent means that nothing came for too long.
+		Silent bool
 	}
 	// ItemStopped means that this VM stopped the run.
 	ItemStopped struct{}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -66,6 +66,21 @@
 	})
 }
 
+// maxSilences is the number of sends in a row without an answer in time after which a runner is taken
+// for unreachable; one alone may have waited behind others.
+const maxSilences = 2
+
+// Silent notes that a send to a runner got no answer in time; nil stands for one that is gone.
+func (t *Tables) Silent(r *Runner, now cs.Instant, reason string, out *Actions) {
+	if r == nil {
+		return
+	}
+	t.ZoneFailed(r.Spec.DataCentre, now)
+	if r.Silences++; r.Silences >= maxSilences {
+		t.Avoid(r, now, reason, out)
+	}
+}
+
 // Peer is another entry VM.
 type Peer struct {
 	VM cs.VM
