Take a broken connection for a crash only when its runner has ended

Online requests were refused likewise for a minute after two resets. Ruled out: a longer pause instead of the hold; an item that does crash runners would take one down at each try. Change: broken connections wait in a table until the runner is found dead within 6 s (nothing listens at its address, the entry goes, or it starts again); only then is what was in flight suspected. Items and requests share the table of suspects, so that peers learn of items as well. System roster.Crashes; the expiry of suspects moved there from Admit.

--- a/bulk/schedule.go
+++ b/bulk/schedule.go
@@ -143,7 +143,7 @@
 				out.WakeAt(w.NotBefore)
 				continue
 			}
-			if w.Crashed < maxItemCrashes {
+			if !crashes(t, k) {
 				waiting = append(waiting, candidate{key: k, due: due(t, j)})
 			}
 		}
--- a/bulk/settle.go
+++ b/bulk/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
@@ -64,6 +65,9 @@
 		return
 	case gateway.ItemNotRun:
 		w.NotBefore, n.Reason = now.Add(refusedPause), "not run"
+		if o.Refused && runner != nil {
+			runner.RefusedAt = now
+		}
 		if o.Gone || o.Unreachable {
 			t.Avoid(runner, now, n.Reason, out)
 		}
@@ -80,7 +84,7 @@
 		if o.Disconnected {
 			t.Avoid(runner, now, n.Reason, out)
 			if e.LastEvent == 0 {
-				w.Crashed++
+				t.Broke(runner, gateway.Break{Content: contentOf(e.Key), Item: item, At: now})
 			}
 		}
 		if o.Silent {
@@ -95,6 +99,20 @@
 	out.Note(n)
 }
 
+// contentOf identifies an item as a suspect of crashes.
+func contentOf(k gateway.ItemKey) cs.ContentHash {
+	return cs.HashContent(string(k.Job), strconv.Itoa(k.Index))
+}
+
+// crashes reports whether an item has crashed so many runners that it is not run again.
+func crashes(t *gateway.Tables, k gateway.ItemKey) bool {
+	if t.Suspects.Len() == 0 {
+		return false
+	}
+	s := t.Suspects.Get(contentOf(k))
+	return s != nil && s.Crashes >= maxItemCrashes
+}
+
 // attempts returns how often an item may fail; without its route none may be given up for failures.
 func attempts(t *gateway.Tables, j *gateway.Job) cs.Attempt {
 	if t.Catalog != nil {
--- a/bulk/traffic.go
+++ b/bulk/traffic.go
@@ -148,7 +148,7 @@
 	case ctx.Err() != nil && !silent:
 		return gateway.ItemStopped{}
 	case errors.As(err, &notRun):
-		return gateway.ItemNotRun{Gone: notRun.Gone, Unreachable: notRun.Unreachable || silent}
+		return gateway.ItemNotRun{Gone: notRun.Gone, Unreachable: notRun.Unreachable || silent, Refused: notRun.Refused}
 	case silent:
 		return gateway.ItemBroken{Error: forward.ErrSilent.Error(), Silent: true}
 	case errors.As(err, &broken):
--- a/bulk/world_test.go
+++ b/bulk/world_test.go
@@ -69,7 +69,7 @@
 	var out gateway.Actions
 	v.Events, v.inbox = v.inbox, nil
 	for _, system := range []gateway.System{
-		roster.Feeds, bulk.Apply, bulk.Own, bulk.Settle, bulk.Yield, bulk.Schedule, bulk.Ask, bulk.Drop, bulk.Commit, bulk.HandOver,
+		roster.Feeds, bulk.Apply, bulk.Own, bulk.Settle, roster.Crashes, bulk.Yield, bulk.Schedule, bulk.Ask, bulk.Drop, bulk.Commit, bulk.HandOver,
 	} {
 		system(v.Tables, now, &out)
 	}
@@ -591,3 +591,28 @@
 	}
 	c.Assert(started <= 6, qt.IsTrue, qt.Commentf("%d runs for 4 slots", started))
 }
+
+// An item whose connections broke three times was held until it could be given up, although its runners
+// lived on.
+func TestItemOfBrokenConnectionsIsRunAgain(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	v := newVM("a", 0, 1, 2, 3)
+	submit(v, l, job("j", 1), 1, start)
+	now := start
+	for n := range 6 {
+		for range 400 {
+			now = now.Add(50)
+			v.inbox = append(v.inbox, gateway.PartsAssigned{Parts: []int{0, 1, 2, 3}})
+			v.tick(now)
+			if len(v.started) > n {
+				break
+			}
+		}
+		c.Assert(v.started, qt.HasLen, n+1)
+		run := v.started[n]
+		v.inbox = append(v.inbox, gateway.ItemRunEnded{
+			Key: run.Key, Attempt: run.Attempt, Outcome: gateway.ItemBroken{Error: "reset", Disconnected: true},
+		})
+	}
+}
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -25,6 +25,7 @@
 		bulk.Apply,
 		bulk.Own,
 		bulk.Settle,
+		roster.Crashes,
 		forward.Admit,
 		forward.Dispatch,
 		bulk.Yield,
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -14,8 +14,6 @@
 	queueDepth = 2
 	// maxCrashes is the number of runners that a content may have crashed before it is refused.
 	maxCrashes = 2
-	// suspectLife is how long a content stays suspect.
-	suspectLife = 60 * cs.Second
 	// maxWaiting bounds the requests that wait for a runner at one VM.
 	maxWaiting = 2000
 )
@@ -43,7 +41,6 @@
 		}
 		t.Forwards.Insert(f.ID, f)
 	}
-	t.Suspects.DeleteFunc(func(_ cs.ContentHash, s *gateway.Suspect) bool { return now.Sub(s.Seen) > suspectLife })
 }
 
 // pickService draws one of the route's services by weight.
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -9,6 +9,7 @@
 	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/forward"
 	"github.com/crocusstile/crocusstile/gateway"
+	"github.com/crocusstile/crocusstile/roster"
 )
 
 // world is the tables of a VM in data centre "a", with a clock that the test moves.
@@ -46,7 +47,7 @@
 func (w *world) tick(events ...gateway.Event) (sends []gateway.Send, refusals []gateway.Refuse) {
 	w.Events = events
 	w.out.Reset()
-	for _, system := range []gateway.System{forward.Settle, forward.Admit, forward.Dispatch} {
+	for _, system := range []gateway.System{forward.Settle, roster.Crashes, forward.Admit, forward.Dispatch} {
 		system(w.Tables, w.now, &w.out)
 	}
 	for _, a := range w.out.List {
@@ -178,6 +179,26 @@
 	c.Assert(sends, qt.HasLen, 0)
 }
 
+// Connections that broke while their runners lived on were taken for crashes: a request that met two
+// of them was refused for a minute wherever it was sent again.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for _, id := range []cs.RunnerID{"a1", "a2", "a3"} {
+		w.runner(id, "a")
+	}
+	for id := range gateway.ForwardID(6) {
+		e := w.arrival(id, once)
+		arrived := e.(gateway.ForwardArrived)
+		arrived.Forward.Content = 7
+		sends, refusals := w.tick(arrived)
+		c.Assert(refusals, qt.HasLen, 0)
+		c.Assert(sends, qt.HasLen, 1)
+		w.tick(gateway.ForwardEnded{ID: id, Attempt: 1, Outcome: gateway.OutcomeBroken{Disconnected: true}})
+		w.now = w.now.Add(5 * cs.Second)
+	}
+}
+
 // A content that has crashed two runners is refused wherever it is sent again.
 func TestContentThatCrashesRunnersIsRefused(t *testing.T) {
 	c := qt.New(t)
@@ -190,6 +211,40 @@
 	c.Assert(refusals[0].Refusal.Reason, qt.Equals, cs.ReasonQuarantined)
 }
 
+// A content whose runners end right after it was sent to them crashes them: it must be suspected,
+// whether the address refuses connections, the entry goes or another start of the runner appears.
+func TestRunnerThatEndsWasCrashed(t *testing.T) {
+	for name, end := range map[string]func(w *world, r *gateway.Runner){
+		"address refuses": func(w *world, r *gateway.Runner) { r.RefusedAt = w.now },
+		"entry is gone":   func(w *world, r *gateway.Runner) { w.Runners.Delete(r.Spec.ID) },
+		"started again":   func(_ *world, r *gateway.Runner) { r.Spec.Incarnation++ },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld()
+			for id, r := range []cs.RunnerID{"a1", "a2"} {
+				w.runner(r, "a")
+				arrived := w.arrival(gateway.ForwardID(id), once).(gateway.ForwardArrived)
+				arrived.Forward.Content = 7
+				sends, _ := w.tick(arrived)
+				c.Assert(sends, qt.HasLen, 1)
+				w.tick(gateway.ForwardEnded{ID: sends[0].ID, Attempt: 1, Outcome: gateway.OutcomeBroken{Disconnected: true}})
+				w.now = w.now.Add(100)
+				end(w, w.Runners.Get(sends[0].Runner))
+				w.tick()
+				w.now = w.now.Add(5 * cs.Second)
+			}
+			c.Assert(w.Suspects.Get(7).Crashes, qt.Equals, 2)
+			w.runner("a3", "a")
+			arrived := w.arrival(9, once).(gateway.ForwardArrived)
+			arrived.Forward.Content = 7
+			_, refusals := w.tick(arrived)
+			c.Assert(refusals, qt.HasLen, 1)
+			c.Assert(refusals[0].Refusal.Reason, qt.Equals, cs.ReasonQuarantined)
+		})
+	}
+}
+
 // A request that no runner can take was held until its deadline, so that its caller could not try
 // another VM.
 func TestRequestWithoutAnyRunnerIsRefusedAtOnce(t *testing.T) {
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -51,8 +51,9 @@
 	Reason string
 	// Gone means that another runner has the address.
 	Gone bool
-	// Unreachable means that no connection could be opened.
-	Unreachable bool
+	// Unreachable means that no connection could be opened, and Refused that nothing listens at the
+	// address.
+	Unreachable, Refused bool
 }
 
 // Error returns the reason.
--- a/forward/session.go
+++ b/forward/session.go
@@ -103,7 +103,7 @@
 	silent := IsSilent(ctx)
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
-		return gateway.OutcomeNotRun{Reason: notRun.Reason, Gone: notRun.Gone, Unreachable: notRun.Unreachable || silent}
+		return gateway.OutcomeNotRun{Reason: notRun.Reason, Gone: notRun.Gone, Unreachable: notRun.Unreachable || silent, Refused: notRun.Refused}
 	}
 	out := gateway.OutcomeBroken{Error: err.Error(), LastEvent: s.lastEvent, Silent: silent}
 	var broken *BrokenError
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -85,6 +85,9 @@
 	case gateway.OutcomeNotRun:
 		n.Reason, n.Outcome = o.Reason, cs.RanNotRun.String()
 		f.NotBefore = now.Add(retryGap)
+		if o.Refused && runner != nil {
+			runner.RefusedAt = now
+		}
 		if o.Gone || o.Unreachable {
 			t.Avoid(runner, now, n.Reason, out)
 		}
@@ -100,7 +103,7 @@
 		n.Reason, n.Outcome = o.Error, cs.RanUnknown.String()
 		if o.Disconnected {
 			t.Avoid(runner, now, n.Reason, out)
-			suspect(t, f, now, out)
+			t.Broke(runner, gateway.Break{Content: f.Content, Request: f.Request, At: now})
 		}
 		if o.Silent {
 			t.Silent(runner, now, n.Reason, out)
@@ -110,17 +113,6 @@
 	out.Note(n)
 }
 
-// suspect counts a content whose runner's connection broke.
-func suspect(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) {
-	s := t.Suspects.Get(f.Content)
-	if s == nil {
-		s = t.Suspects.Insert(f.Content, gateway.Suspect{})
-	}
-	s.Crashes++
-	s.Seen = now
-	out.Note(gateway.Note{Kind: gateway.NoteContentSuspected, Request: f.Request, Runner: f.Runner, Count: s.Crashes})
-}
-
 // attemptsLeft reports whether a request may be sent once more.
 func attemptsLeft(f *gateway.Forward) bool {
 	if !f.Executed {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,8 +50,9 @@
 		Reason string
 		// Gone means that another runner has the address.
 		Gone bool
-		// Unreachable means that no connection could be opened.
-		Unreachable bool
+		// Unreachable means that no connection could be opened, and Refused that nothing listens at
+		// the address.
+		Unreachable, Refused bool
 	}
 	// OutcomeAnswered means that the caller got the runner's whole answer.
 	OutcomeAnswered struct{ Status int }
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -81,8 +81,6 @@
 	Attempt cs.Attempt
 	// Failed counts the runs that the runner ended with an error.
 	Failed cs.Attempt
-	// Crashed counts runs that ended with the runner's connection.
-	Crashed int
 	Progress
 	// Published is the last event that the job log has.
 	Published cs.EventID
@@ -102,7 +100,7 @@
 	// ItemWhole means that the output is whole.
 	ItemWhole struct{}
 	// ItemNotRun means that the runner did not run the item.
-	ItemNotRun struct{ Gone, Unreachable bool }
+	ItemNotRun struct{ Gone, Unreachable, Refused bool }
 	// ItemError means that the runner answered with an error.
 	ItemError struct {
 		Status int
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -18,6 +18,8 @@
 	Failures int
 	// Silences counts sends in a row that got no answer in time.
 	Silences int
+	// RefusedAt is when nothing listened at the runner's address, or 0.
+	RefusedAt cs.Instant
 }
 
 // Load returns the requests in flight as far as this VM knows.
@@ -102,12 +104,6 @@
 	Batch  cs.Slots    `cbor:"b,omitempty"`
 }
 
-// SuspectCount tells how many runners a content has crashed.
-type SuspectCount struct {
-	Content cs.ContentHash `cbor:"c"`
-	Crashes int            `cbor:"n"`
-}
-
 // Report is what a VM tells its peers about itself.
 type Report struct {
 	From        cs.VMID         `cbor:"f"`
@@ -156,9 +152,3 @@
 	// Sent is what the last report said of the load, to tell whether anything changed.
 	Sent []RunnerLoad
 }
-
-// Suspect is a content that was in flight on runners when they crashed.
-type Suspect struct {
-	Crashes int
-	Seen    cs.Instant
-}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -25,7 +25,9 @@
 	Zones    *fleet.Table[cs.DataCentreID, Zone]
 	Forwards *fleet.Table[ForwardID, Forward]
 	Suspects *fleet.Table[cs.ContentHash, Suspect]
-	Jobs     *fleet.Table[cs.JobID, Job]
+	// Breaks are broken connections whose runners may have crashed.
+	Breaks []Break
+	Jobs   *fleet.Table[cs.JobID, Job]
 	// Proposals wait for an append to the job log, in order of arrival.
 	Proposals []Proposal
 	// Waits are callers that wait for the results of a job.
