Admit requests before applying that their callers have left

When a VM wakes, the arrival of a request and the leaving of its caller reach the control loop in one tick. Settle ran first and found no row, then Admit inserted one: it was sent to no session, and its place at the runner was counted, and reported to peers, for ever. Ruled out: avoidance of the runners (one runnerAvoided line in that time); loads of VMs that had gone (peers are lost after 1.6 s). Change: Admit runs before Settle. The tests of online and batch requests run the systems of the process in its order instead of lists of their own; two of them set up times that the other systems now see.

--- a/bulk/world_test.go
+++ b/bulk/world_test.go
@@ -8,10 +8,9 @@
 	qt "github.com/frankban/quicktest"
 
 	cs "github.com/crocusstile/crocusstile"
-	"github.com/crocusstile/crocusstile/bulk"
+	"github.com/crocusstile/crocusstile/entry"
 	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/gateway"
-	"github.com/crocusstile/crocusstile/roster"
 )
 
 // route is the batch route of the tests; its jobs may hold 1,000 waiting tokens.
@@ -68,9 +67,7 @@
 func (v *vm) tick(now cs.Instant) {
 	var out gateway.Actions
 	v.Events, v.inbox = v.inbox, nil
-	for _, system := range []gateway.System{
-		roster.Feeds, bulk.Apply, bulk.Own, bulk.Settle, roster.Crashes, bulk.Yield, bulk.Schedule, bulk.Ask, bulk.Drop, bulk.Commit, bulk.HandOver,
-	} {
+	for _, system := range entry.Systems() {
 		system(v.Tables, now, &out)
 	}
 	for _, a := range out.List {
@@ -512,7 +509,7 @@
 				r.AvoidUntil = start.Add(10 * cs.Second) // nothing starts before the outage
 			}
 			submit(v, l, job("j", 1), 1, start)
-			v.Peers.Insert("b", gateway.Peer{HeardAt: start, StoreLost: away})
+			v.Peers.Insert("b", gateway.Peer{HeardAt: start.Add(20 * cs.Second), StoreLost: away})
 			v.inbox = append(v.inbox, gateway.FeedFailed{Feed: gateway.FeedRunners})
 			v.tick(start.Add(20 * cs.Second))
 			c.Assert(len(v.started) == 1, qt.Equals, away)
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -21,12 +21,12 @@
 		roster.Runners,
 		roster.Peers,
 		roster.Drain,
+		forward.Admit, // before Settle, since a caller may leave in the tick in which its request arrives
 		forward.Settle,
 		bulk.Apply,
 		bulk.Own,
 		bulk.Settle,
 		roster.Crashes,
-		forward.Admit,
 		forward.Dispatch,
 		bulk.Yield,
 		bulk.Schedule,
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -6,10 +6,9 @@
 	qt "github.com/frankban/quicktest"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/entry"
 	"github.com/crocusstile/crocusstile/fleet"
-	"github.com/crocusstile/crocusstile/forward"
 	"github.com/crocusstile/crocusstile/gateway"
-	"github.com/crocusstile/crocusstile/roster"
 )
 
 // world is the tables of a VM in data centre "a", with a clock that the test moves.
@@ -47,7 +46,7 @@
 func (w *world) tick(events ...gateway.Event) (sends []gateway.Send, refusals []gateway.Refuse) {
 	w.Events = events
 	w.out.Reset()
-	for _, system := range []gateway.System{forward.Settle, roster.Crashes, forward.Admit, forward.Dispatch} {
+	for _, system := range entry.Systems() {
 		system(w.Tables, w.now, &w.out)
 	}
 	for _, a := range w.out.List {
@@ -245,6 +244,20 @@
 	}
 }
 
+// A request whose caller had left before the control loop took it, as after a pause of the process, was
+// sent all the same: nobody reported its end, and its place at the runner was counted for ever.
+func TestRequestOfACallerWhoLeftIsNotAdmitted(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	r := w.runner("a1", "a")
+	sends, refusals := w.tick(w.arrival(1, once), gateway.CallerLeft{ID: 1}, w.arrival(2, once))
+	c.Assert(refusals, qt.HasLen, 0)
+	c.Assert(sends, qt.HasLen, 1)
+	c.Assert(sends[0].ID, qt.Equals, gateway.ForwardID(2))
+	c.Assert(r.Online, qt.Equals, cs.Slots(1))
+	c.Assert(w.Forwards.Get(1), qt.IsNil)
+}
+
 // A request that no runner can take was held until its deadline, so that its caller could not try
 // another VM.
 func TestRequestWithoutAnyRunnerIsRefusedAtOnce(t *testing.T) {
@@ -303,7 +316,7 @@
 	c := qt.New(t)
 	w := newWorld()
 	w.runner("a1", "a")
-	w.Drain.Phase = fleet.DrainWaiting
+	w.Drain = gateway.Drain{Phase: fleet.DrainWaiting, Since: w.now}
 	sends, _ := w.tick(w.arrival(1, once))
 	c.Assert(sends, qt.HasLen, 1, qt.Commentf("the platform may not have noticed yet"))
 	for _, phase := range []fleet.DrainPhase{fleet.DrainFinishing, fleet.DrainDone} {
