Let a request wait for runners that are down instead of refusing it as overload

Ruled out: the refusal of requests without any runner; the entries were still listed. Change: only refusals by runners count against the bound, not connections that could not be opened; those keep the runner from being chosen anyway.

--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -258,6 +258,32 @@
 	c.Assert(w.Forwards.Get(1), qt.IsNil)
 }
 
+// While all runners of a service were down for seconds, each request spent its sends on addresses that
+// refused connections and was refused as if the runners were full: it must wait for one to come back.
+func TestRequestOutlastsRunnersThatAreDown(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	r := w.runner("a1", "a")
+	sends, _ := w.tick(w.arrival(1, once))
+	var refusals []gateway.Refuse
+	failed := 0
+	for end := w.now.Add(4 * cs.Second); w.now < end; {
+		var events []gateway.Event
+		for _, s := range sends {
+			failed++
+			events = append(events, gateway.ForwardEnded{
+				ID: 1, Attempt: s.Attempt, Outcome: gateway.OutcomeNotRun{Unreachable: true, Refused: true},
+			})
+		}
+		w.now = w.now.Add(20)
+		r.AvoidUntil = 0 // as for a VM with many runners
+		sends, refusals = w.tick(events...)
+		c.Assert(refusals, qt.HasLen, 0, qt.Commentf("after %d sends", failed))
+	}
+	c.Assert(failed > 20, qt.IsTrue)
+	c.Assert(sends, qt.HasLen, 1)
+}
+
 // A request that no runner can take was held until its deadline, so that its caller could not try
 // another VM.
 func TestRequestWithoutAnyRunnerIsRefusedAtOnce(t *testing.T) {
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -88,6 +88,9 @@
 		if o.Refused && runner != nil {
 			runner.RefusedAt = now
 		}
+		if !o.Gone && !o.Unreachable {
+			f.Refusals++
+		}
 		if o.Gone || o.Unreachable {
 			t.Avoid(runner, now, n.Reason, out)
 		}
@@ -116,7 +119,7 @@
 // attemptsLeft reports whether a request may be sent once more.
 func attemptsLeft(f *gateway.Forward) bool {
 	if !f.Executed {
-		return f.Attempt < maxRefusals
+		return f.Refusals < maxRefusals
 	}
 	return f.Route.Repeatable() && cs.Attempt(len(f.Tried)) < f.Route.MaxAttempts
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -30,6 +30,8 @@
 	Deadline cs.Instant
 	Phase    ForwardPhase
 	Attempt  cs.Attempt
+	// Refusals counts the sends that runners refused without running the request.
+	Refusals int
 	Runner   cs.RunnerID
 	Tried    []cs.RunnerID
 	// Executed means that a runner may have begun to run the request.
