Try a runner again at once after its connections broke

Streams that could go on elsewhere found no runner and were late. Ruled out: the pause before a stream goes on (30 ms); the queue at the runners, which were half empty. Change: a broken connection puts its runner in doubt (one request at a time until it answers) and tells peers nothing; a second failure, or a connection that cannot be opened, keeps it from being chosen as before.

--- a/bulk/settle.go
+++ b/bulk/settle.go
@@ -82,7 +82,7 @@
 	case gateway.ItemBroken:
 		w.NotBefore, n.Reason = now.Add(brokenPause), o.Error
 		if o.Disconnected {
-			t.Avoid(runner, now, n.Reason, out)
+			t.Doubt(runner, now, n.Reason, out)
 			if e.LastEvent == 0 {
 				t.Broke(runner, gateway.Break{Content: contentOf(e.Key), Item: item, At: now})
 			}
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -284,6 +284,32 @@
 	c.Assert(sends, qt.HasLen, 1)
 }
 
+// When the connections to all runners were reset at once, none was chosen for 0.4 s and streams that could
+// go on were late. One broken connection must not keep its runner from being tried at once, while a
+// second failure must.
+func TestRunnerIsTriedAfterItsConnectionsBroke(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for _, id := range []cs.RunnerID{"a1", "a2"} {
+		w.runner(id, "a")
+	}
+	for id := range gateway.ForwardID(4) {
+		sends, _ := w.tick(w.arrival(id+1, resumable))
+		c.Assert(sends, qt.HasLen, 1)
+	}
+	var broken []gateway.Event
+	for id := range gateway.ForwardID(4) {
+		broken = append(broken, gateway.ForwardEnded{ID: id + 1, Attempt: 1, Outcome: gateway.OutcomeBroken{Disconnected: true}})
+	}
+	w.tick(broken...)
+	w.now = w.now.Add(40)
+	sends, _ := w.tick()
+	c.Assert(sends, qt.HasLen, 2, qt.Commentf("one at a time at each runner"))
+	w.now = w.now.Add(100)
+	sends, _ = w.tick(gateway.ForwardEnded{ID: sends[0].ID, Attempt: 2, Outcome: gateway.OutcomeBroken{Disconnected: true}})
+	c.Assert(sends, qt.HasLen, 0, qt.Commentf("failed twice"))
+}
+
 // A request that no runner can take was held until its deadline, so that its caller could not try
 // another VM.
 func TestRequestWithoutAnyRunnerIsRefusedAtOnce(t *testing.T) {
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -105,7 +105,7 @@
 		f.NotBefore = now.Add(resumeGap)
 		n.Reason, n.Outcome = o.Error, cs.RanUnknown.String()
 		if o.Disconnected {
-			t.Avoid(runner, now, n.Reason, out)
+			t.Doubt(runner, now, n.Reason, out)
 			t.Broke(runner, gateway.Break{Content: f.Content, Request: f.Request, At: now})
 		}
 		if o.Silent {
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -49,6 +49,8 @@
 	NoteRunnerRemoved
 	// NoteRunnerAvoided says that a runner is not chosen for a while after a failure.
 	NoteRunnerAvoided
+	// NoteRunnerDoubted says that a runner gets one request at a time until it answers.
+	NoteRunnerDoubted
 	// NoteContentSuspected says that a content was in flight when its runner crashed.
 	NoteContentSuspected
 	// NotePeerFound says that a peer reports.
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcerunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChanged"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcerunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChanged"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 125, 136, 148, 158, 169, 181, 195, 206, 219, 232, 245, 261, 270, 278, 286, 298, 310, 322}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 125, 136, 148, 158, 169, 181, 195, 206, 219, 232, 245, 258, 274, 283, 291, 299, 311, 323, 335}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcerunneraddedrunnerleavingrunnerremovedrunneravoidedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchanged"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcerunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchanged"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -24,36 +24,37 @@
 // Re-run the stringer command to generate them again.
 func _NoteKindNoOp() {
 	var x [1]struct{}
-	_ = x[NoteRequestSent-0]
-	_ = x[NoteRequestRetried-1]
-	_ = x[NoteRequestRefused-2]
-	_ = x[NoteRequestRejected-3]
-	_ = x[NoteRequestAnswered-4]
-	_ = x[NoteRequestAbandoned-5]
-	_ = x[NoteJobAccepted-6]
-	_ = x[NoteJobRefused-7]
-	_ = x[NoteJobEnded-8]
-	_ = x[NoteItemStarted-9]
-	_ = x[NoteItemStopped-10]
-	_ = x[NoteItemReturned-11]
-	_ = x[NoteItemListed-12]
-	_ = x[NoteItemGivenUp-13]
-	_ = x[NoteAppendFailed-14]
-	_ = x[NoteCatalogInForce-15]
-	_ = x[NoteRunnerAdded-16]
-	_ = x[NoteRunnerLeaving-17]
-	_ = x[NoteRunnerRemoved-18]
-	_ = x[NoteRunnerAvoided-19]
-	_ = x[NoteContentSuspected-20]
-	_ = x[NotePeerFound-21]
-	_ = x[NotePeerLost-22]
-	_ = x[NoteFeedLost-23]
-	_ = x[NoteFeedRegained-24]
-	_ = x[NotePartsChanged-25]
-	_ = x[NoteDrainChanged-26]
+	_ = x[NoteRequestSent-(0)]
+	_ = x[NoteRequestRetried-(1)]
+	_ = x[NoteRequestRefused-(2)]
+	_ = x[NoteRequestRejected-(3)]
+	_ = x[NoteRequestAnswered-(4)]
+	_ = x[NoteRequestAbandoned-(5)]
+	_ = x[NoteJobAccepted-(6)]
+	_ = x[NoteJobRefused-(7)]
+	_ = x[NoteJobEnded-(8)]
+	_ = x[NoteItemStarted-(9)]
+	_ = x[NoteItemStopped-(10)]
+	_ = x[NoteItemReturned-(11)]
+	_ = x[NoteItemListed-(12)]
+	_ = x[NoteItemGivenUp-(13)]
+	_ = x[NoteAppendFailed-(14)]
+	_ = x[NoteCatalogInForce-(15)]
+	_ = x[NoteRunnerAdded-(16)]
+	_ = x[NoteRunnerLeaving-(17)]
+	_ = x[NoteRunnerRemoved-(18)]
+	_ = x[NoteRunnerAvoided-(19)]
+	_ = x[NoteRunnerDoubted-(20)]
+	_ = x[NoteContentSuspected-(21)]
+	_ = x[NotePeerFound-(22)]
+	_ = x[NotePeerLost-(23)]
+	_ = x[NoteFeedLost-(24)]
+	_ = x[NoteFeedRegained-(25)]
+	_ = x[NotePartsChanged-(26)]
+	_ = x[NoteDrainChanged-(27)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -76,13 +77,14 @@
 	_NoteKindName[206:219]: NoteRunnerLeaving,
 	_NoteKindName[219:232]: NoteRunnerRemoved,
 	_NoteKindName[232:245]: NoteRunnerAvoided,
-	_NoteKindName[245:261]: NoteContentSuspected,
-	_NoteKindName[261:270]: NotePeerFound,
-	_NoteKindName[270:278]: NotePeerLost,
-	_NoteKindName[278:286]: NoteFeedLost,
-	_NoteKindName[286:298]: NoteFeedRegained,
-	_NoteKindName[298:310]: NotePartsChanged,
-	_NoteKindName[310:322]: NoteDrainChanged,
+	_NoteKindName[245:258]: NoteRunnerDoubted,
+	_NoteKindName[258:274]: NoteContentSuspected,
+	_NoteKindName[274:283]: NotePeerFound,
+	_NoteKindName[283:291]: NotePeerLost,
+	_NoteKindName[291:299]: NoteFeedLost,
+	_NoteKindName[299:311]: NoteFeedRegained,
+	_NoteKindName[311:323]: NotePartsChanged,
+	_NoteKindName[323:335]: NoteDrainChanged,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -106,13 +108,14 @@
 	_NoteKindLowerName[206:219]: NoteRunnerLeaving,
 	_NoteKindLowerName[219:232]: NoteRunnerRemoved,
 	_NoteKindLowerName[232:245]: NoteRunnerAvoided,
-	_NoteKindLowerName[245:261]: NoteContentSuspected,
-	_NoteKindLowerName[261:270]: NotePeerFound,
-	_NoteKindLowerName[270:278]: NotePeerLost,
-	_NoteKindLowerName[278:286]: NoteFeedLost,
-	_NoteKindLowerName[286:298]: NoteFeedRegained,
-	_NoteKindLowerName[298:310]: NotePartsChanged,
-	_NoteKindLowerName[310:322]: NoteDrainChanged,
+	_NoteKindLowerName[245:258]: NoteRunnerDoubted,
+	_NoteKindLowerName[258:274]: NoteContentSuspected,
+	_NoteKindLowerName[274:283]: NotePeerFound,
+	_NoteKindLowerName[283:291]: NotePeerLost,
+	_NoteKindLowerName[291:299]: NoteFeedLost,
+	_NoteKindLowerName[299:311]: NoteFeedRegained,
+	_NoteKindLowerName[311:323]: NotePartsChanged,
+	_NoteKindLowerName[323:335]: NoteDrainChanged,
 }
 
 var _NoteKindNames = []string{
@@ -136,13 +139,14 @@
 	_NoteKindName[206:219],
 	_NoteKindName[219:232],
 	_NoteKindName[232:245],
-	_NoteKindName[245:261],
-	_NoteKindName[261:270],
-	_NoteKindName[270:278],
-	_NoteKindName[278:286],
-	_NoteKindName[286:298],
-	_NoteKindName[298:310],
-	_NoteKindName[310:322],
+	_NoteKindName[245:258],
+	_NoteKindName[258:274],
+	_NoteKindName[274:283],
+	_NoteKindName[283:291],
+	_NoteKindName[291:299],
+	_NoteKindName[299:311],
+	_NoteKindName[311:323],
+	_NoteKindName[323:335],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -14,6 +14,8 @@
 	// AvoidUntil is when the runner may be chosen again after a failure that this VM saw, and
 	// PeerAvoidUntil after one that a peer reports.
 	AvoidUntil, PeerAvoidUntil cs.Instant
+	// DoubtedAt is when a connection to the runner broke, if no answer came since, or 0.
+	DoubtedAt cs.Instant
 	// Failures counts failures in a row.
 	Failures int
 	// Silences counts sends in a row that got no answer in time.
@@ -25,12 +27,17 @@
 // Load returns the requests in flight as far as this VM knows.
 func (r *Runner) Load() cs.Slots { return r.Online + r.Batch + r.PeerOnline + r.PeerBatch }
 
-// doubtSpan is how long after it may be chosen again a runner counts as doubted.
-const doubtSpan = 5 * cs.Second
+const (
+	// doubtSpan is how long after it may be chosen again a runner counts as doubted.
+	doubtSpan = 5 * cs.Second
+	// oneFailure is the span within which broken connections count as one failure: those that a
+	// runner had at the same moment.
+	oneFailure = 50 * cs.Millisecond
+)
 
 // Doubted reports whether the runner has failed lately and not answered since.
 func (r *Runner) Doubted(now cs.Instant) bool {
-	return r.Failures > 0 && now < r.AvoidUntil.Add(doubtSpan)
+	return r.Failures > 0 && now < r.AvoidUntil.Add(doubtSpan) || r.DoubtedAt != 0 && now < r.DoubtedAt.Add(doubtSpan)
 }
 
 // Usable reports whether new online requests may go to the runner. One that is doubted gets one at a
@@ -41,7 +48,7 @@
 
 // Forgive lets the runner be chosen again at once.
 func (r *Runner) Forgive() {
-	r.AvoidUntil, r.PeerAvoidUntil, r.Failures, r.Silences = 0, 0, 0, 0
+	r.AvoidUntil, r.PeerAvoidUntil, r.DoubtedAt, r.Failures, r.Silences = 0, 0, 0, 0, 0
 }
 
 // How long a runner that failed to answer is not chosen: avoidFirst, doubled with each failure in a row
@@ -68,6 +75,24 @@
 	})
 }
 
+// Doubt notes that a connection to a runner broke; nil stands for one that is gone. The runner is tried
+// again with one request at a time, since the connection alone may have been reset; a second failure
+// keeps it from being chosen.
+func (t *Tables) Doubt(r *Runner, now cs.Instant, reason string, out *Actions) {
+	if r == nil {
+		return
+	}
+	t.ZoneFailed(r.Spec.DataCentre, now)
+	if r.Failures > 0 || r.DoubtedAt != 0 {
+		if now.Sub(r.DoubtedAt) > oneFailure {
+			t.Avoid(r, now, reason, out)
+		}
+		return
+	}
+	r.DoubtedAt = now
+	out.Note(Note{Kind: NoteRunnerDoubted, Runner: r.Spec.ID, Reason: reason, Load: r.Load()})
+}
+
 // maxSilences is the number of sends in a row without an answer in time after which a runner is taken
 // for unreachable; one alone may have waited behind others.
 const maxSilences = 2
