Let requests wait for a service whose last runner has just gone

Change: a service that lost its last runner less than 3 s ago is waited for; one without runners for longer is refused at once as before.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -12,6 +12,9 @@
 	// slot of an engine frees about every tenth of a second, so that a second one waiting still
 	// begins within a target of 300 ms.
 	queueDepth = 2
+	// returnWait is how long requests wait for a service whose last runner has gone: crashed runners
+	// start again after some seconds, and their entries lapse about 4 s after a crash.
+	returnWait = 3 * cs.Second
 	// maxCrashes is the number of runners that a content may have crashed before it is refused.
 	maxCrashes = 2
 	// maxWaiting bounds the requests that wait for a runner at one VM.
@@ -79,7 +82,7 @@
 			send(t, f, r, now, out)
 			continue
 		}
-		if !prospects(t, f, now) {
+		if !prospects(t, f, now, out) {
 			refuse(now, f, noRunner(f), out)
 			done = append(done, id)
 			continue
@@ -122,7 +125,7 @@
 }
 
 // prospects reports whether a runner may take the request before its deadline.
-func prospects(t *gateway.Tables, f *gateway.Forward, now cs.Instant) bool {
+func prospects(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) bool {
 	if !t.Feeds[gateway.FeedRunners].Loaded {
 		return true
 	}
@@ -131,7 +134,12 @@
 			return true
 		}
 	}
-	return false
+	left := t.Vacancies.Get(f.Service)
+	if left == nil || now.Sub(*left) > returnWait {
+		return false
+	}
+	out.WakeAt(left.Add(returnWait + 1))
+	return true
 }
 
 // noRunner refuses a request that no runner can take. It is refused at once, since the caller may
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -310,6 +310,36 @@
 	c.Assert(sends, qt.HasLen, 0, qt.Commentf("failed twice"))
 }
 
+// When all runners of a service had crashed, the requests that waited for them were refused at the moment
+// at which the entries lapsed, shortly before the runners were back.
+func TestRequestOutlastsEntriesThatLapse(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.runner("a1", "a").AvoidUntil = w.now.Add(10 * cs.Second)
+	sends, refusals := w.tick(w.arrival(1, once))
+	c.Assert(len(sends)+len(refusals), qt.Equals, 0)
+	w.now = w.now.Add(3600)
+	_, refusals = w.tick(gateway.RunnersRead{Changes: []gateway.RunnerChange{{ID: "a1"}}})
+	c.Assert(w.Runners.Len(), qt.Equals, 0)
+	c.Assert(refusals, qt.HasLen, 0)
+	w.now = w.now.Add(500)
+	back := cs.Runner{ID: "a2", Service: "s", DataCentre: "a", Address: "a2:1", Slots: 8}
+	sends, _ = w.tick(gateway.RunnersRead{Changes: []gateway.RunnerChange{{ID: "a2", Runner: &back}}})
+	c.Assert(sends, qt.HasLen, 1)
+}
+
+// A service that has had no runner for a while has none to wait for.
+func TestServiceWithoutRunnersRefuses(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.runner("a1", "a")
+	w.tick(gateway.RunnersRead{Changes: []gateway.RunnerChange{{ID: "a1"}}})
+	w.now = w.now.Add(4 * cs.Second)
+	_, refusals := w.tick(w.arrival(1, once))
+	c.Assert(refusals, qt.HasLen, 1)
+	c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
+}
+
 // A request that no runner can take was held until its deadline, so that its caller could not try
 // another VM.
 func TestRequestWithoutAnyRunnerIsRefusedAtOnce(t *testing.T) {
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -19,12 +19,14 @@
 	Rand *rand.Rand
 
 	// Catalog is the newest version read, or nil.
-	Catalog  *cs.Catalog
-	Runners  *fleet.Table[cs.RunnerID, Runner]
-	Peers    *fleet.Table[cs.VMID, Peer]
-	Zones    *fleet.Table[cs.DataCentreID, Zone]
-	Forwards *fleet.Table[ForwardID, Forward]
-	Suspects *fleet.Table[cs.ContentHash, Suspect]
+	Catalog *cs.Catalog
+	Runners *fleet.Table[cs.RunnerID, Runner]
+	// Vacancies are the services whose last runner has gone, with the time of that.
+	Vacancies *fleet.Table[cs.ServiceID, cs.Instant]
+	Peers     *fleet.Table[cs.VMID, Peer]
+	Zones     *fleet.Table[cs.DataCentreID, Zone]
+	Forwards  *fleet.Table[ForwardID, Forward]
+	Suspects  *fleet.Table[cs.ContentHash, Suspect]
 	// Breaks are broken connections whose runners may have crashed.
 	Breaks []Break
 	Jobs   *fleet.Table[cs.JobID, Job]
@@ -44,13 +46,14 @@
 func New(c Config, self cs.VM, now cs.Instant, seed uint64) *Tables {
 	return &Tables{
 		Config: c, Self: self, Started: now, Rand: rand.New(rand.NewPCG(seed, 1)),
-		Runners:  fleet.NewTable[cs.RunnerID, Runner](),
-		Peers:    fleet.NewTable[cs.VMID, Peer](),
-		Zones:    fleet.NewTable[cs.DataCentreID, Zone](),
-		Forwards: fleet.NewTable[ForwardID, Forward](),
-		Suspects: fleet.NewTable[cs.ContentHash, Suspect](),
-		Jobs:     fleet.NewTable[cs.JobID, Job](),
-		Waits:    fleet.NewTable[QueryID, Wait](),
+		Runners:   fleet.NewTable[cs.RunnerID, Runner](),
+		Vacancies: fleet.NewTable[cs.ServiceID, cs.Instant](),
+		Peers:     fleet.NewTable[cs.VMID, Peer](),
+		Zones:     fleet.NewTable[cs.DataCentreID, Zone](),
+		Forwards:  fleet.NewTable[ForwardID, Forward](),
+		Suspects:  fleet.NewTable[cs.ContentHash, Suspect](),
+		Jobs:      fleet.NewTable[cs.JobID, Job](),
+		Waits:     fleet.NewTable[QueryID, Wait](),
 		Feeds: map[Feed]*FeedState{
 			FeedCatalog: {}, FeedRunners: {}, FeedVMs: {}, FeedJobs: {},
 		},
--- a/roster/runners.go
+++ b/roster/runners.go
@@ -29,8 +29,19 @@
 	dropMissing(t, now, out)
 }
 
+// vacate notes that a service has no runner any more, if that is so.
+func vacate(t *gateway.Tables, now cs.Instant, id cs.ServiceID) {
+	for _, r := range t.Runners.All() {
+		if r.Spec.Service == id {
+			return
+		}
+	}
+	t.Vacancies.Insert(id, now)
+}
+
 // put stores an entry.
 func put(t *gateway.Tables, spec cs.Runner, out *gateway.Actions) {
+	t.Vacancies.Delete(spec.Service)
 	r := t.Runners.Get(spec.ID)
 	if r == nil || r.Spec.Incarnation != spec.Incarnation || r.Spec.Address != spec.Address {
 		next := gateway.Runner{Spec: spec}
@@ -70,6 +81,7 @@
 // dropMissing removes runners without an entry, once the store has been back for long enough.
 func dropMissing(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	f := t.Feeds[gateway.FeedRunners]
+	var left []cs.ServiceID
 	t.Runners.DeleteFunc(func(id cs.RunnerID, r *gateway.Runner) bool {
 		if r.MissingSince == 0 {
 			return false
@@ -84,6 +96,10 @@
 			}
 		}
 		out.Note(gateway.Note{Kind: gateway.NoteRunnerRemoved, Runner: id, Age: now.Sub(r.MissingSince)})
+		left = append(left, r.Spec.Service)
 		return true
 	})
+	for _, service := range left {
+		vacate(t, now, service)
+	}
 }
