Run items that can still be in time before those that cannot

Ruled out: slots left idle; in the burst the work is 870 slot seconds against about 560 free ones before the jobs are due. Change: an item that could not end before it is due, by the pace of the runs that this VM has seen, comes after those that can; the same order decides which run is stopped to make room, and late items weigh a fifth when VMs divide the free slots.

--- a/bulk/schedule.go
+++ b/bulk/schedule.go
@@ -46,11 +46,11 @@
 
 // candidate is an item that may be started.
 type candidate struct {
-	key gateway.ItemKey
-	due cs.Instant
+	key     gateway.ItemKey
+	urgency urgency
 }
 
-// Schedule starts waiting items, those due first before others, on runners with free slots.
+// Schedule starts waiting items, the most urgent first, on runners with free slots.
 func Schedule(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	if t.Catalog == nil || t.Drain.Phase != fleet.DrainNone {
 		return
@@ -64,9 +64,9 @@
 	}
 	waiting := candidates(t, now, out)
 	slices.SortFunc(waiting, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.key.Job, b.key.Job), cmp.Compare(a.key.Index, b.key.Index))
+		return cmp.Or(a.urgency.compare(b.urgency), cmp.Compare(a.key.Job, b.key.Job), cmp.Compare(a.key.Index, b.key.Index))
 	})
-	t.Parts.Waiting = len(waiting)
+	t.Parts.Waiting = claim(waiting)
 	if len(waiting) == 0 {
 		return
 	}
@@ -83,6 +83,23 @@
 	}
 }
 
+// lateClaim is the number of items that will be late whose claim to free slots equals that of one that
+// can be in time.
+const lateClaim = 5
+
+// claim returns the weight of the waiting items of this VM in the division of free slots.
+func claim(waiting []candidate) int {
+	inTime, late := 0, 0
+	for _, c := range waiting {
+		if c.urgency.late {
+			late++
+		} else {
+			inTime++
+		}
+	}
+	return inTime + (late+lateClaim-1)/lateClaim
+}
+
 // share returns how many items this VM may start in a round: its part of the free slots by what waits
 // here and at peers. A fraction is drawn by chance, so that VMs that see the same few slots do not all
 // take them.
@@ -144,7 +161,7 @@
 				continue
 			}
 			if !crashes(t, k) {
-				waiting = append(waiting, candidate{key: k, due: due(t, j)})
+				waiting = append(waiting, candidate{key: k, urgency: urgencyOf(t, j, w, now)})
 			}
 		}
 	}
--- a/bulk/settle.go
+++ b/bulk/settle.go
@@ -45,6 +45,7 @@
 		runner.Batch--
 	}
 	if e.LastEvent > 0 {
+		observe(&t.Pace, now.Sub(w.Started), e.LastEvent-w.LastEvent, 0)
 		if w.LastEvent > 0 {
 			w.Text = append(w.Text, '\n')
 		}
@@ -61,6 +62,7 @@
 	}
 	switch o := e.Outcome.(type) {
 	case gateway.ItemWhole:
+		observe(&t.Pace, 0, 0, w.LastEvent)
 		conclude(t, j, e.Key, gateway.Result{Item: item, Done: true, Text: string(w.Text)})
 		return
 	case gateway.ItemNotRun:
--- a/bulk/world_test.go
+++ b/bulk/world_test.go
@@ -613,3 +613,31 @@
 		})
 	}
 }
+
+// In a backlog the jobs due first were run first although they could no longer be in time, so that those
+// behind them were late as well.
+func TestItemsThatCannotBeInTimeComeLast(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	v := newVM("a", 0, 1, 2, 3)
+	for _, r := range v.Runners.All() {
+		r.AvoidUntil = start.Add(16 * cs.Second) // nothing starts before the backlog is there
+	}
+	submit(v, l, job("late", 3), 1, start) // due at 18 s; a run takes some 4 s
+	next := job("next", 3)
+	next.Accepted = start.Add(10 * cs.Second)
+	submit(v, l, next, 2, start.Add(10*cs.Second))
+	last := job("last", 3)
+	last.Accepted = start.Add(11 * cs.Second)
+	submit(v, l, last, 3, start.Add(11*cs.Second))
+	for now := start.Add(16 * cs.Second); len(v.started) < 9; now = now.Add(50) {
+		c.Assert(now < start.Add(18*cs.Second), qt.IsTrue)
+		v.inbox = append(v.inbox, gateway.PartsAssigned{Parts: []int{0, 1, 2, 3}})
+		v.tick(now)
+	}
+	var order []cs.JobID
+	for _, run := range v.started {
+		order = append(order, run.Key.Job)
+	}
+	c.Assert(order, qt.DeepEquals, []cs.JobID{"next", "next", "next", "last", "last", "last", "late", "late", "late"})
+}
--- a/bulk/yield.go
+++ b/bulk/yield.go
@@ -33,17 +33,21 @@
 	return 0
 }
 
-// stopOne stops the run on a runner whose job is due last.
+// stopOne stops the least urgent run on a runner.
 func stopOne(t *gateway.Tables, id cs.RunnerID, now cs.Instant, out *gateway.Actions) {
 	var (
 		last  *gateway.Job
 		index int
+		least urgency
 	)
 	for _, j := range t.Jobs.All() {
 		for i := range j.Work {
 			w := &j.Work[i]
-			if w.Phase == gateway.ItemRunning && w.Runner == id && (last == nil || due(t, j) > due(t, last)) {
-				last, index = j, i
+			if w.Phase != gateway.ItemRunning || w.Runner != id {
+				continue
+			}
+			if u := urgencyOf(t, j, w, now); last == nil || u.compare(least) > 0 {
+				last, index, least = j, i, u
 			}
 		}
 	}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -149,6 +149,16 @@
 	StartedAt cs.Instant
 }
 
+// Pace is what this VM has seen of the runs of items, as moving averages.
+type Pace struct {
+	// Events counts the events of a whole output, and Gap is the time for one in milliseconds.
+	Events, Gap float64
+}
+
+// usualPace is assumed until a VM has seen runs of its own: that of items of the users' sites at usual
+// load.
+var usualPace = Pace{Events: 200, Gap: 20}
+
 // Proposal is a change of the job log that waits for an append; a sealed type.
 type Proposal interface{ isProposal() }
 
