Send requests that can be in time before those that will be late

Ruled out: batch work; it had given way. Change: of one priority, requests that waited less than 0.4 of their target go first, and only they wait at a full runner; a stream that has begun goes first whatever its age.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -64,10 +64,10 @@
 	return ""
 }
 
-// Dispatch sends waiting requests to runners, the oldest first, and refuses those that get none.
+// Dispatch sends waiting requests to runners, in the order of their rank, and refuses those that get none.
 func Dispatch(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	var done []gateway.ForwardID
-	for _, id := range waitingByAge(t) {
+	for _, id := range waiting(t, now) {
 		f := t.Forwards.Get(id)
 		if refusal := hopeless(f, now); refusal != nil {
 			refuse(now, f, *refusal, out)
@@ -111,16 +111,15 @@
 	return nil
 }
 
-// waitingByAge returns the requests that wait for a runner, the more urgent route first and then the
-// oldest.
-func waitingByAge(t *gateway.Tables) []gateway.ForwardID {
+// waiting returns the requests that wait for a runner, in the order of their rank.
+func waiting(t *gateway.Tables, now cs.Instant) []gateway.ForwardID {
 	var ids []gateway.ForwardID
 	for id, f := range t.Forwards.All() {
 		if f.Phase == gateway.ForwardWaiting {
 			ids = append(ids, id)
 		}
 	}
-	sortByRank(t, ids)
+	sortByRank(t, ids, now)
 	return ids
 }
 
@@ -154,17 +153,22 @@
 
 // choose returns the least loaded runner of the request's service that has room, or nil. Of runners
 // with room in their slots those of this data centre are preferred. A runner whose slots are taken
-// by batch runs counts as having room, since those are stopped for online requests.
+// by batch runs counts as having room, since those are stopped for online requests. A request that will
+// be late does not wait at a runner, where others that can be in time would wait behind it.
 func choose(t *gateway.Tables, f *gateway.Forward, now cs.Instant) *gateway.Runner {
 	var best *gateway.Runner
 	bestCost := 0.0
 	only := triedAll(t, f, now)
+	queue := cs.Slots(0)
+	if fresh(f, now) {
+		queue = queueDepth
+	}
 	for id, r := range t.Runners.All() {
 		if r.Spec.Service != f.Service || !r.Usable(now) || tried(f, id) && !only {
 			continue
 		}
 		online := r.Online + r.PeerOnline
-		if online >= r.Spec.Slots+queueDepth {
+		if online >= r.Spec.Slots+queue {
 			continue
 		}
 		reach := t.Reach(r.Spec.DataCentre, now)
