Divide the free places of runners among the VMs whose requests wait

Ruled out: stale loads alone; they are 25 ms old and the requests seen were nine at most. Change: VMs report what waits for each service; while requests wait at several, each VM takes its part of the free places once in 25 ms.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -66,6 +66,7 @@
 
 // Dispatch sends waiting requests to runners, in the order of their rank, and refuses those that get none.
 func Dispatch(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+	claim(t, now) // for the division of free places
 	var done []gateway.ForwardID
 	for _, id := range waiting(t, now) {
 		f := t.Forwards.Get(id)
@@ -78,20 +79,24 @@
 			out.WakeAt(f.NotBefore)
 			continue
 		}
-		if r := choose(t, f, now); r != nil {
-			send(t, f, r, now, out)
-			continue
-		}
 		if !prospects(t, f, now, out) {
 			refuse(now, f, noRunner(f), out)
 			done = append(done, id)
 			continue
 		}
+		if mayTake(t, f.Service, now, out) {
+			if r := choose(t, f, now); r != nil {
+				send(t, f, r, now, out)
+				take(t, f.Service)
+				continue
+			}
+		}
 		out.WakeAt(f.Deadline)
 	}
 	for _, id := range done {
 		t.Forwards.Delete(id)
 	}
+	claim(t, now) // for peers: what still waits
 }
 
 // hopeless returns why a request can no longer be answered, or nil.
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -448,3 +449,31 @@
 		c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
 	}
 }
+
+// VMs whose requests waited all sent one to each place that became free: runners with room for ten had
+// more than twenty, and everything there was late.
+func TestVMsShareFreePlaces(t *testing.T) {
+	c := qt.New(t)
+	sent := 0
+	const vms = 20
+	for i := range vms {
+		w := newWorld()
+		w.Rand = rand.New(rand.NewPCG(uint64(i), 3))
+		for _, id := range []cs.RunnerID{"a1", "a2", "a3"} {
+			w.runner(id, "a").PeerOnline = 9 // one place at each
+		}
+		w.Queues.Insert("s", gateway.Queue{Peers: 3 * (vms - 1)})
+		sends, _ := w.tick(w.arrival(1, resumable), w.arrival(2, resumable), w.arrival(3, resumable))
+		sent += len(sends)
+	}
+	c.Assert(sent >= 1 && sent <= 8, qt.IsTrue, qt.Commentf("%d sends for 3 places", sent))
+}
+
+// A VM that alone has requests waiting takes all free places at once.
+func TestVMAloneTakesAllFreePlaces(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.runner("a1", "a").PeerOnline = 7
+	sends, _ := w.tick(w.arrival(1, resumable), w.arrival(2, resumable), w.arrival(3, resumable), w.arrival(4, resumable))
+	c.Assert(sends, qt.HasLen, 3)
+}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -120,6 +120,8 @@
 	StoreLost bool
 	// Waiting counts the batch items that the peer would start if there were room.
 	Waiting int
+	// Queues are the peer's claims to the free places of services.
+	Queues []QueueClaim
 }
 
 // RunnerLoad counts one VM's requests in flight on a runner.
@@ -142,6 +144,8 @@
 	StoreLost bool `cbor:"u,omitempty"`
 	// Waiting counts the batch items that the sender would start if there were room.
 	Waiting int `cbor:"q,omitempty"`
+	// Queues are the sender's claims to the free places of services.
+	Queues []QueueClaim `cbor:"k,omitempty"`
 	// Down lists runners that the sender could not reach lately.
 	Down []cs.RunnerID `cbor:"w,omitempty"`
 	// Suspects lists contents that crashed runners lately.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -26,6 +26,7 @@
 	Peers     *fleet.Table[cs.VMID, Peer]
 	Zones     *fleet.Table[cs.DataCentreID, Zone]
 	Forwards  *fleet.Table[ForwardID, Forward]
+	Queues    *fleet.Table[cs.ServiceID, Queue]
 	Suspects  *fleet.Table[cs.ContentHash, Suspect]
 	// Breaks are broken connections whose runners may have crashed.
 	Breaks []Break
@@ -52,6 +53,7 @@
 		Peers:     fleet.NewTable[cs.VMID, Peer](),
 		Zones:     fleet.NewTable[cs.DataCentreID, Zone](),
 		Forwards:  fleet.NewTable[ForwardID, Forward](),
+		Queues:    fleet.NewTable[cs.ServiceID, Queue](),
 		Suspects:  fleet.NewTable[cs.ContentHash, Suspect](),
 		Jobs:      fleet.NewTable[cs.JobID, Job](),
 		Waits:     fleet.NewTable[QueryID, Wait](),
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -39,7 +39,7 @@
 	for id, p := range t.Peers.All() {
 		if p.HeardAt != 0 && now.Sub(p.HeardAt) > peerTimeout {
 			out.Note(gateway.Note{Kind: gateway.NotePeerLost, Peer: id, Age: now.Sub(p.HeardAt)})
-			p.HeardAt, p.Loads, p.Waiting, changed = 0, nil, 0, true
+			p.HeardAt, p.Loads, p.Queues, p.Waiting, changed = 0, nil, nil, 0, true
 		}
 	}
 	if changed {
@@ -99,8 +99,8 @@
 		}
 	}
 	p.StoreLost, p.Waiting = r.StoreLost, r.Waiting
-	changed := !slices.Equal(p.Loads, r.Loads)
-	p.Loads = r.Loads
+	changed := !slices.Equal(p.Loads, r.Loads) || !slices.Equal(p.Queues, r.Queues)
+	p.Loads, p.Queues = r.Loads, r.Queues
 	return changed
 }
 
@@ -128,7 +128,11 @@
 	for _, r := range t.Runners.All() {
 		r.PeerOnline, r.PeerBatch = 0, 0
 	}
+	for _, q := range t.Queues.All() {
+		q.Peers = 0
+	}
 	for _, p := range t.Peers.All() {
+		sumQueues(t, p)
 		for _, l := range p.Loads {
 			if r := t.Runners.Get(l.Runner); r != nil {
 				r.PeerOnline += l.Online
@@ -138,6 +142,17 @@
 	}
 }
 
+// sumQueues adds a peer's claims to the free places of services.
+func sumQueues(t *gateway.Tables, p *gateway.Peer) {
+	for _, c := range p.Queues {
+		q := t.Queues.Get(c.Service)
+		if q == nil {
+			q = t.Queues.Insert(c.Service, gateway.Queue{})
+		}
+		q.Peers += c.Claim
+	}
+}
+
 // Report tells peers of this VM's load when it has changed, and now and then when it has not.
 func Report(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	loads := ownLoads(t)
@@ -167,6 +182,11 @@
 			r.Suspects = append(r.Suspects, gateway.SuspectCount{Content: content, Crashes: s.Crashes})
 		}
 	}
+	for id, q := range t.Queues.All() {
+		if q.Own > 0 {
+			r.Queues = append(r.Queues, gateway.QueueClaim{Service: id, Claim: q.Own})
+		}
+	}
 	var to []cs.Address
 	for _, p := range t.Peers.All() {
 		to = append(to, p.VM.Address)
