--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -91,12 +91,7 @@
 				continue
 			}
 		}
-		if give := f.Arrived.Add(holdLimit(f)); !f.Executed && now >= give {
-			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: cs.RanNotRun, Message: "all runners are busy"}, out)
-			done = append(done, id)
-		} else {
-			out.WakeAt(min(give, f.Deadline))
-		}
+		out.WakeAt(f.Deadline)
 	}
 	for _, id := range done {
 		t.Forwards.Delete(id)
@@ -104,27 +99,6 @@
 	claim(t, now) // for peers: what still waits
 }
 
-// How long callers wait.
-const (
-	// holdShare is the share of its caller's patience for which a request that cannot be sent is held:
-	// the rest is left for another attempt, at another VM.
-	holdShare = 0.4
-	// streamPatience is the shortest pause after which callers give a stream up, and targetPatience and
-	// gapPatience the same in units of the route's target and of its longest pause.
-	streamPatience = 2 * cs.Second
-	targetPatience = 4
-	gapPatience    = 8
-)
-
-// holdLimit returns how long a request that cannot be sent is held.
-func holdLimit(f *gateway.Forward) cs.Span {
-	wait := f.Deadline.Sub(f.Arrived)
-	if f.Route.Kind == cs.RouteStreaming {
-		wait = min(wait, max(streamPatience, targetPatience*f.Route.Target, gapPatience*f.Route.GapTarget))
-	}
-	return cs.Span(holdShare * float64(wait))
-}
-
 // hopeless returns why a request can no longer be answered, or nil.
 func hopeless(f *gateway.Forward, now cs.Instant) *cs.Refusal {
 	ran := cs.RanNotRun
