Refuse a request at once when the estimated wait makes it late

Change: the wait is estimated from what waits at all VMs, the slots of the runners and the mean time of a request there. If a request that has just come would be late, it is refused as not run with 1.5 s as the time to come back; a caller with less than 0.9 of the route's time left is held instead, since it may have been refused before.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -91,6 +91,11 @@
 				continue
 			}
 		}
+		if overloaded(t, f, now) {
+			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: cs.RanNotRun, Message: "too many requests wait"}, out)
+			done = append(done, id)
+			continue
+		}
 		out.WakeAt(f.Deadline)
 	}
 	for _, id := range done {
@@ -236,7 +241,7 @@
 func send(t *gateway.Tables, f *gateway.Forward, r *gateway.Runner, now cs.Instant, out *gateway.Actions) {
 	load := r.Load()
 	r.Online++
-	f.Phase, f.Runner = gateway.ForwardRunning, r.Spec.ID
+	f.Phase, f.Runner, f.SentAt = gateway.ForwardRunning, r.Spec.ID, now
 	f.Attempt++
 	first, gap := patience(f)
 	out.Add(gateway.Send{
@@ -284,13 +289,24 @@
 	})
 }
 
-// unavailableRetry is when a caller should come back to a VM that reached no runner.
-const unavailableRetry = 400 * cs.Millisecond
+const (
+	// unavailableRetry is when a caller should come back to a VM that reached no runner.
+	unavailableRetry = 400 * cs.Millisecond
+	// overloadedRetry is when a caller should come back in an overload: bursts last for seconds, and
+	// callers honour at most a third of their time of about five.
+	overloadedRetry = 1500 * cs.Millisecond
+)
 
 // retryAfter returns when the caller of a refused request should try again; 0 says nothing.
 func retryAfter(why cs.Refusal) cs.Span {
-	if why.Ran == cs.RanNotRun && why.Reason == cs.ReasonUnavailable {
+	switch {
+	case why.Ran != cs.RanNotRun:
+		return 0
+	case why.Reason == cs.ReasonUnavailable:
 		return unavailableRetry
+	case why.Reason == cs.ReasonOverloaded:
+		return overloadedRetry
+	default:
+		return 0
 	}
-	return 0
 }
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -478,3 +478,37 @@
 	sends, _ := w.tick(w.arrival(1, resumable), w.arrival(2, resumable), w.arrival(3, resumable), w.arrival(4, resumable))
 	c.Assert(sends, qt.HasLen, 3)
 }
+
+// In an overload each request was held and answered late. One that cannot be sent in time by the estimate
+// must be refused at once with a time at which to come back; a caller that has used part of its time,
+// and may have been refused before, is held.
+func TestOverloadIsRefusedAtOnceOrHeld(t *testing.T) {
+	patient := resumable
+	patient.Timeout = 5 * cs.Second
+	for name, test := range map[string]struct {
+		left    cs.Span
+		waiting int
+		refused bool
+	}{
+		"long queue":              {5 * cs.Second, 40, true},
+		"short queue":             {5 * cs.Second, 2, false},
+		"caller with little time": {3 * cs.Second, 40, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld()
+			for _, id := range []cs.RunnerID{"a1", "a2"} {
+				w.runner(id, "a").PeerOnline = 10
+			}
+			w.Queues.Insert("s", gateway.Queue{Peers: test.waiting, Took: 500})
+			arrived := w.arrival(1, patient).(gateway.ForwardArrived)
+			arrived.Forward.Deadline = w.now.Add(test.left)
+			_, refusals := w.tick(arrived)
+			c.Assert(len(refusals) == 1, qt.Equals, test.refused)
+			if test.refused {
+				c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
+				c.Assert(refusals[0].RetryAfter > 0, qt.IsTrue)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/forward/overload.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
+)
+
+const (
+	// usualTook is the time of a request at a runner that is assumed before one was seen, in
+	// milliseconds.
+	usualTook = 500.0
+	// tookWeight is the weight of a new request in the moving average of that time.
+	tookWeight = 0.05
+	// refuseShare is the share of a route's target within which a request may be refused for overload; a
+	// later refusal would only cost its caller time.
+	refuseShare = 0.25
+	// fullTime is the share of its route's time limit that a caller must have left to be refused for
+	// overload: one with less may have been refused before, and may have no time to come back.
+	fullTime = 0.9
+)
+
+// observe takes the time of a request at its runner into account.
+func observe(t *gateway.Tables, f *gateway.Forward, now cs.Instant) {
+	q := queueOf(t, f.Service)
+	if q.Took == 0 {
+		q.Took = usualTook
+	}
+	q.Took += tookWeight * (float64(now.Sub(f.SentAt)) - q.Took)
+}
+
+func queueOf(t *gateway.Tables, id cs.ServiceID) *gateway.Queue {
+	if q := t.Queues.Get(id); q != nil {
+		return q
+	}
+	return t.Queues.Insert(id, gateway.Queue{})
+}
+
+// overloaded reports whether a request that has just come cannot be sent in time, and its caller has time
+// to come back.
+func overloaded(t *gateway.Tables, f *gateway.Forward, now cs.Instant) bool {
+	switch target := f.Route.Target; {
+	case target == 0 || f.Attempt > 0 || now.Sub(f.Arrived) > cs.Span(refuseShare*float64(target)):
+		return false
+	case f.Route.Timeout == 0 || float64(f.Deadline.Sub(f.Arrived)) < fullTime*float64(f.Route.Timeout):
+		return false
+	default:
+		return waitOf(t, f.Service, now) > freshShare*float64(target)
+	}
+}
+
+// waitOf estimates the time in milliseconds until what waits for a service now has been sent.
+func waitOf(t *gateway.Tables, id cs.ServiceID, now cs.Instant) float64 {
+	q := queueOf(t, id)
+	slots := cs.Slots(0)
+	for _, r := range t.Runners.All() {
+		if r.Spec.Service == id && r.Usable(now) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
+			slots += r.Spec.Slots
+		}
+	}
+	took := q.Took
+	if took == 0 {
+		took = usualTook
+	}
+	return float64(q.Own+q.Peers) * took / float64(max(slots, 1))
+}
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -80,6 +80,7 @@
 		if runner != nil {
 			runner.Forgive()
 		}
+		observe(t, f, now)
 		t.Forwards.Delete(e.ID)
 		return
 	case gateway.OutcomeNotRun:
--- a/forward/share.go
+++ b/forward/share.go
@@ -68,10 +68,7 @@
 		if f.Phase != gateway.ForwardWaiting {
 			continue
 		}
-		q := t.Queues.Get(f.Service)
-		if q == nil {
-			q = t.Queues.Insert(f.Service, gateway.Queue{})
-		}
+		q := queueOf(t, f.Service)
 		if fresh(f, now) {
 			q.Own++
 		} else {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -33,7 +33,9 @@
 	// Refusals counts the sends that runners refused without running the request.
 	Refusals int
 	Runner   cs.RunnerID
-	Tried    []cs.RunnerID
+	// SentAt is when the request was last sent.
+	SentAt cs.Instant
+	Tried  []cs.RunnerID
 	// Executed means that a runner may have begun to run the request.
 	Executed bool
 	// NotBefore is when the request may be sent again after a failure.
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -9,6 +9,8 @@
 	// RoundAt is when the free places were last divided, and Budget what is left of this VM's part.
 	RoundAt cs.Instant
 	Budget  int
+	// Took is the moving average of the time of a request at a runner, in milliseconds, or 0.
+	Took float64
 }
 
 // QueueClaim is one VM's claim to the free places of a service.
