Ask a peer for routes and runners when a VM starts without the store

Ruled out: the roles seeds of the platform; the role does not serve control, and seeds may be stale. Reports as the carrier; the routes do not fit a datagram. Conclusion: the gap remains for a VM at a new address.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,6 +51,7 @@
 	feeds    *platform.Feeds
 	runners  *platform.Runners
 	gossip   *gossip.Gossip
+	states   *gossip.States
 	journal  *journal
 	meter    *meter.Meter
 	forward  *forward.Traffic
@@ -58,6 +59,7 @@
 	callers  *http.Server
 	ready    *http.Server
 	metrics  *http.Server
+	peers    *http.Server
 	left     chan struct{}
 	tasks    sync.WaitGroup
 	ctx      context.Context
@@ -104,6 +106,8 @@
 	if v.gossip, err = gossip.New(gossip.Config{Listen: v.self.Address, Post: post, Log: v.log}); err != nil {
 		return errors.Wrap(err, "listen for reports")
 	}
+	v.states = gossip.NewStates(post)
+	v.peers = &http.Server{Addr: string(v.self.Address), Handler: v.states, ReadHeaderTimeout: readHeader.Std()}
 	ingress := platform.NewIngress(platform.IngressConfig{
 		Clock: clock, Forward: v.forward, Bulk: v.bulk, View: v.loop.View, Note: v.journal.note, Loaded: v.loop.loaded,
 		Wall: func() cs.Instant { return cs.Instant(time.Now().UnixMilli()) },
@@ -120,7 +124,7 @@
 	v.loop.ports = ports{
 		forward: v.forward, bulk: v.bulk, run: v.task, append: v.append(clock), read: v.feeds.ReadJobs,
 		leaveGroup: v.feeds.LeaveGroup,
-		report:     v.gossip.Send, note: v.journal.note, items: v.ctx,
+		report:     v.gossip.Send, askState: v.askState, giveState: v.states.Answer, note: v.journal.note, items: v.ctx,
 		leave: sync.OnceFunc(func() { close(v.left) }),
 	}
 	return nil
@@ -135,6 +139,13 @@
 	}
 }
 
+// askState asks a peer for its state.
+func (v *VM) askState(ctx context.Context, a gateway.AskPeerState) {
+	if err := v.states.Ask(ctx, a); err != nil && ctx.Err() == nil {
+		v.log.Warn().Err(err).Str("peer", string(a.Peer)).Msg("peer's state was not read")
+	}
+}
+
 // task runs a function that ends with the process.
 func (v *VM) task(f func(context.Context)) { v.tasks.Go(func() { f(v.ctx) }) }
 
@@ -150,7 +161,7 @@
 		g.Add(func() error { return f(v.ctx) }, func(error) { v.cancel() })
 	}
 	g.Add(func() error { return v.gossip.Run(v.ctx) }, func(error) { v.gossip.Close() })
-	for _, s := range []*http.Server{v.callers, v.ready, v.metrics} {
+	for _, s := range []*http.Server{v.callers, v.ready, v.peers, v.metrics} {
 		if s != nil {
 			g.Add(func() error { return v.serve(s) }, func(error) { _ = s.Close() }) // what is open has had its time
 		}
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -20,6 +20,7 @@
 		roster.Catalog,
 		roster.Runners,
 		roster.Peers,
+		roster.Bootstrap,
 		roster.Drain,
 		forward.Admit, // before Settle, since a caller may leave in the tick in which its request arrives
 		forward.Settle,
@@ -49,6 +50,8 @@
 	// leaveGroup ends the membership in the group of the batch work.
 	leaveGroup func()
 	report     func(gateway.SendReport)
+	askState   func(context.Context, gateway.AskPeerState)
+	giveState  func(gateway.AnswerPeerState)
 	note       func(gateway.Note)
 	leave      func()
 	// items is the context of the runs of items.
@@ -131,6 +134,10 @@
 		p.bulk.Answer(a.Query, a)
 	case gateway.SendReport:
 		p.report(a)
+	case gateway.AskPeerState:
+		p.run(func(ctx context.Context) { p.askState(ctx, a) })
+	case gateway.AnswerPeerState:
+		p.giveState(a)
 	case gateway.Leave:
 		p.leave()
 	case gateway.Note:
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -135,7 +135,7 @@
 
 // prospects reports whether a runner may take the request before its deadline.
 func prospects(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) bool {
-	if !t.Feeds[gateway.FeedRunners].Loaded {
+	if !t.KnowsRunners() {
 		return true
 	}
 	for _, r := range t.Runners.All() {
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -14,6 +14,10 @@
 	// refuseShare is the share of a route's target within which a request may be refused for overload; a
 	// later refusal would only cost its caller time.
 	refuseShare = 0.25
+	// longWait is the estimated wait, as a share of a route's target, beyond which a request is refused.
+	// It is half of freshShare: what cannot be sent grows old, and does not wait in front of new
+	// requests any more, so that the estimate stays below freshShare in any overload.
+	longWait = 0.2
 	// fullTime is the share of its route's time limit that a caller must have left to be refused for
 	// overload: one with less may have been refused before, and may have no time to come back.
 	fullTime = 0.9
@@ -44,7 +48,7 @@
 	case f.Route.Timeout == 0 || float64(f.Deadline.Sub(f.Arrived)) < fullTime*float64(f.Route.Timeout):
 		return false
 	default:
-		return waitOf(t, f.Service, now) > freshShare*float64(target)
+		return waitOf(t, f.Service, now) > longWait*float64(target)
 	}
 }
 
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -101,20 +101,32 @@
 		To     []cs.Address
 		Report Report
 	}
+	// AskPeerState asks a peer for its state; PeerStateRead follows if it answers.
+	AskPeerState struct {
+		Peer    cs.VMID
+		Address cs.Address
+	}
+	// AnswerPeerState answers PeerStateAsked.
+	AnswerPeerState struct {
+		Query StateQuery
+		State PeerState
+	}
 	// Leave says that the drain is over and the process may end.
 	Leave struct{}
 )
 
-func (Send) isAction()          {}
-func (Refuse) isAction()        {}
-func (RunItem) isAction()       {}
-func (StopItem) isAction()      {}
-func (AppendJobs) isAction()    {}
-func (LeaveGroup) isAction()    {}
-func (ReadJobs) isAction()      {}
-func (AnswerJob) isAction()     {}
-func (AnswerResults) isAction() {}
-func (AnswerBody) isAction()    {}
-func (SendReport) isAction()    {}
-func (Leave) isAction()         {}
-func (Note) isAction()          {}
+func (Send) isAction()            {}
+func (Refuse) isAction()          {}
+func (RunItem) isAction()         {}
+func (StopItem) isAction()        {}
+func (AppendJobs) isAction()      {}
+func (LeaveGroup) isAction()      {}
+func (ReadJobs) isAction()        {}
+func (AnswerJob) isAction()       {}
+func (AnswerResults) isAction()   {}
+func (AnswerBody) isAction()      {}
+func (SendReport) isAction()      {}
+func (AskPeerState) isAction()    {}
+func (AnswerPeerState) isAction() {}
+func (Leave) isAction()           {}
+func (Note) isAction()            {}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -150,6 +150,13 @@
 		Address cs.Address
 		Report  Report
 	}
+	// PeerStateRead brings a peer's state.
+	PeerStateRead struct {
+		Peer  cs.VMID
+		State PeerState
+	}
+	// PeerStateAsked asks for this VM's state.
+	PeerStateAsked struct{ Query StateQuery }
 	// DrainAsked asks this VM to leave.
 	DrainAsked struct{}
 )
@@ -173,4 +180,6 @@
 func (QueryLeft) isEvent()      {}
 func (ItemRunEnded) isEvent()   {}
 func (PeerReported) isEvent()   {}
+func (PeerStateRead) isEvent()  {}
+func (PeerStateAsked) isEvent() {}
 func (DrainAsked) isEvent()     {}
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -41,6 +41,8 @@
 	NoteAppendFailed
 	// NoteCatalogInForce says that a version of the catalog is in force.
 	NoteCatalogInForce
+	// NoteStateAdopted says that a peer's catalog and runners are in use, since the store cannot be read.
+	NoteStateAdopted
 	// NoteRunnerAdded says that a runner is in use.
 	NoteRunnerAdded
 	// NoteRunnerLeaving says that a runner gets no new work.
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcerunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChanged"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChanged"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 125, 136, 148, 158, 169, 181, 195, 206, 219, 232, 245, 258, 274, 283, 291, 299, 311, 323, 335}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 125, 136, 148, 158, 169, 181, 195, 207, 218, 231, 244, 257, 270, 286, 295, 303, 311, 323, 335, 347}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcerunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchanged"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchanged"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -40,21 +40,22 @@
 	_ = x[NoteItemGivenUp-13]
 	_ = x[NoteAppendFailed-14]
 	_ = x[NoteCatalogInForce-15]
-	_ = x[NoteRunnerAdded-16]
-	_ = x[NoteRunnerLeaving-17]
-	_ = x[NoteRunnerRemoved-18]
-	_ = x[NoteRunnerAvoided-19]
-	_ = x[NoteRunnerDoubted-20]
-	_ = x[NoteContentSuspected-21]
-	_ = x[NotePeerFound-22]
-	_ = x[NotePeerLost-23]
-	_ = x[NoteFeedLost-24]
-	_ = x[NoteFeedRegained-25]
-	_ = x[NotePartsChanged-26]
-	_ = x[NoteDrainChanged-27]
+	_ = x[NoteStateAdopted-16]
+	_ = x[NoteRunnerAdded-17]
+	_ = x[NoteRunnerLeaving-18]
+	_ = x[NoteRunnerRemoved-19]
+	_ = x[NoteRunnerAvoided-20]
+	_ = x[NoteRunnerDoubted-21]
+	_ = x[NoteContentSuspected-22]
+	_ = x[NotePeerFound-23]
+	_ = x[NotePeerLost-24]
+	_ = x[NoteFeedLost-25]
+	_ = x[NoteFeedRegained-26]
+	_ = x[NotePartsChanged-27]
+	_ = x[NoteDrainChanged-28]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -73,18 +74,19 @@
 	_NoteKindName[158:169]: NoteItemGivenUp,
 	_NoteKindName[169:181]: NoteAppendFailed,
 	_NoteKindName[181:195]: NoteCatalogInForce,
-	_NoteKindName[195:206]: NoteRunnerAdded,
-	_NoteKindName[206:219]: NoteRunnerLeaving,
-	_NoteKindName[219:232]: NoteRunnerRemoved,
-	_NoteKindName[232:245]: NoteRunnerAvoided,
-	_NoteKindName[245:258]: NoteRunnerDoubted,
-	_NoteKindName[258:274]: NoteContentSuspected,
-	_NoteKindName[274:283]: NotePeerFound,
-	_NoteKindName[283:291]: NotePeerLost,
-	_NoteKindName[291:299]: NoteFeedLost,
-	_NoteKindName[299:311]: NoteFeedRegained,
-	_NoteKindName[311:323]: NotePartsChanged,
-	_NoteKindName[323:335]: NoteDrainChanged,
+	_NoteKindName[195:207]: NoteStateAdopted,
+	_NoteKindName[207:218]: NoteRunnerAdded,
+	_NoteKindName[218:231]: NoteRunnerLeaving,
+	_NoteKindName[231:244]: NoteRunnerRemoved,
+	_NoteKindName[244:257]: NoteRunnerAvoided,
+	_NoteKindName[257:270]: NoteRunnerDoubted,
+	_NoteKindName[270:286]: NoteContentSuspected,
+	_NoteKindName[286:295]: NotePeerFound,
+	_NoteKindName[295:303]: NotePeerLost,
+	_NoteKindName[303:311]: NoteFeedLost,
+	_NoteKindName[311:323]: NoteFeedRegained,
+	_NoteKindName[323:335]: NotePartsChanged,
+	_NoteKindName[335:347]: NoteDrainChanged,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -104,18 +106,19 @@
 	_NoteKindLowerName[158:169]: NoteItemGivenUp,
 	_NoteKindLowerName[169:181]: NoteAppendFailed,
 	_NoteKindLowerName[181:195]: NoteCatalogInForce,
-	_NoteKindLowerName[195:206]: NoteRunnerAdded,
-	_NoteKindLowerName[206:219]: NoteRunnerLeaving,
-	_NoteKindLowerName[219:232]: NoteRunnerRemoved,
-	_NoteKindLowerName[232:245]: NoteRunnerAvoided,
-	_NoteKindLowerName[245:258]: NoteRunnerDoubted,
-	_NoteKindLowerName[258:274]: NoteContentSuspected,
-	_NoteKindLowerName[274:283]: NotePeerFound,
-	_NoteKindLowerName[283:291]: NotePeerLost,
-	_NoteKindLowerName[291:299]: NoteFeedLost,
-	_NoteKindLowerName[299:311]: NoteFeedRegained,
-	_NoteKindLowerName[311:323]: NotePartsChanged,
-	_NoteKindLowerName[323:335]: NoteDrainChanged,
+	_NoteKindLowerName[195:207]: NoteStateAdopted,
+	_NoteKindLowerName[207:218]: NoteRunnerAdded,
+	_NoteKindLowerName[218:231]: NoteRunnerLeaving,
+	_NoteKindLowerName[231:244]: NoteRunnerRemoved,
+	_NoteKindLowerName[244:257]: NoteRunnerAvoided,
+	_NoteKindLowerName[257:270]: NoteRunnerDoubted,
+	_NoteKindLowerName[270:286]: NoteContentSuspected,
+	_NoteKindLowerName[286:295]: NotePeerFound,
+	_NoteKindLowerName[295:303]: NotePeerLost,
+	_NoteKindLowerName[303:311]: NoteFeedLost,
+	_NoteKindLowerName[311:323]: NoteFeedRegained,
+	_NoteKindLowerName[323:335]: NotePartsChanged,
+	_NoteKindLowerName[335:347]: NoteDrainChanged,
 }
 
 var _NoteKindNames = []string{
@@ -135,18 +138,19 @@
 	_NoteKindName[158:169],
 	_NoteKindName[169:181],
 	_NoteKindName[181:195],
-	_NoteKindName[195:206],
-	_NoteKindName[206:219],
-	_NoteKindName[219:232],
-	_NoteKindName[232:245],
-	_NoteKindName[245:258],
-	_NoteKindName[258:274],
-	_NoteKindName[274:283],
-	_NoteKindName[283:291],
-	_NoteKindName[291:299],
-	_NoteKindName[299:311],
+	_NoteKindName[195:207],
+	_NoteKindName[207:218],
+	_NoteKindName[218:231],
+	_NoteKindName[231:244],
+	_NoteKindName[244:257],
+	_NoteKindName[257:270],
+	_NoteKindName[270:286],
+	_NoteKindName[286:295],
+	_NoteKindName[295:303],
+	_NoteKindName[303:311],
 	_NoteKindName[311:323],
 	_NoteKindName[323:335],
+	_NoteKindName[335:347],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -36,12 +36,13 @@
 	// Waits are callers that wait for the results of a job.
 	Waits *fleet.Table[QueryID, Wait]
 
-	Feeds  map[Feed]*FeedState
-	JobLog JobLog
-	Pace   Pace
-	Parts  Parts
-	Drain  Drain
-	Gossip GossipState
+	Feeds     map[Feed]*FeedState
+	JobLog    JobLog
+	Pace      Pace
+	Parts     Parts
+	Drain     Drain
+	Gossip    GossipState
+	Bootstrap Bootstrap
 }
 
 // New returns empty tables; seed makes the systems' random choices repeatable.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -9,7 +9,7 @@
 type View struct {
 	// Catalog is nil until a version is known.
 	Catalog *cs.Catalog
-	// Loaded means that the catalog and the runners were read since the start.
+	// Loaded means that the catalog and the runners are known, from the store or from a peer.
 	Loaded bool
 	// Ready means that the platform may send callers here.
 	Ready bool
@@ -20,7 +20,7 @@
 // NewView returns the view of the tables.
 func NewView(t *Tables) View {
 	leaving := t.Drain.Phase != fleet.DrainNone
-	loaded := t.Catalog != nil && t.Feeds[FeedRunners].Loaded
+	loaded := t.Catalog != nil && t.KnowsRunners()
 	return View{
 		Catalog: t.Catalog, Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
 	}
--- /dev/null
+++ b/gossip/state.go
@@ -0,0 +1,138 @@
+package gossip
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
+)
+
+// How a peer's state is asked.
+const (
+	// statePath is where a VM serves its state, on the address of its reports.
+	statePath = "/state"
+	// stateTimeout bounds a question; peers answer within milliseconds.
+	stateTimeout = cs.Second
+	// maxState bounds the bytes of a state: a few thousand routes and runners of some 200 bytes.
+	maxState = 4 << 20
+)
+
+// state is a gateway.PeerState in CBOR.
+type state struct {
+	Version cs.CatalogVersion               `cbor:"v"`
+	Routes  []cs.Route                      `cbor:"r"`
+	Groups  map[cs.ServiceID]cs.RunnerGroup `cbor:"g"`
+	Limits  cs.CallerLimits                 `cbor:"l"`
+	Runners []cs.Runner                     `cbor:"u"`
+}
+
+func encodeState(s gateway.PeerState) ([]byte, error) {
+	out := state{Runners: s.Runners}
+	if c := s.Catalog; c != nil {
+		out.Version, out.Routes, out.Groups, out.Limits = c.Version, c.Routes(), c.Groups, c.Limits
+	}
+	return cbor.Marshal(out)
+}
+
+func decodeState(data []byte) (gateway.PeerState, error) {
+	var in state
+	if err := cbor.Unmarshal(data, &in); err != nil {
+		return gateway.PeerState{}, err
+	}
+	s := gateway.PeerState{Runners: in.Runners}
+	if len(in.Routes) > 0 {
+		s.Catalog = cs.NewCatalog(in.Version, in.Routes, in.Groups, in.Limits)
+	}
+	return s, nil
+}
+
+// States serves this VM's state to peers and asks them for theirs.
+type States struct {
+	post gateway.Post
+
+	mu      sync.Mutex
+	last    gateway.StateQuery
+	queries map[gateway.StateQuery]chan gateway.PeerState
+}
+
+// NewStates returns states that hand questions to the control loop.
+func NewStates(post gateway.Post) *States {
+	return &States{post: post, queries: make(map[gateway.StateQuery]chan gateway.PeerState)}
+}
+
+// Answer hands the control loop's answer to the peer that asked.
+func (s *States) Answer(a gateway.AnswerPeerState) {
+	s.mu.Lock()
+	answer := s.queries[a.Query]
+	s.mu.Unlock()
+	if answer != nil {
+		answer <- a.State // a query is answered once
+	}
+}
+
+// ServeHTTP answers a peer's question.
+func (s *States) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != statePath {
+		http.NotFound(w, r)
+		return
+	}
+	answer := make(chan gateway.PeerState, 1)
+	s.mu.Lock()
+	s.last++
+	q := s.last
+	s.queries[q] = answer
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.queries, q)
+		s.mu.Unlock()
+	}()
+	if err := s.post(r.Context(), gateway.PeerStateAsked{Query: q}); err != nil {
+		return // the peer has left
+	}
+	select {
+	case state := <-answer:
+		data, err := encodeState(state)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/cbor")
+		_, _ = w.Write(data) // a peer that has left needs no answer
+	case <-r.Context().Done():
+	}
+}
+
+// Ask asks a peer for its state and posts what it answers.
+func (s *States) Ask(ctx context.Context, a gateway.AskPeerState) error {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout.Std())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(a.Address)+statePath, nil)
+	if err != nil {
+		return err
+	}
+	req.Close = true // one question in the life of a process
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }() // the answer was read or is of no use
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxState))
+	if err != nil {
+		return err
+	}
+	state, err := decodeState(data)
+	if err != nil {
+		return errors.Wrap(err, "state of a peer")
+	}
+	return s.post(ctx, gateway.PeerStateRead{Peer: a.Peer, State: state})
+}
--- a/route.go
+++ b/route.go
@@ -110,6 +110,15 @@
 	return c
 }
 
+// Routes returns all routes, in no order.
+func (c *Catalog) Routes() []Route {
+	var all []Route
+	for _, of := range c.hosts {
+		all = append(all, of...)
+	}
+	return all
+}
+
 // Match returns the route of a host with the longest prefix of the path, or nil.
 func (c *Catalog) Match(host, path string) *Route {
 	var best *Route
