--- a/bulk/append.go
+++ b/bulk/append.go
@@ -60,8 +60,7 @@
 		case gateway.ProposeJob:
 			accept(p, l.Conflicts+l.Tries, now.Sub(l.SentAt), now, out)
 		case gateway.ProposeEnd:
-			out.Add(gateway.AnswerJob{Query: p.Query})
-			out.Note(gateway.Note{Kind: gateway.NoteJobEnded, Job: p.Job, Took: now.Sub(p.Since)})
+			confirmEnd(p, now, out)
 		case gateway.ProposeResult:
 			kind := gateway.NoteItemListed
 			if !p.Result.Done {
--- a/bulk/ask.go
+++ b/bulk/ask.go
@@ -66,7 +66,7 @@
 	t.Waits.DeleteFunc(func(q gateway.QueryID, w *gateway.Wait) bool {
 		j := t.Jobs.Get(w.Job)
 		if j == nil {
-			return answerUnknown(q, w, read, now, out)
+			return answerUnknown(t, q, w, read, now, out)
 		}
 		page := pageOf(j, w.After)
 		if len(page) == 0 && j.Open() && now < w.Until {
@@ -75,7 +75,8 @@
 		}
 		a := gateway.AnswerResults{Query: q, Total: len(j.Spec.Items), Next: w.After + len(page), Results: page}
 		if len(page) == 0 && t.Feeds[gateway.FeedJobs].Age(now) > staleAge {
-			a.Refusal = stale()
+			refuseResults(q, w.Job, stale(), t.Feeds[gateway.FeedJobs].Age(now), out)
+			return true
 		}
 		out.Add(a)
 		return true
@@ -83,12 +84,12 @@
 }
 
 // answerUnknown says that a job does not exist once a read of the log has shown it.
-func answerUnknown(q gateway.QueryID, w *gateway.Wait, read bool, now cs.Instant, out *gateway.Actions) bool {
+func answerUnknown(t *gateway.Tables, q gateway.QueryID, w *gateway.Wait, read bool, now cs.Instant, out *gateway.Actions) bool {
 	switch {
 	case read:
-		out.Add(gateway.AnswerResults{Query: q, Refusal: unknownJob()})
+		refuseResults(q, w.Job, unknownJob(), t.Feeds[gateway.FeedJobs].Age(now), out)
 	case now >= w.UnknownUntil:
-		out.Add(gateway.AnswerResults{Query: q, Refusal: stale()})
+		refuseResults(q, w.Job, stale(), t.Feeds[gateway.FeedJobs].Age(now), out)
 	default:
 		out.WakeAt(w.UnknownUntil)
 		return false
@@ -132,4 +133,18 @@
 		a.Refusal = unknownJob()
 	}
 	out.Add(a)
+	if a.Refusal != nil {
+		noteRefused(e.Job, e.Item, a.Refusal, t.Feeds[gateway.FeedJobs].Age(now), out)
+	}
+}
+
+// refuseResults answers a caller who gets no results.
+func refuseResults(q gateway.QueryID, job cs.JobID, why *cs.Refusal, age cs.Span, out *gateway.Actions) {
+	out.Add(gateway.AnswerResults{Query: q, Refusal: why})
+	noteRefused(job, "", why, age, out)
+}
+
+// noteRefused logs a question that was not answered; age is that of the last read of the job log.
+func noteRefused(job cs.JobID, item cs.ItemID, why *cs.Refusal, age cs.Span, out *gateway.Actions) {
+	out.Note(gateway.Note{Kind: gateway.NoteQueryRefused, Job: job, Item: item, Reason: why.Message, Age: age})
 }
--- a/bulk/batch.go
+++ b/bulk/batch.go
@@ -101,11 +101,11 @@
 func (b *batch) addEnd(p gateway.ProposeEnd) {
 	j := b.t.Jobs.Get(p.Job)
 	if j == nil {
-		b.out.Add(gateway.AnswerJob{Query: p.Query, Refusal: unknownJob()})
+		refuseJob(p.Query, p.Job, b.now.Sub(p.Since), *unknownJob(), b.out)
 		return
 	}
 	if j.Ended {
-		b.out.Add(gateway.AnswerJob{Query: p.Query})
+		confirmEnd(p, b.now, b.out)
 		return
 	}
 	b.take(p, gateway.JobEnded{Job: p.Job})
--- a/bulk/commit.go
+++ b/bulk/commit.go
@@ -144,3 +144,9 @@
 		Attempt: cs.Attempt(appends), Age: age,
 	})
 }
+
+// confirmEnd answers a caller whose end of a job is in the log.
+func confirmEnd(p gateway.ProposeEnd, now cs.Instant, out *gateway.Actions) {
+	out.Add(gateway.AnswerJob{Query: p.Query})
+	out.Note(gateway.Note{Kind: gateway.NoteJobEnded, Job: p.Job, Took: now.Sub(p.Since)})
+}
--- /dev/null
+++ b/entry/journal_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
+	"github.com/crocusstile/crocusstile/meter"
+)
+
+// The load of one VM at the users' sites: four online requests and one item a second, with a line for the
+// send and the answer of a request, and for the start and the result of an item.
+const usualLines = 4*2 + 1*2
+
+// requestNotes are the notes of a request that is answered at the first attempt.
+func requestNotes(n int) []gateway.Note {
+	id := cs.RequestID(fmt.Sprintf("9c41d07be2a3%04x", n))
+	return []gateway.Note{
+		{Kind: gateway.NoteRequestSent, Request: id, Runner: "i-7f3a91c2", Route: "r-9wyvab8", Attempt: 1, Version: 17, Load: 3, Age: 210, Took: 1},
+		{Kind: gateway.NoteRequestAnswered, Request: id, Runner: "i-7f3a91c2", Route: "r-9wyvab8", Attempt: 1, Count: 200, Took: 480},
+	}
+}
+
+// At ten times the usual load every line must still be written, and beyond the budget the rest is counted,
+// failures last.
+func TestLogBudget(t *testing.T) {
+	c := qt.New(t)
+	var log bytes.Buffer
+	m := meter.New(zerolog.Nop())
+	defer func() { _ = m.Close() }()
+	j := newJournal(zerolog.New(&log), m)
+	for i := range 10 * usualLines {
+		j.note(requestNotes(i)[0])
+	}
+	c.Assert(strings.Count(log.String(), "\n"), qt.Equals, 10*usualLines)
+	for i := range 20_000 {
+		j.note(requestNotes(i)[0])
+	}
+	lines := strings.Count(log.String(), "\n")
+	c.Assert(lines < 10*usualLines+linesAtOnce+linesPerSecond, qt.IsTrue, qt.Commentf("%d lines", lines))
+	c.Assert(j.dropped.Load() > 19_000, qt.IsTrue)
+	log.Reset()
+	j.note(gateway.Note{Kind: gateway.NoteRequestRefused, Request: "r1", Reason: "no runner"})
+	c.Assert(log.String(), qt.Contains, `"requestRefused"`, qt.Commentf("failures have a budget of their own"))
+}
+
+// BenchmarkJournal measures the cost of a request's lines, and of counting alone once the budget is spent.
+func BenchmarkJournal(b *testing.B) {
+	for _, test := range []struct {
+		name string
+		over bool
+	}{{"written", false}, {"left out", true}} {
+		b.Run(test.name, func(b *testing.B) {
+			m := meter.New(zerolog.Nop())
+			defer func() { _ = m.Close() }()
+			out := &counter{}
+			j := newJournal(zerolog.New(out), m)
+			if !test.over {
+				j.normal.SetBurst(1 << 30)
+				j.normal.SetLimit(1 << 30)
+			} else {
+				j.normal.SetBurst(0)
+			}
+			notes := requestNotes(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				for _, n := range notes {
+					j.note(n)
+				}
+			}
+			b.ReportMetric(float64(out.bytes)/float64(b.N), "logbytes/op")
+		})
+	}
+}
+
+// counter counts the bytes written.
+type counter struct{ bytes int }
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.bytes += len(p)
+	return io.Discard.Write(p)
+}
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -27,6 +27,8 @@
 	NoteJobRefused
 	// NoteJobEnded says that a job's end is in the job log.
 	NoteJobEnded
+	// NoteQueryRefused says that results or a body were asked for and not given.
+	NoteQueryRefused
 	// NoteItemStarted says that a run of an item was started.
 	NoteItemStarted
 	// NoteItemStopped says that a run was stopped to make room.
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChanged"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChanged"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 125, 136, 148, 158, 169, 181, 195, 207, 218, 231, 244, 257, 270, 286, 295, 303, 311, 323, 335, 347}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 298, 307, 315, 323, 335, 347, 359}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchanged"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchanged"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -24,38 +24,39 @@
 // Re-run the stringer command to generate them again.
 func _NoteKindNoOp() {
 	var x [1]struct{}
-	_ = x[NoteRequestSent-0]
-	_ = x[NoteRequestRetried-1]
-	_ = x[NoteRequestRefused-2]
-	_ = x[NoteRequestRejected-3]
-	_ = x[NoteRequestAnswered-4]
-	_ = x[NoteRequestAbandoned-5]
-	_ = x[NoteJobAccepted-6]
-	_ = x[NoteJobRefused-7]
-	_ = x[NoteJobEnded-8]
-	_ = x[NoteItemStarted-9]
-	_ = x[NoteItemStopped-10]
-	_ = x[NoteItemReturned-11]
-	_ = x[NoteItemListed-12]
-	_ = x[NoteItemGivenUp-13]
-	_ = x[NoteAppendFailed-14]
-	_ = x[NoteCatalogInForce-15]
-	_ = x[NoteStateAdopted-16]
-	_ = x[NoteRunnerAdded-17]
-	_ = x[NoteRunnerLeaving-18]
-	_ = x[NoteRunnerRemoved-19]
-	_ = x[NoteRunnerAvoided-20]
-	_ = x[NoteRunnerDoubted-21]
-	_ = x[NoteContentSuspected-22]
-	_ = x[NotePeerFound-23]
-	_ = x[NotePeerLost-24]
-	_ = x[NoteFeedLost-25]
-	_ = x[NoteFeedRegained-26]
-	_ = x[NotePartsChanged-27]
-	_ = x[NoteDrainChanged-28]
+	_ = x[NoteRequestSent-(0)]
+	_ = x[NoteRequestRetried-(1)]
+	_ = x[NoteRequestRefused-(2)]
+	_ = x[NoteRequestRejected-(3)]
+	_ = x[NoteRequestAnswered-(4)]
+	_ = x[NoteRequestAbandoned-(5)]
+	_ = x[NoteJobAccepted-(6)]
+	_ = x[NoteJobRefused-(7)]
+	_ = x[NoteJobEnded-(8)]
+	_ = x[NoteQueryRefused-(9)]
+	_ = x[NoteItemStarted-(10)]
+	_ = x[NoteItemStopped-(11)]
+	_ = x[NoteItemReturned-(12)]
+	_ = x[NoteItemListed-(13)]
+	_ = x[NoteItemGivenUp-(14)]
+	_ = x[NoteAppendFailed-(15)]
+	_ = x[NoteCatalogInForce-(16)]
+	_ = x[NoteStateAdopted-(17)]
+	_ = x[NoteRunnerAdded-(18)]
+	_ = x[NoteRunnerLeaving-(19)]
+	_ = x[NoteRunnerRemoved-(20)]
+	_ = x[NoteRunnerAvoided-(21)]
+	_ = x[NoteRunnerDoubted-(22)]
+	_ = x[NoteContentSuspected-(23)]
+	_ = x[NotePeerFound-(24)]
+	_ = x[NotePeerLost-(25)]
+	_ = x[NoteFeedLost-(26)]
+	_ = x[NoteFeedRegained-(27)]
+	_ = x[NotePartsChanged-(28)]
+	_ = x[NoteDrainChanged-(29)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -67,26 +68,27 @@
 	_NoteKindName[85:96]:   NoteJobAccepted,
 	_NoteKindName[96:106]:  NoteJobRefused,
 	_NoteKindName[106:114]: NoteJobEnded,
-	_NoteKindName[114:125]: NoteItemStarted,
-	_NoteKindName[125:136]: NoteItemStopped,
-	_NoteKindName[136:148]: NoteItemReturned,
-	_NoteKindName[148:158]: NoteItemListed,
-	_NoteKindName[158:169]: NoteItemGivenUp,
-	_NoteKindName[169:181]: NoteAppendFailed,
-	_NoteKindName[181:195]: NoteCatalogInForce,
-	_NoteKindName[195:207]: NoteStateAdopted,
-	_NoteKindName[207:218]: NoteRunnerAdded,
-	_NoteKindName[218:231]: NoteRunnerLeaving,
-	_NoteKindName[231:244]: NoteRunnerRemoved,
-	_NoteKindName[244:257]: NoteRunnerAvoided,
-	_NoteKindName[257:270]: NoteRunnerDoubted,
-	_NoteKindName[270:286]: NoteContentSuspected,
-	_NoteKindName[286:295]: NotePeerFound,
-	_NoteKindName[295:303]: NotePeerLost,
-	_NoteKindName[303:311]: NoteFeedLost,
-	_NoteKindName[311:323]: NoteFeedRegained,
-	_NoteKindName[323:335]: NotePartsChanged,
-	_NoteKindName[335:347]: NoteDrainChanged,
+	_NoteKindName[114:126]: NoteQueryRefused,
+	_NoteKindName[126:137]: NoteItemStarted,
+	_NoteKindName[137:148]: NoteItemStopped,
+	_NoteKindName[148:160]: NoteItemReturned,
+	_NoteKindName[160:170]: NoteItemListed,
+	_NoteKindName[170:181]: NoteItemGivenUp,
+	_NoteKindName[181:193]: NoteAppendFailed,
+	_NoteKindName[193:207]: NoteCatalogInForce,
+	_NoteKindName[207:219]: NoteStateAdopted,
+	_NoteKindName[219:230]: NoteRunnerAdded,
+	_NoteKindName[230:243]: NoteRunnerLeaving,
+	_NoteKindName[243:256]: NoteRunnerRemoved,
+	_NoteKindName[256:269]: NoteRunnerAvoided,
+	_NoteKindName[269:282]: NoteRunnerDoubted,
+	_NoteKindName[282:298]: NoteContentSuspected,
+	_NoteKindName[298:307]: NotePeerFound,
+	_NoteKindName[307:315]: NotePeerLost,
+	_NoteKindName[315:323]: NoteFeedLost,
+	_NoteKindName[323:335]: NoteFeedRegained,
+	_NoteKindName[335:347]: NotePartsChanged,
+	_NoteKindName[347:359]: NoteDrainChanged,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -99,26 +101,27 @@
 	_NoteKindLowerName[85:96]:   NoteJobAccepted,
 	_NoteKindLowerName[96:106]:  NoteJobRefused,
 	_NoteKindLowerName[106:114]: NoteJobEnded,
-	_NoteKindLowerName[114:125]: NoteItemStarted,
-	_NoteKindLowerName[125:136]: NoteItemStopped,
-	_NoteKindLowerName[136:148]: NoteItemReturned,
-	_NoteKindLowerName[148:158]: NoteItemListed,
-	_NoteKindLowerName[158:169]: NoteItemGivenUp,
-	_NoteKindLowerName[169:181]: NoteAppendFailed,
-	_NoteKindLowerName[181:195]: NoteCatalogInForce,
-	_NoteKindLowerName[195:207]: NoteStateAdopted,
-	_NoteKindLowerName[207:218]: NoteRunnerAdded,
-	_NoteKindLowerName[218:231]: NoteRunnerLeaving,
-	_NoteKindLowerName[231:244]: NoteRunnerRemoved,
-	_NoteKindLowerName[244:257]: NoteRunnerAvoided,
-	_NoteKindLowerName[257:270]: NoteRunnerDoubted,
-	_NoteKindLowerName[270:286]: NoteContentSuspected,
-	_NoteKindLowerName[286:295]: NotePeerFound,
-	_NoteKindLowerName[295:303]: NotePeerLost,
-	_NoteKindLowerName[303:311]: NoteFeedLost,
-	_NoteKindLowerName[311:323]: NoteFeedRegained,
-	_NoteKindLowerName[323:335]: NotePartsChanged,
-	_NoteKindLowerName[335:347]: NoteDrainChanged,
+	_NoteKindLowerName[114:126]: NoteQueryRefused,
+	_NoteKindLowerName[126:137]: NoteItemStarted,
+	_NoteKindLowerName[137:148]: NoteItemStopped,
+	_NoteKindLowerName[148:160]: NoteItemReturned,
+	_NoteKindLowerName[160:170]: NoteItemListed,
+	_NoteKindLowerName[170:181]: NoteItemGivenUp,
+	_NoteKindLowerName[181:193]: NoteAppendFailed,
+	_NoteKindLowerName[193:207]: NoteCatalogInForce,
+	_NoteKindLowerName[207:219]: NoteStateAdopted,
+	_NoteKindLowerName[219:230]: NoteRunnerAdded,
+	_NoteKindLowerName[230:243]: NoteRunnerLeaving,
+	_NoteKindLowerName[243:256]: NoteRunnerRemoved,
+	_NoteKindLowerName[256:269]: NoteRunnerAvoided,
+	_NoteKindLowerName[269:282]: NoteRunnerDoubted,
+	_NoteKindLowerName[282:298]: NoteContentSuspected,
+	_NoteKindLowerName[298:307]: NotePeerFound,
+	_NoteKindLowerName[307:315]: NotePeerLost,
+	_NoteKindLowerName[315:323]: NoteFeedLost,
+	_NoteKindLowerName[323:335]: NoteFeedRegained,
+	_NoteKindLowerName[335:347]: NotePartsChanged,
+	_NoteKindLowerName[347:359]: NoteDrainChanged,
 }
 
 var _NoteKindNames = []string{
@@ -131,26 +134,27 @@
 	_NoteKindName[85:96],
 	_NoteKindName[96:106],
 	_NoteKindName[106:114],
-	_NoteKindName[114:125],
-	_NoteKindName[125:136],
-	_NoteKindName[136:148],
-	_NoteKindName[148:158],
-	_NoteKindName[158:169],
-	_NoteKindName[169:181],
-	_NoteKindName[181:195],
-	_NoteKindName[195:207],
-	_NoteKindName[207:218],
-	_NoteKindName[218:231],
-	_NoteKindName[231:244],
-	_NoteKindName[244:257],
-	_NoteKindName[257:270],
-	_NoteKindName[270:286],
-	_NoteKindName[286:295],
-	_NoteKindName[295:303],
-	_NoteKindName[303:311],
-	_NoteKindName[311:323],
+	_NoteKindName[114:126],
+	_NoteKindName[126:137],
+	_NoteKindName[137:148],
+	_NoteKindName[148:160],
+	_NoteKindName[160:170],
+	_NoteKindName[170:181],
+	_NoteKindName[181:193],
+	_NoteKindName[193:207],
+	_NoteKindName[207:219],
+	_NoteKindName[219:230],
+	_NoteKindName[230:243],
+	_NoteKindName[243:256],
+	_NoteKindName[256:269],
+	_NoteKindName[269:282],
+	_NoteKindName[282:298],
+	_NoteKindName[298:307],
+	_NoteKindName[307:315],
+	_NoteKindName[315:323],
 	_NoteKindName[323:335],
 	_NoteKindName[335:347],
+	_NoteKindName[347:359],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
