Explain requests that were in flight when their VM ended

Change: explain names the next start of the VM after the request's last line, or the end of its log while others go on. Figures: TestRequestOfAKilledVM failed before (did not compile without the field).

--- a/trail/trail.go
+++ b/trail/trail.go
@@ -67,8 +67,14 @@
 	Around []Line
 	// Cause is the line that settled the outcome, or nil if the logs do not tell.
 	Cause *Line
+	// Ended is the next start of a VM that ended with the id in flight, or its last line if it did not
+	// start again; nil if that is not what happened.
+	Ended *Line
 }
 
+// started is the message of a VM's first line.
+const started = "started"
+
 // Find returns the path of a request, job or item.
 func Find(lines []Line, id string) Path {
 	var p Path
@@ -98,9 +104,39 @@
 	}
 	sortLines(p.Around)
 	p.Cause = cause(p.Lines)
+	if p.Cause == nil {
+		p.Ended = endOf(lines, p.Lines[len(p.Lines)-1])
+	}
 	return p
 }
 
+// endOf returns where the log tells that the VM of a line ended after it, or nil.
+func endOf(lines []Line, last Line) *Line {
+	final, others := last, false
+	var again *Line
+	for i := range lines {
+		l := &lines[i]
+		if l.VM != last.VM {
+			others = others || l.Time.After(last.Time.Add(near))
+			continue
+		}
+		if l.Event == started && l.Time.After(last.Time) && (again == nil || l.Time.Before(again.Time)) {
+			again = l
+		}
+		if l.Time.After(final.Time) {
+			final = *l
+		}
+	}
+	switch {
+	case again != nil:
+		return again
+	case others && !final.Time.After(last.Time.Add(near)):
+		return &final
+	default:
+		return nil
+	}
+}
+
 func sortLines(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 }
@@ -164,17 +200,30 @@
 			return err
 		}
 	}
-	if p.Cause == nil {
-		_, err := fmt.Fprintln(w, "cause: the logs do not tell")
-		return err
-	}
-	_, err := fmt.Fprintln(w, "cause: "+p.Cause.String())
+	_, err := fmt.Fprintln(w, "cause: "+p.explanation())
 	return err
 }
 
+// explanation says what settled the outcome.
+func (p Path) explanation() string {
+	switch {
+	case p.Cause != nil:
+		return p.Cause.String()
+	case p.Ended == nil:
+		return "the logs do not tell"
+	case p.Ended.Event == started:
+		return p.Ended.VM + " ended with it in flight; it started again at " + p.Ended.Time.UTC().Format(clock)
+	default:
+		return p.Ended.VM + " ended with it in flight; its log ends at " + p.Ended.Time.UTC().Format(clock)
+	}
+}
+
+// clock is the form of the time of day in a path.
+const clock = "15:04:05.000"
+
 // String returns the line for a reader.
 func (l Line) String() string {
-	parts := []string{l.Time.UTC().Format("15:04:05.000"), l.VM, l.Event}
+	parts := []string{l.Time.UTC().Format(clock), l.VM, l.Event}
 	for _, f := range []struct{ name, value string }{
 		{"request", l.Request},
 		{"job", l.Job},
--- a/trail/trail_test.go
+++ b/trail/trail_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -64,3 +65,31 @@
 	c.Assert(p.Around, qt.HasLen, 1)
 	c.Assert(p.Around[0].Event, qt.Equals, "runnerAvoided")
 }
+
+// A request that was in flight when its VM was killed has no line that ends it: the path must say that the
+// VM ended, by its next start or by the end of its log.
+func TestRequestOfAKilledVM(t *testing.T) {
+	at := func(s string) time.Time {
+		v, err := time.Parse("15:04:05", s)
+		qt.Assert(t, err, qt.IsNil)
+		return v
+	}
+	sent := trail.Line{Time: at("10:00:01"), VM: "vm-1", Event: "requestSent", Request: "r1", Runner: "i-1"}
+	other := trail.Line{Time: at("10:00:20"), VM: "vm-2", Event: "requestSent", Request: "r2"}
+	started := trail.Line{Time: at("10:00:03"), VM: "vm-1", Event: "started"}
+	later := trail.Line{Time: at("10:00:09"), VM: "vm-1", Event: "requestSent", Request: "r3"}
+	for name, test := range map[string]struct {
+		lines []trail.Line
+		want  string
+	}{
+		"started again": {[]trail.Line{sent, other, started, later}, "vm-1 ended with it in flight; it started again at 10:00:03.000"},
+		"log ends":      {[]trail.Line{sent, other}, "vm-1 ended with it in flight; its log ends at 10:00:01.000"},
+		"log goes on":   {[]trail.Line{sent, other, later}, "the logs do not tell"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			qt.Assert(t, trail.Find(test.lines, "r1").Write(&out), qt.IsNil)
+			qt.Assert(t, out.String(), qt.Contains, "cause: "+test.want)
+		})
+	}
+}
