--- a/route.go
+++ b/route.go
@@ -70,18 +70,12 @@
 	ID ServiceID
 	// Kind tells model engines from plain services.
 	Kind RunnerKind
-	// MaxConns bounds the connections that one runner accepts from all VMs.
-	MaxConns int
 }
 
 // CallerLimits bounds what a caller may send.
 type CallerLimits struct {
 	MaxHeader Bytes
 	MaxBody   Bytes
-	// Header bounds the time in which a caller sends the header of a request.
-	Header Span
-	// Idle is the time for which a caller may leave a connection idle.
-	Idle Span
 }
 
 // Catalog is one version of the operator's routes and services; it is not changed once it is built.
