Give a runner with a free slot up early when a stream does not begin

Ruled out: two silences before a runner is avoided; each VM sends only a few requests to one runner within that time. Change: a stream at a runner that had a free slot is given up after 0.6 of its target instead of twice that; it begins at once there, and can still be in time elsewhere. Other requests and full runners keep the longer wait. Figures: TestFreeRunnerIsGivenUpEarly failed before.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -243,7 +243,7 @@
 	r.Online++
 	f.Phase, f.Runner, f.SentAt = gateway.ForwardRunning, r.Spec.ID, now
 	f.Attempt++
-	first, gap := patience(f)
+	first, gap := patience(f, load < r.Spec.Slots)
 	out.Add(gateway.Send{
 		ID: f.ID, Attempt: f.Attempt, Runner: r.Spec.ID, Address: r.Spec.Address, LastEvent: f.LastEvent,
 		Fresh: !f.Route.Repeatable(), FirstByte: first, Gap: gap,
@@ -258,7 +258,10 @@
 const (
 	// firstByteTargets is the wait for the first byte in units of the route's target: beyond one the
 	// answer is late already, and a queue of normal length has passed after two.
-	firstByteTargets = 2
+	firstByteTargets = 2.0
+	// freeTargets is the same for the first event of a stream at a runner with a free slot, which begins
+	// at once: the stream can then begin elsewhere within its target.
+	freeTargets = 0.6
 	// gapShare is the pause between two events as a share of the longest that is on time, so that the
 	// stream can go on elsewhere before that has passed. Events usually follow each other within a
 	// tenth of it.
@@ -267,13 +270,17 @@
 	minPatience = 120 * cs.Millisecond
 )
 
-// patience returns how long the runner of a request may be silent; 0 means that no other attempt may
-// follow, so that there is nothing to gain from giving up.
-func patience(f *gateway.Forward) (first, gap cs.Span) {
+// patience returns how long the runner of a request may be silent, which had a free slot or not; 0 means
+// that no other attempt may follow, so that there is nothing to gain from giving up.
+func patience(f *gateway.Forward, free bool) (first, gap cs.Span) {
 	if !f.Route.Repeatable() || cs.Attempt(len(f.Tried))+1 >= f.Route.MaxAttempts {
 		return 0, 0
 	}
-	first = max(firstByteTargets*f.Route.Target, minPatience)
+	targets := firstByteTargets
+	if free && f.Route.Kind == cs.RouteStreaming {
+		targets = freeTargets
+	}
+	first = max(cs.Span(targets*float64(f.Route.Target)), minPatience)
 	if f.Route.GapTarget > 0 {
 		gap = max(cs.Span(gapShare*float64(f.Route.GapTarget)), minPatience)
 	}
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -512,3 +512,23 @@
 		})
 	}
 }
+
+// A stream sent to a runner that had crashed silently waited two targets for its first event, although the
+// runner had free slots and would have begun at once: it was late when it went elsewhere.
+func TestFreeRunnerIsGivenUpEarly(t *testing.T) {
+	c := qt.New(t)
+	for name, test := range map[string]struct {
+		online cs.Slots
+		early  bool
+	}{"free": {3, true}, "full": {8, false}} {
+		w := newWorld()
+		w.runner("a1", "a").Online = test.online
+		sends, _ := w.tick(w.arrival(1, resumable))
+		c.Assert(sends, qt.HasLen, 1)
+		c.Assert(sends[0].FirstByte < resumable.Target, qt.Equals, test.early, qt.Commentf("%s: %d ms", name, sends[0].FirstByte))
+	}
+	w := newWorld()
+	w.runner("a1", "a")
+	sends, _ := w.tick(w.arrival(1, idempotent))
+	c.Assert(sends[0].FirstByte, qt.Equals, 2*idempotent.Target, qt.Commentf("the work of a request that is not a stream takes its time"))
+}
