List results without a condition on the end of the log

Cause: each append named the offset at which the log must end. Ruled out: more partitions; each VM would read all of them, and calls are charged. Change: appends carry the writer's epoch and number, which the store takes once. A result names its item instead of its position; the first record of an item in the log counts, and the order of those is that of positions, also for a VM that reads the newest records of all keys, which are put in order by their offsets. A job near its quota is still appended at a known end.

--- a/bulk/append.go
+++ b/bulk/append.go
@@ -13,10 +13,12 @@
 	}
 	switch o := a.Outcome.(type) {
 	case gateway.AppendDone:
-		for _, c := range l.InFlight.Changes {
-			change(t, now, c, out)
-		}
-		l.End = max(l.End, o.End)
+		if l.InFlight.At != cs.NoOffset || o.From == l.End {
+			for _, c := range l.InFlight.Changes {
+				change(t, now, c, out)
+			}
+			l.End = max(l.End, o.End)
+		} // else others have appended before it, and the next read brings both
 		finish(t, now, out)
 	case gateway.AppendConflict:
 		l.Need = max(l.Need, o.End)
@@ -38,6 +40,12 @@
 			return
 		}
 		withdraw(t, now.Add(refusedGap))
+	case gateway.AppendOutOfSequence:
+		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "outOfSequence", Reason: o.Reason, Count: len(l.InFlight.Changes)})
+		l.Epoch++ // a new epoch may begin at any number
+		l.Seq = 0
+		l.InFlight.Epoch, l.InFlight.Seq = l.Epoch, l.Seq
+		l.InDoubt, l.RetryAt = true, now.Add(doubtGap)
 	case gateway.AppendUnknown:
 		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "unknown", Reason: o.Error, Count: len(l.InFlight.Changes)})
 		l.InDoubt, l.RetryAt = true, now.Add(doubtGap)
@@ -70,13 +78,16 @@
 		case gateway.ProposeProgress, gateway.ProposeDrop:
 		}
 	}
+	if l.InFlight.At == cs.NoOffset {
+		l.Seq++
+	}
 	l.InFlight, l.Proposals, l.InDoubt, l.Tries, l.RetryAt, l.Conflicts = nil, nil, false, 0, 0, 0
 }
 
-// resolve decides an append without an answer by what stands in the log at its offset.
+// resolve decides an append without an answer by what stands in the log.
 func resolve(t *gateway.Tables, now cs.Instant, read gateway.JobsRead, out *gateway.Actions) {
 	l := &t.JobLog
-	if l.InFlight == nil || l.End <= l.InFlight.At {
+	if l.InFlight == nil || l.InFlight.At != cs.NoOffset && l.End <= l.InFlight.At {
 		return
 	}
 	for _, r := range read.Records {
@@ -85,6 +96,9 @@
 			return
 		}
 	}
+	if l.InFlight.At == cs.NoOffset {
+		return // it may take effect yet, wherever the log ends
+	}
 	if read.Whole || read.From <= l.InFlight.At {
 		withdraw(t, now) // another append stands there, so that this one can no longer take effect
 	}
--- a/bulk/apply.go
+++ b/bulk/apply.go
@@ -1,6 +1,9 @@
 package bulk
 
 import (
+	"cmp"
+	"slices"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
 )
@@ -30,8 +33,18 @@
 			change(t, now, r.Change, out)
 		}
 	}
-	for _, r := range read.Records {
-		if _, ok := r.Change.(gateway.JobOpened); !ok && r.Change != nil {
+	// The order of results is that of their records, which a whole read does not keep. Results that came
+	// during the read are read again.
+	records := slices.Clone(read.Records)
+	slices.SortFunc(records, func(a, b gateway.JobRecord) int { return cmp.Compare(a.Offset, b.Offset) })
+	for _, r := range records {
+		switch r.Change.(type) {
+		case gateway.JobOpened:
+		case gateway.JobListed:
+			if r.Offset < read.End {
+				change(t, now, r.Change, out)
+			}
+		case gateway.JobProgressed, gateway.JobEnded, gateway.JobDropped:
 			change(t, now, r.Change, out)
 		}
 	}
@@ -88,21 +101,17 @@
 	}
 }
 
-// list puts a result at its position.
+// list adds a result; only the first one of an item counts.
 func list(t *gateway.Tables, j *gateway.Job, c gateway.JobListed, out *gateway.Actions) {
-	if c.Position >= len(j.Spec.Items) {
-		return
-	}
-	for len(j.Results) <= c.Position {
-		j.Results = append(j.Results, gateway.Result{}) // a whole read is not in the order of positions
+	if key := (gateway.ResultKey{Index: c.Index, Writer: c.Writer}); !slices.Contains(j.Listed, key) {
+		j.Listed = append(j.Listed, key)
 	}
-	j.Results[c.Position] = c.Result
-	i := indexOf(j, c.Result.Item)
-	if i < 0 {
+	if c.Index >= len(j.Work) || j.Work[c.Index].Phase == gateway.ItemListed {
 		return
 	}
-	stop(t, j, i, out)
-	j.Work[i] = gateway.Work{Phase: gateway.ItemListed, Published: j.Work[i].Published}
+	j.Results = append(j.Results, c.Result)
+	stop(t, j, c.Index, out)
+	j.Work[c.Index] = gateway.Work{Phase: gateway.ItemListed, Published: j.Work[c.Index].Published}
 }
 
 // progress takes over how far another VM has come with an item.
--- a/bulk/ask.go
+++ b/bulk/ask.go
@@ -107,7 +107,7 @@
 		return nil
 	}
 	bytes, end := 0, after
-	for end < len(j.Results) && j.Results[end].Item != "" {
+	for end < len(j.Results) {
 		bytes += len(j.Results[end].Text)
 		if end > after && bytes > maxPage {
 			break
--- a/bulk/batch.go
+++ b/bulk/batch.go
@@ -16,8 +16,6 @@
 	changes   []gateway.JobChange
 	proposals []gateway.Proposal
 	bytes     cs.Bytes
-	// listed counts the results of each job in this append.
-	listed map[cs.JobID]int
 	// opened lists the jobs in this append.
 	opened []gateway.JobSpec
 }
@@ -40,13 +38,14 @@
 		if j == nil || j.Ended || j.Work[p.Key.Index].Phase == gateway.ItemListed {
 			return
 		}
-		b.take(p, gateway.JobListed{Job: p.Key.Job, Position: len(j.Results) + b.listed[p.Key.Job], Result: p.Result})
-		b.listed[p.Key.Job]++
+		b.take(p, gateway.JobListed{
+			Job: p.Key.Job, Index: p.Key.Index, Writer: b.t.Self.Incarnation, Result: p.Result,
+		})
 	case gateway.ProposeProgress:
 		b.addProgress(p)
 	case gateway.ProposeDrop:
 		if j := b.t.Jobs.Get(p.Job); j != nil {
-			b.take(p, gateway.JobDropped{Job: p.Job, Spec: j.Spec, Listed: len(j.Results), Progressed: progressed(j)})
+			b.take(p, gateway.JobDropped{Job: p.Job, Spec: j.Spec, Listed: slices.Clone(j.Listed), Progressed: progressed(j)})
 		}
 	}
 }
@@ -111,6 +110,28 @@
 	b.take(p, gateway.JobEnded{Job: p.Job})
 }
 
+// orderedJobs is the number of jobs like a new one for which its route must have room so that other VMs may
+// accept jobs at the same moment: the quota is exceeded only if so many come within a moment.
+const orderedJobs = 8
+
+// knownAge is the age of the last read of the job log beyond which this VM does not know how much of a quota
+// is taken.
+const knownAge = cs.Second
+
+// ordered reports whether a change may take effect only if nobody has appended since this VM last read: a
+// job that comes close to its route's quota.
+func (b *batch) ordered(p gateway.Proposal) bool {
+	job, ok := p.(gateway.ProposeJob)
+	if !ok {
+		return false
+	}
+	limit := b.limit(job.Spec.Route)
+	if limit == 0 {
+		return false
+	}
+	return b.t.Feeds[gateway.FeedJobs].Age(b.now) > knownAge || b.waiting(job.Spec.Route)+orderedJobs*tokensOf(job.Spec) > limit
+}
+
 // limit returns the tokens that may wait on a route; 0 means no limit.
 func (b *batch) limit(name cs.RouteName) cs.Tokens {
 	if b.t.Catalog == nil {
--- a/bulk/commit.go
+++ b/bulk/commit.go
@@ -40,35 +40,46 @@
 		if l.InDoubt && l.Need <= l.End {
 			l.InDoubt = false
 			l.Tries++
-			out.Add(*l.InFlight) // the same append at the same offset takes effect once at most
+			out.Add(*l.InFlight) // the same append takes effect once at most
 		}
 		return
 	}
-	if !l.Synced || l.End < l.Need || len(t.Proposals) == 0 {
+	if !l.Synced || len(t.Proposals) == 0 {
 		return
 	}
 	propose(t, now, out)
 }
 
-// propose sends the next append.
+// propose sends the next append: changes that must know the whole log, or all others.
 func propose(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	l := &t.JobLog
-	b := batch{t: t, now: now, out: out, listed: make(map[cs.JobID]int)}
-	taken := 0
-	for _, p := range t.Proposals {
+	b := batch{t: t, now: now, out: out}
+	var rest []gateway.Proposal
+	begun, ordered := false, false
+	for i, p := range t.Proposals {
 		if b.bytes > 0 && b.bytes+size(t, p) > t.Config.MaxAppend {
+			rest = append(rest, t.Proposals[i:]...)
 			break
 		}
+		o := b.ordered(p)
+		if begun && o != ordered || o && l.End < l.Need {
+			rest = append(rest, p)
+			continue
+		}
+		begun, ordered = true, o
 		b.add(p)
-		taken++
 	}
-	t.Proposals = slices.Delete(t.Proposals, 0, taken)
+	t.Proposals = rest
 	if len(b.changes) == 0 {
 		return
 	}
 	l.Number++
 	a := gateway.AppendJobs{
-		Mark: gateway.Mark{Writer: t.Self.Incarnation, Number: l.Number}, At: l.End, Changes: b.changes,
+		Mark: gateway.Mark{Writer: t.Self.Incarnation, Number: l.Number}, At: cs.NoOffset, Epoch: l.Epoch, Seq: l.Seq,
+		Changes: b.changes,
+	}
+	if ordered {
+		a.At = l.End
 	}
 	l.InFlight, l.Proposals, l.Tries, l.SentAt = &a, b.proposals, 1, now
 	out.Add(a)
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -59,10 +59,13 @@
 		Key     ItemKey
 		Attempt cs.Attempt
 	}
-	// AppendJobs appends to the job log if it ends at At; JobsAppended follows.
+	// AppendJobs appends to the job log; JobsAppended follows. The append takes effect only if the log
+	// ends at At, or, for cs.NoOffset, once for its epoch and number in sequence however often it is sent.
 	AppendJobs struct {
 		Mark    Mark
 		At      cs.Offset
+		Epoch   uint64
+		Seq     uint64
 		Changes []JobChange
 	}
 	// LeaveGroup gives up the partitions of this VM.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -71,20 +71,23 @@
 
 // The outcomes of an append.
 type (
-	// AppendDone means that the records are durable.
-	AppendDone struct{ End cs.Offset }
+	// AppendDone means that the records are durable, from an offset to the end of the log.
+	AppendDone struct{ From, End cs.Offset }
 	// AppendConflict means that the log did not end where the append expected.
 	AppendConflict struct{ End cs.Offset }
 	// AppendRefused means that nothing was appended.
 	AppendRefused struct{ Reason string }
+	// AppendOutOfSequence means that the store takes no append of that epoch and number.
+	AppendOutOfSequence struct{ Reason string }
 	// AppendUnknown means that the append may take effect yet.
 	AppendUnknown struct{ Error string }
 )
 
-func (AppendDone) isAppendOutcome()     {}
-func (AppendConflict) isAppendOutcome() {}
-func (AppendRefused) isAppendOutcome()  {}
-func (AppendUnknown) isAppendOutcome()  {}
+func (AppendDone) isAppendOutcome()          {}
+func (AppendConflict) isAppendOutcome()      {}
+func (AppendRefused) isAppendOutcome()       {}
+func (AppendOutOfSequence) isAppendOutcome() {}
+func (AppendUnknown) isAppendOutcome()       {}
 
 // What callers ask.
 type (
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -46,7 +46,9 @@
 	Seen    cs.Instant
 	Work    []Work // one for each item, in the order of Spec.Items
 	Results []Result
-	Ended   bool
+	// Listed are the records of results in the log.
+	Listed []ResultKey
+	Ended  bool
 	// Dropping means that the job's removal from the log is proposed.
 	Dropping bool
 }
@@ -217,6 +219,8 @@
 	Proposals []Proposal
 	// Number counts the appends of this process.
 	Number uint64
+	// Epoch and Seq number the appends that may take effect wherever the log ends.
+	Epoch, Seq uint64
 	// Conflicts counts appends in a row that came too late.
 	Conflicts int
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -23,11 +23,14 @@
 type (
 	// JobOpened accepts a job.
 	JobOpened struct{ Spec JobSpec }
-	// JobListed lists a result at a position, counted from 0.
+	// JobListed lists the result of the item at Index of the submission. The first one of an item in the
+	// log counts, and the order of those in the log is the order in which callers get them.
 	JobListed struct {
-		Job      cs.JobID
-		Position int
-		Result   Result
+		Job   cs.JobID
+		Index int
+		// Writer is the process that lists it: two may list the same item.
+		Writer cs.Incarnation
+		Result Result
 	}
 	// JobProgressed tells how far an item has come, when the VM that ran it hands it over.
 	JobProgressed struct {
@@ -43,12 +46,18 @@
 	JobDropped struct {
 		Job    cs.JobID
 		Spec   JobSpec
-		Listed int
+		Listed []ResultKey
 		// Progressed lists the items whose progress is in the log.
 		Progressed []int
 	}
 )
 
+// ResultKey tells a record of a result from others of its job.
+type ResultKey struct {
+	Index  int
+	Writer cs.Incarnation
+}
+
 func (JobOpened) isJobChange()     {}
 func (JobListed) isJobChange()     {}
 func (JobProgressed) isJobChange() {}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -48,7 +48,7 @@
 // New returns empty tables; seed makes the systems' random choices repeatable.
 func New(c Config, self cs.VM, now cs.Instant, seed uint64) *Tables {
 	return &Tables{
-		Config: c, Self: self, Started: now, Pace: usualPace, Rand: rand.New(rand.NewPCG(seed, 1)),
+		Config: c, Self: self, Started: now, Pace: usualPace, JobLog: JobLog{Epoch: 1}, Rand: rand.New(rand.NewPCG(seed, 1)),
 		Runners:   fleet.NewTable[cs.RunnerID, Runner](),
 		Vacancies: fleet.NewTable[cs.ServiceID, cs.Instant](),
 		Peers:     fleet.NewTable[cs.VMID, Peer](),
--- a/standin/store.go
+++ b/standin/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -43,6 +44,8 @@
 type storeTopic struct {
 	records []storeRecord
 	first   int // the oldest offset kept
+	// producers are those that number their appends.
+	producers map[string]*storeProducer
 }
 
 type storeRecord struct {
@@ -112,7 +115,7 @@
 func (s *Store) topic(name string) *storeTopic {
 	t := s.topics[name]
 	if t == nil {
-		t = &storeTopic{}
+		t = &storeTopic{producers: make(map[string]*storeProducer)}
 		s.topics[name] = t
 	}
 	return t
@@ -182,6 +185,12 @@
 		writeStore(w, http.StatusPreconditionFailed, map[string]int{"end_offset": end})
 		return
 	}
+	producer, again := s.repeat(t, r.URL.Query())
+	if again != nil {
+		s.mu.Unlock()
+		writeStore(w, again.status, again.answer)
+		return
+	}
 	for len(body) > 4 {
 		n := int(binary.BigEndian.Uint32(body))
 		content := body[4 : 4+n]
@@ -192,6 +201,10 @@
 	s.changed()
 	lost := s.mode == StoreLosesAnswers
 	next := len(t.records)
+	if producer != nil {
+		producer.last = map[string]int{"offset": end, "end_offset": next}
+		producer.next++
+	}
 	s.mu.Unlock()
 	if lost {
 		s.hang(r)
@@ -199,6 +212,43 @@
 	writeStore(w, http.StatusOK, map[string]int{"offset": end, "end_offset": next})
 }
 
+// storeProducer is the last append of a producer; the store remembers more of them.
+type storeProducer struct {
+	epoch, next int
+	last        map[string]int
+}
+
+// repeated is the answer to an append that is not carried out.
+type repeated struct {
+	status int
+	answer any
+}
+
+// repeat returns the producer of an append that is to be carried out, if it names one, or the answer to one
+// that repeats the last or is out of sequence.
+func (s *Store) repeat(t *storeTopic, q url.Values) (*storeProducer, *repeated) {
+	name := q.Get("producer")
+	if name == "" {
+		return nil, nil
+	}
+	epoch, _ := strconv.Atoi(q.Get("epoch"))
+	seq, _ := strconv.Atoi(q.Get("seq_no"))
+	p := t.producers[name]
+	if p == nil || epoch > p.epoch {
+		p = &storeProducer{epoch: epoch, next: seq}
+		t.producers[name] = p
+	}
+	switch {
+	case epoch < p.epoch:
+		return nil, &repeated{http.StatusConflict, map[string]string{"why": "fenced"}}
+	case seq == p.next-1 && p.last != nil:
+		return nil, &repeated{http.StatusOK, p.last}
+	case seq != p.next:
+		return nil, &repeated{http.StatusConflict, map[string]any{"why": "seq", "seq_no": p.next}}
+	}
+	return p, nil
+}
+
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, _ := strconv.Atoi(q.Get("from"))
--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -15,7 +15,7 @@
 // for its end:
 //
 //	j/JOB/CHUNK   the specification, in chunks that fit a record
-//	r/JOB/N       the result at position N
+//	r/JOB/N/W     the result of item N as process W listed it
 //	p/JOB/ITEM    how far an item has come
 //	e/JOB/0       the end of the job
 const (
@@ -64,11 +64,11 @@
 	case gateway.JobOpened:
 		return encodeSpec(m, c.Spec, maxChunk)
 	case gateway.JobListed:
-		r, err := keyed(keyResult, c.Job, c.Position, jobRecord{Writer: m.Writer, Number: m.Number, Result: &c.Result})
-		if err == nil && len(r.Value) > maxChunk {
-			return nil, errors.Newf("result of %d bytes does not fit a record", len(r.Value))
+		value, err := encoder.Marshal(jobRecord{Writer: m.Writer, Number: m.Number, Result: &c.Result})
+		if err == nil && len(value) > maxChunk {
+			return nil, errors.Newf("result of %d bytes does not fit a record", len(value))
 		}
-		return []KeyedRecord{r}, err
+		return []KeyedRecord{{Key: resultKey(c.Job, gateway.ResultKey{Index: c.Index, Writer: c.Writer}), Value: value}}, err
 	case gateway.JobProgressed:
 		r, err := keyed(keyItem, c.Job, c.Index, jobRecord{Writer: m.Writer, Number: m.Number, Item: c.Item, Progress: &c.Progress})
 		return []KeyedRecord{r}, err
@@ -118,8 +118,8 @@
 		return nil, err
 	}
 	var records []KeyedRecord
-	for i := range c.Listed {
-		records = append(records, KeyedRecord{Key: jobKey(keyResult, c.Job, i)})
+	for _, key := range c.Listed {
+		records = append(records, KeyedRecord{Key: resultKey(c.Job, key)})
 	}
 	for _, i := range c.Progressed {
 		records = append(records, KeyedRecord{Key: jobKey(keyItem, c.Job, i)})
@@ -140,6 +140,11 @@
 	return kind + "/" + string(job) + "/" + strconv.Itoa(n)
 }
 
+// resultKey returns the key of a result, which two processes may list.
+func resultKey(job cs.JobID, k gateway.ResultKey) string {
+	return jobKey(keyResult, job, k.Index) + "/" + strconv.FormatUint(uint64(k.Writer), 36)
+}
+
 // JobDecoder decodes the records of the job log; it holds the chunks of jobs that are not complete.
 type JobDecoder struct{ partial map[cs.JobID]map[int][]byte }
 
@@ -149,6 +154,15 @@
 // Decode returns what a record says. The change is nil for a chunk that does not complete a job, for
 // a removed key that says nothing of itself, and beside an error.
 func (d *JobDecoder) Decode(key string, value []byte) (gateway.JobRecord, error) {
+	var writer cs.Incarnation
+	if strings.HasPrefix(key, keyResult+"/") {
+		i := strings.LastIndexByte(key, '/')
+		w, err := strconv.ParseUint(key[i+1:], 36, 64)
+		if err != nil {
+			return gateway.JobRecord{}, errors.Wrapf(err, "key %q", key)
+		}
+		key, writer = key[:i], cs.Incarnation(w)
+	}
 	kind, job, n, err := splitKey(key)
 	if err != nil {
 		return gateway.JobRecord{}, err
@@ -168,7 +182,7 @@
 	case kind == keyEnd:
 		out.Change = gateway.JobEnded{Job: job}
 	case kind == keyResult && r.Result != nil:
-		out.Change = gateway.JobListed{Job: job, Position: n, Result: *r.Result}
+		out.Change = gateway.JobListed{Job: job, Index: n, Writer: writer, Result: *r.Result}
 	case kind == keyItem && r.Progress != nil:
 		out.Change = gateway.JobProgressed{Job: job, Item: r.Item, Index: n, Progress: *r.Progress}
 	case kind == keyJob:
