Keep the order of results for VMs that read the log anew

Cause: the randomised test of jobs never read the newest records of all keys in the middle of a run, as a VM does that starts or whose records expired. With such reads it found that (1) jobs that a VM had applied beyond the whole read were dropped and not read again, an older fault; (2) an item proposed before a whole read and again after it stood twice in one append, under one key, so that the newest record moved its position. Ruled out: duplicates by different appends; their keys differ and the oldest counts. Change: after a whole read everything that follows is read again; a result's key names its append; an append lists an item once. The test's jobs that come again are the same ones, as those of callers are.

--- a/bulk/apply.go
+++ b/bulk/apply.go
@@ -54,7 +54,8 @@
 		}
 		return !present[id]
 	})
-	t.JobLog.End = max(t.JobLog.End, read.End)
+	// What this VM had applied beyond that is read again, since the jobs that came then are not all present.
+	t.JobLog.End = read.End
 	t.JobLog.Synced = true
 }
 
@@ -103,7 +104,7 @@
 
 // list adds a result; only the first one of an item counts.
 func list(t *gateway.Tables, j *gateway.Job, c gateway.JobListed, out *gateway.Actions) {
-	if key := (gateway.ResultKey{Index: c.Index, Writer: c.Writer}); !slices.Contains(j.Listed, key) {
+	if key := (gateway.ResultKey{Index: c.Index, Mark: c.Mark}); !slices.Contains(j.Listed, key) {
 		j.Listed = append(j.Listed, key)
 	}
 	if c.Index >= len(j.Work) || j.Work[c.Index].Phase == gateway.ItemListed {
--- a/bulk/batch.go
+++ b/bulk/batch.go
@@ -13,6 +13,7 @@
 	t         *gateway.Tables
 	now       cs.Instant
 	out       *gateway.Actions
+	mark      gateway.Mark
 	changes   []gateway.JobChange
 	proposals []gateway.Proposal
 	bytes     cs.Bytes
@@ -35,11 +36,11 @@
 		b.addEnd(p)
 	case gateway.ProposeResult:
 		j := b.t.Jobs.Get(p.Key.Job)
-		if j == nil || j.Ended || j.Work[p.Key.Index].Phase == gateway.ItemListed {
+		if j == nil || j.Ended || j.Work[p.Key.Index].Phase == gateway.ItemListed || b.lists(p.Key) {
 			return
 		}
 		b.take(p, gateway.JobListed{
-			Job: p.Key.Job, Index: p.Key.Index, Writer: b.t.Self.Incarnation, Result: p.Result,
+			Job: p.Key.Job, Index: p.Key.Index, Mark: b.mark, Result: p.Result,
 		})
 	case gateway.ProposeProgress:
 		b.addProgress(p)
@@ -50,6 +51,15 @@
 	}
 }
 
+// lists reports whether an append has a result of an item already: one that was proposed before the job was
+// read anew, and again after.
+func (b *batch) lists(k gateway.ItemKey) bool {
+	return slices.ContainsFunc(b.changes, func(c gateway.JobChange) bool {
+		listed, ok := c.(gateway.JobListed)
+		return ok && listed.Job == k.Job && listed.Index == k.Index
+	})
+}
+
 // addProgress tells how far an item has come, if the log does not know that yet.
 func (b *batch) addProgress(p gateway.ProposeProgress) {
 	j := b.t.Jobs.Get(p.Key.Job)
--- a/bulk/commit.go
+++ b/bulk/commit.go
@@ -53,7 +53,8 @@
 // propose sends the next append: changes that must know the whole log, or all others.
 func propose(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	l := &t.JobLog
-	b := batch{t: t, now: now, out: out}
+	mark := gateway.Mark{Writer: t.Self.Incarnation, Number: l.Number + 1}
+	b := batch{t: t, now: now, out: out, mark: mark}
 	var rest []gateway.Proposal
 	begun, ordered := false, false
 	for i, p := range t.Proposals {
@@ -75,7 +76,7 @@
 	}
 	l.Number++
 	a := gateway.AppendJobs{
-		Mark: gateway.Mark{Writer: t.Self.Incarnation, Number: l.Number}, At: cs.NoOffset, Epoch: l.Epoch, Seq: l.Seq,
+		Mark: mark, At: cs.NoOffset, Epoch: l.Epoch, Seq: l.Seq,
 		Changes: b.changes,
 	}
 	if ordered {
--- a/bulk/world_test.go
+++ b/bulk/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -343,8 +344,9 @@
 	c.Assert(b.answers[3].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
 }
 
-// seeds of the randomised run in CI; each once found nothing.
-var seeds = []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+// seeds of the randomised run in CI. 2 found jobs that a whole read had dropped; 209, 225 and 349 an item that
+// one append listed twice, so that a VM which read the newest records put it at another position.
+var seeds = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 209, 225, 349}
 
 // Several VMs share a log whose appends are lost, late, refused or without an answer, VMs restart,
 // and partitions change hands, also so that two VMs own one. No job may be lost or stand twice, no
@@ -405,11 +407,17 @@
 	f.landLate()
 	if faulty && f.rng.IntN(25) == 0 {
 		v := f.vms[f.rng.IntN(len(f.vms))]
-		f.submit(v, job(cs.JobID(fmt.Sprintf("j%d", f.rng.IntN(60))), 1+f.rng.IntN(4)))
+		n := f.rng.IntN(60)
+		f.submit(v, job(cs.JobID(fmt.Sprintf("j%d", n)), 1+n%4)) // a job that comes again is the same
 	}
 	if faulty && f.rng.IntN(300) == 0 {
 		i := f.rng.IntN(len(f.vms))
 		f.vms[i] = newVM(cs.VMID(fmt.Sprintf("vm%d%d", i, f.now)), i, 3)
+		f.vms[i].inbox = f.vms[i].inbox[1:] // instead of an empty log
+		f.snapshot(f.vms[i])
+	}
+	if faulty && f.rng.IntN(100) == 0 {
+		f.snapshot(f.vms[f.rng.IntN(len(f.vms))]) // what it wanted to read has expired
 	}
 	for _, v := range f.vms {
 		if f.rng.IntN(3) == 0 {
@@ -450,6 +458,44 @@
 	f.late = rest
 }
 
+// snapshot brings the newest record of each key in the order of keys. The pages are not read at one moment: some of
+// the records that came during the read are among them, and all of them are read again.
+func (f *faults) snapshot(v *vm) {
+	cut := f.rng.IntN(len(f.log.records) + 1)
+	if recent := len(f.log.records) - 20; cut < recent {
+		cut = recent
+	}
+	newest := make(map[string]gateway.JobRecord)
+	for i, r := range f.log.records {
+		if i >= cut && f.rng.IntN(2) == 0 {
+			continue
+		}
+		newest[keyOf(r)] = r
+	}
+	read := gateway.JobsRead{Whole: true, From: cs.NoOffset, End: cs.Offset(cut)}
+	for _, key := range slices.Sorted(maps.Keys(newest)) { // the store's order
+		read.Records = append(read.Records, newest[key])
+	}
+	v.cursor = cs.Offset(cut)
+	v.inbox = append(v.inbox, read, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true})
+}
+
+// keyOf returns the key of a record.
+func keyOf(r gateway.JobRecord) string {
+	switch c := r.Change.(type) {
+	case gateway.JobOpened:
+		return "j/" + string(c.Spec.ID)
+	case gateway.JobListed:
+		return fmt.Sprint("r/", c.Job, "/", c.Index, "/", c.Mark)
+	case gateway.JobProgressed:
+		return fmt.Sprint("p/", c.Job, "/", c.Index)
+	case gateway.JobEnded:
+		return "e/" + string(c.Job)
+	default:
+		return "?"
+	}
+}
+
 // runs ends the runs that a VM has started.
 func (f *faults) runs(v *vm, faulty bool) {
 	for _, r := range v.started {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -28,8 +28,8 @@
 	JobListed struct {
 		Job   cs.JobID
 		Index int
-		// Writer is the process that lists it: two may list the same item.
-		Writer cs.Incarnation
+		// Mark tells the append that lists it: an item may be listed by several.
+		Mark   Mark
 		Result Result
 	}
 	// JobProgressed tells how far an item has come, when the VM that ran it hands it over.
@@ -54,8 +54,8 @@
 
 // ResultKey tells a record of a result from others of its job.
 type ResultKey struct {
-	Index  int
-	Writer cs.Incarnation
+	Index int
+	Mark  Mark
 }
 
 func (JobOpened) isJobChange()     {}
--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -15,7 +15,7 @@
 // for its end:
 //
 //	j/JOB/CHUNK   the specification, in chunks that fit a record
-//	r/JOB/N/W     the result of item N as process W listed it
+//	r/JOB/N/W-A   the result of item N as append A of process W listed it
 //	p/JOB/ITEM    how far an item has come
 //	e/JOB/0       the end of the job
 const (
@@ -68,7 +68,7 @@
 		if err == nil && len(value) > maxChunk {
 			return nil, errors.Newf("result of %d bytes does not fit a record", len(value))
 		}
-		return []KeyedRecord{{Key: resultKey(c.Job, gateway.ResultKey{Index: c.Index, Writer: c.Writer}), Value: value}}, err
+		return []KeyedRecord{{Key: resultKey(c.Job, gateway.ResultKey{Index: c.Index, Mark: c.Mark}), Value: value}}, err
 	case gateway.JobProgressed:
 		r, err := keyed(keyItem, c.Job, c.Index, jobRecord{Writer: m.Writer, Number: m.Number, Item: c.Item, Progress: &c.Progress})
 		return []KeyedRecord{r}, err
@@ -140,9 +140,10 @@
 	return kind + "/" + string(job) + "/" + strconv.Itoa(n)
 }
 
-// resultKey returns the key of a result, which two processes may list.
+// resultKey returns the key of a result. Each append has keys of its own: the store keeps the newest record
+// of a key only, and the oldest of an item counts.
 func resultKey(job cs.JobID, k gateway.ResultKey) string {
-	return jobKey(keyResult, job, k.Index) + "/" + strconv.FormatUint(uint64(k.Writer), 36)
+	return jobKey(keyResult, job, k.Index) + "/" + strconv.FormatUint(uint64(k.Mark.Writer), 36) + "-" + strconv.FormatUint(k.Mark.Number, 36)
 }
 
 // JobDecoder decodes the records of the job log; it holds the chunks of jobs that are not complete.
@@ -154,14 +155,8 @@
 // Decode returns what a record says. The change is nil for a chunk that does not complete a job, for
 // a removed key that says nothing of itself, and beside an error.
 func (d *JobDecoder) Decode(key string, value []byte) (gateway.JobRecord, error) {
-	var writer cs.Incarnation
 	if strings.HasPrefix(key, keyResult+"/") {
-		i := strings.LastIndexByte(key, '/')
-		w, err := strconv.ParseUint(key[i+1:], 36, 64)
-		if err != nil {
-			return gateway.JobRecord{}, errors.Wrapf(err, "key %q", key)
-		}
-		key, writer = key[:i], cs.Incarnation(w)
+		key = key[:strings.LastIndexByte(key, '/')] // the value has the mark, too
 	}
 	kind, job, n, err := splitKey(key)
 	if err != nil {
@@ -182,7 +177,7 @@
 	case kind == keyEnd:
 		out.Change = gateway.JobEnded{Job: job}
 	case kind == keyResult && r.Result != nil:
-		out.Change = gateway.JobListed{Job: job, Index: n, Writer: writer, Result: *r.Result}
+		out.Change = gateway.JobListed{Job: job, Index: n, Mark: out.Mark, Result: *r.Result}
 	case kind == keyItem && r.Progress != nil:
 		out.Change = gateway.JobProgressed{Job: job, Item: r.Item, Index: n, Progress: *r.Progress}
 	case kind == keyJob:
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -15,7 +15,7 @@
 		Items: []gateway.Item{{ID: "i", Target: "/p", Header: map[string]string{"Model": "m"}, Body: make([]byte, 5000), Tokens: 9}},
 	}},
 	gateway.JobProgressed{Job: "j/1", Item: "i", Index: 0, Progress: gateway.Progress{Text: []byte("a\nb"), LastEvent: 2}},
-	gateway.JobListed{Job: "j/1", Index: 0, Writer: 9, Result: gateway.Result{Item: "i", Done: true, Text: "a\nb\xffc"}},
+	gateway.JobListed{Job: "j/1", Index: 0, Mark: gateway.Mark{Writer: 3, Number: 4}, Result: gateway.Result{Item: "i", Done: true, Text: "a\nb\xffc"}},
 	gateway.JobEnded{Job: "j/1"},
 }
 
@@ -61,7 +61,7 @@
 	written, err := wire.EncodeJobs(gateway.Mark{}, jobChanges, 2048)
 	c.Assert(err, qt.IsNil)
 	removed, err := wire.EncodeJobs(gateway.Mark{}, []gateway.JobChange{
-		gateway.JobDropped{Job: spec.ID, Spec: spec, Listed: []gateway.ResultKey{{Index: 0, Writer: 9}}, Progressed: []int{0}},
+		gateway.JobDropped{Job: spec.ID, Spec: spec, Listed: []gateway.ResultKey{{Index: 0, Mark: gateway.Mark{Writer: 3, Number: 4}}}, Progressed: []int{0}},
 	}, 2048)
 	c.Assert(err, qt.IsNil)
 	keys := make(map[string]bool)
