Do not take the runners of a cut data centre for crashed

A data centre had been cut off with resets, its runners refused connections like crashed ones, and what was in flight there was suspected twice; entries that lapse in a cut had the same effect. Ruled out: a poisonous request; the contents ran elsewhere before. Change: a runner counts as crashed only while VMs of its data centre report, and by a refused connection only if one has reported since.

--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -380,6 +380,35 @@
 	c.Assert(sends[0].ID, qt.Equals, gateway.ForwardID(1))
 }
 
+// When a data centre is cut off, its runners refuse connections or lose their entries like crashed ones:
+// what was in flight there was refused wherever it was sent again.
+func TestCutDataCentreIsNoCrash(t *testing.T) {
+	for name, end := range map[string]func(w *world, r *gateway.Runner){
+		"address refuses": func(w *world, r *gateway.Runner) { r.RefusedAt = w.now },
+		"entry is gone":   func(w *world, r *gateway.Runner) { w.Runners.Delete(r.Spec.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld()
+			w.runner("b1", "b")
+			w.Zones.Insert("b", gateway.Zone{HeardAt: w.now})
+			sends, _ := w.tick(w.arrival(7, once))
+			c.Assert(sends, qt.HasLen, 1)
+			w.tick(gateway.ForwardEnded{ID: 7, Attempt: 1, Outcome: gateway.OutcomeBroken{Disconnected: true}})
+			w.now = w.now.Add(5)
+			if name == "entry is gone" {
+				w.now = w.now.Add(3600) // an entry lapses
+			}
+			end(w, w.Runners.Get("b1"))
+			for range 70 {
+				w.now = w.now.Add(100)
+				w.tick()
+			}
+			c.Assert(w.Suspects.Len(), qt.Equals, 0)
+		})
+	}
+}
+
 // A request that no runner can take was held until its deadline, so that its caller could not try
 // another VM.
 func TestRequestWithoutAnyRunnerIsRefusedAtOnce(t *testing.T) {
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -23,6 +23,7 @@
 	Item        cs.ItemID
 	Runner      cs.RunnerID
 	Incarnation cs.Incarnation
+	DataCentre  cs.DataCentreID
 	At          cs.Instant
 }
 
@@ -32,12 +33,19 @@
 	if r == nil || r.Spec.Leaving {
 		return
 	}
-	b.Runner, b.Incarnation = r.Spec.ID, r.Spec.Incarnation
+	b.Runner, b.Incarnation, b.DataCentre = r.Spec.ID, r.Spec.Incarnation, r.Spec.DataCentre
 	t.Breaks = append(t.Breaks, b)
 }
 
-// Crashed reports whether the runner of a broken connection is known to have ended since.
-func (t *Tables) Crashed(b Break) bool {
+// Crashed reports whether the runner of a broken connection is known to have ended since. While no VM of its
+// data centre reports, that may be cut off: its runners refuse connections, or lose their entries, and live.
+func (t *Tables) Crashed(b Break, now cs.Instant) bool {
+	if t.Reach(b.DataCentre, now) != ReachGood {
+		return false
+	}
 	r := t.Runners.Get(b.Runner)
-	return r == nil || r.Spec.Incarnation != b.Incarnation || r.RefusedAt >= b.At
+	if r == nil || r.Spec.Incarnation != b.Incarnation {
+		return true
+	}
+	return r.RefusedAt >= b.At && t.heardSince(b.DataCentre, r.RefusedAt)
 }
--- a/gateway/zone.go
+++ b/gateway/zone.go
@@ -41,6 +41,13 @@
 	return ReachDoubtful
 }
 
+// heardSince reports whether a VM of a data centre has reported since an instant; of the own data centre, and
+// of one without VMs, nothing else is known.
+func (t *Tables) heardSince(dc cs.DataCentreID, at cs.Instant) bool {
+	z := t.Zones.Get(dc)
+	return dc == t.Self.DataCentre || z == nil || z.HeardAt == 0 || z.HeardAt > at
+}
+
 // ZoneFailed notes that a runner of a data centre did not answer.
 func (t *Tables) ZoneFailed(dc cs.DataCentreID, now cs.Instant) {
 	if z := t.Zones.Get(dc); z != nil {
--- a/roster/crashes.go
+++ b/roster/crashes.go
@@ -19,7 +19,7 @@
 // flight there.
 func Crashes(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	t.Breaks = slices.DeleteFunc(t.Breaks, func(b gateway.Break) bool {
-		if t.Crashed(b) {
+		if t.Crashed(b, now) {
 			suspect(t, now, b, out)
 			return true
 		}
