--- a/bulk/settle.go
+++ b/bulk/settle.go
@@ -46,10 +46,7 @@
 	}
 	if e.LastEvent > 0 {
 		observe(&t.Pace, now.Sub(w.Started), e.LastEvent-w.LastEvent, 0)
-		if w.LastEvent > 0 {
-			w.Text = append(w.Text, '\n')
-		}
-		w.Text, w.LastEvent = append(w.Text, e.Text...), e.LastEvent
+		keep(w, e)
 		if runner != nil {
 			runner.Forgive()
 		}
@@ -67,11 +64,8 @@
 		return
 	case gateway.ItemNotRun:
 		w.NotBefore, n.Reason = now.Add(refusedPause), "not run"
-		if o.Refused && runner != nil {
-			runner.RefusedAt = now
-		}
 		if o.Gone || o.Unreachable {
-			t.Avoid(runner, now, n.Reason, out)
+			t.Unreached(runner, o.Refused, now, n.Reason, out)
 		}
 	case gateway.ItemError:
 		w.NotBefore, n.Reason, n.Outcome = now.Add(errorPause), "error of the runner", http.StatusText(o.Status)
@@ -83,15 +77,7 @@
 		}
 	case gateway.ItemBroken:
 		w.NotBefore, n.Reason = now.Add(brokenPause), o.Error
-		if o.Disconnected {
-			t.Doubt(runner, now, n.Reason, out)
-			if e.LastEvent == 0 {
-				t.Broke(runner, gateway.Break{Content: contentOf(e.Key), Item: item, At: now})
-			}
-		}
-		if o.Silent {
-			t.Silent(runner, now, n.Reason, out)
-		}
+		blame(t, runner, e, o, now, out)
 	case gateway.ItemStopped:
 		n.Reason = "stopped"
 	}
@@ -101,6 +87,29 @@
 	out.Note(n)
 }
 
+// blame notes what a broken output says of its runner.
+func blame(t *gateway.Tables, runner *gateway.Runner, e gateway.ItemRunEnded, o gateway.ItemBroken, now cs.Instant, out *gateway.Actions) {
+	if o.Silent {
+		t.Silent(runner, now, o.Error, out)
+	}
+	if !o.Disconnected {
+		return
+	}
+	t.Doubt(runner, now, o.Error, out)
+	if e.LastEvent == 0 {
+		item := t.Jobs.Get(e.Key.Job).Spec.Items[e.Key.Index].ID
+		t.Broke(runner, gateway.Break{Content: contentOf(e.Key), Item: item, At: now})
+	}
+}
+
+// keep adds the output of a run to that of the runs before.
+func keep(w *gateway.Work, e gateway.ItemRunEnded) {
+	if w.LastEvent > 0 {
+		w.Text = append(w.Text, '\n')
+	}
+	w.Text, w.LastEvent = append(w.Text, e.Text...), e.LastEvent
+}
+
 // contentOf identifies an item as a suspect of crashes.
 func contentOf(k gateway.ItemKey) cs.ContentHash {
 	return cs.HashContent(string(k.Job), strconv.Itoa(k.Index))
--- a/bulk/traffic.go
+++ b/bulk/traffic.go
@@ -11,6 +11,7 @@
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/forward"
 	"github.com/crocusstile/crocusstile/gateway"
+	"github.com/crocusstile/crocusstile/tick"
 )
 
 // maxText bounds the output of one item.
@@ -24,11 +25,10 @@
 	runners forward.Runners
 	post    gateway.Post
 	tasks   sync.WaitGroup
+	queries tick.Questions[gateway.QueryID, gateway.Action]
 
-	mu      sync.Mutex
-	runs    map[run]context.CancelCauseFunc
-	queries map[gateway.QueryID]chan gateway.Action
-	last    gateway.QueryID
+	mu   sync.Mutex
+	runs map[run]context.CancelCauseFunc
 }
 
 // run names one run of an item.
@@ -41,7 +41,6 @@
 func NewTraffic(r forward.Runners, post gateway.Post) *Traffic {
 	return &Traffic{
 		runners: r, post: post, runs: make(map[run]context.CancelCauseFunc),
-		queries: make(map[gateway.QueryID]chan gateway.Action),
 	}
 }
 
@@ -160,38 +159,19 @@
 
 // Ask posts what a caller asks and returns the control loop's answer; ctx ends when the caller leaves.
 func (t *Traffic) Ask(ctx context.Context, ask func(gateway.QueryID) gateway.Event) (gateway.Action, error) {
-	answers := make(chan gateway.Action, 1)
-	t.mu.Lock()
-	t.last++
-	q := t.last
-	t.queries[q] = answers
-	t.mu.Unlock()
-	defer func() {
-		t.mu.Lock()
-		delete(t.queries, q)
-		t.mu.Unlock()
-	}()
-	if err := t.post(ctx, ask(q)); err != nil {
-		return nil, err
-	}
-	select {
-	case a := <-answers:
-		return a, nil
-	case <-ctx.Done():
-		_ = t.post(context.Background(), gateway.QueryLeft{Query: q}) // fails only when its context ends
-		return nil, ctx.Err()
+	var id gateway.QueryID
+	answer, err := t.queries.Ask(ctx, func(ctx context.Context, q gateway.QueryID) error {
+		id = q
+		return t.post(ctx, ask(q))
+	})
+	if err != nil {
+		_ = t.post(context.Background(), gateway.QueryLeft{Query: id}) // fails only when its context ends
 	}
+	return answer, err
 }
 
 // Answer hands an answer to the caller of a query.
-func (t *Traffic) Answer(q gateway.QueryID, a gateway.Action) {
-	t.mu.Lock()
-	answers := t.queries[q]
-	t.mu.Unlock()
-	if answers != nil {
-		answers <- a // a query is answered once
-	}
-}
+func (t *Traffic) Answer(q gateway.QueryID, a gateway.Action) { t.queries.Answer(q, a) }
 
 // Close waits for the runs to end; their context must have ended.
 func (t *Traffic) Close() { t.tasks.Wait() }
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -86,14 +86,10 @@
 	case gateway.OutcomeNotRun:
 		n.Reason, n.Outcome = o.Reason, cs.RanNotRun.String()
 		f.NotBefore = now.Add(retryGap)
-		if o.Refused && runner != nil {
-			runner.RefusedAt = now
-		}
-		if !o.Gone && !o.Unreachable {
-			f.Refusals++
-		}
 		if o.Gone || o.Unreachable {
-			t.Avoid(runner, now, n.Reason, out)
+			t.Unreached(runner, o.Refused, now, n.Reason, out)
+		} else {
+			f.Refusals++
 		}
 	case gateway.OutcomeFailed:
 		f.Executed = true
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -4,13 +4,13 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
+	"github.com/crocusstile/crocusstile/tick"
 )
 
 // How a peer's state is asked.
@@ -54,27 +54,15 @@
 
 // States serves this VM's state to peers and asks them for theirs.
 type States struct {
-	post gateway.Post
-
-	mu      sync.Mutex
-	last    gateway.StateQuery
-	queries map[gateway.StateQuery]chan gateway.PeerState
+	post      gateway.Post
+	questions tick.Questions[gateway.StateQuery, gateway.PeerState]
 }
 
 // NewStates returns states that hand questions to the control loop.
-func NewStates(post gateway.Post) *States {
-	return &States{post: post, queries: make(map[gateway.StateQuery]chan gateway.PeerState)}
-}
+func NewStates(post gateway.Post) *States { return &States{post: post} }
 
 // Answer hands the control loop's answer to the peer that asked.
-func (s *States) Answer(a gateway.AnswerPeerState) {
-	s.mu.Lock()
-	answer := s.queries[a.Query]
-	s.mu.Unlock()
-	if answer != nil {
-		answer <- a.State // a query is answered once
-	}
-}
+func (s *States) Answer(a gateway.AnswerPeerState) { s.questions.Answer(a.Query, a.State) }
 
 // ServeHTTP answers a peer's question.
 func (s *States) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -82,31 +70,19 @@
 		http.NotFound(w, r)
 		return
 	}
-	answer := make(chan gateway.PeerState, 1)
-	s.mu.Lock()
-	s.last++
-	q := s.last
-	s.queries[q] = answer
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.queries, q)
-		s.mu.Unlock()
-	}()
-	if err := s.post(r.Context(), gateway.PeerStateAsked{Query: q}); err != nil {
+	answer, err := s.questions.Ask(r.Context(), func(ctx context.Context, q gateway.StateQuery) error {
+		return s.post(ctx, gateway.PeerStateAsked{Query: q})
+	})
+	if err != nil {
 		return // the peer has left
 	}
-	select {
-	case state := <-answer:
-		data, err := encodeState(state)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		w.Header().Set("Content-Type", "application/cbor")
-		_, _ = w.Write(data) // a peer that has left needs no answer
-	case <-r.Context().Done():
+	data, err := encodeState(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
 	}
+	w.Header().Set("Content-Type", "application/cbor")
+	_, _ = w.Write(data) // a peer that has left needs no answer
 }
 
 // Ask asks a peer for its state and posts what it answers.
