Find the outlook of a service once in a tick

Cause: while requests wait, each of them looked over all runners in each tick, and twice when it was refused for overload: at 2,000 waiting requests and 3,700 runners that is seven million rows a tick. Ruled out: an index of runners by service; one pass a tick is enough. Change: prospects and the estimated wait are found once for each service and tick; package comments say what the packages do now, and the reason of an early refusal differs from that of a full table.

--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -67,6 +67,7 @@
 // Dispatch sends waiting requests to runners, in the order of their rank, and refuses those that get none.
 func Dispatch(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	claim(t, now) // for the division of free places
+	outlooks := make(map[cs.ServiceID]outlook)
 	var done []gateway.ForwardID
 	for _, id := range waiting(t, now) {
 		f := t.Forwards.Get(id)
@@ -79,7 +80,8 @@
 			out.WakeAt(f.NotBefore)
 			continue
 		}
-		if !prospects(t, f, now, out) {
+		o := look(t, f.Service, now, outlooks, out)
+		if !o.prospects {
 			refuse(now, f, noRunner(f), out)
 			done = append(done, id)
 			continue
@@ -91,8 +93,8 @@
 				continue
 			}
 		}
-		if overloaded(t, f, now) {
-			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: cs.RanNotRun, Message: "too many requests wait"}, out)
+		if overloaded(f, now, o.wait) {
+			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: cs.RanNotRun, Message: "the wait for a runner is too long"}, out)
 			done = append(done, id)
 			continue
 		}
@@ -133,24 +135,6 @@
 	return ids
 }
 
-// prospects reports whether a runner may take the request before its deadline.
-func prospects(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) bool {
-	if !t.KnowsRunners() {
-		return true
-	}
-	for _, r := range t.Runners.All() {
-		if r.Spec.Service == f.Service && !r.Spec.Leaving && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
-			return true
-		}
-	}
-	left := t.Vacancies.Get(f.Service)
-	if left == nil || now.Sub(*left) > returnWait {
-		return false
-	}
-	out.WakeAt(left.Add(returnWait + 1))
-	return true
-}
-
 // noRunner refuses a request that no runner can take. It is refused at once, since the caller may
 // reach a VM that is better placed.
 func noRunner(f *gateway.Forward) cs.Refusal {
--- a/forward/overload.go
+++ b/forward/overload.go
@@ -39,31 +39,53 @@
 	return t.Queues.Insert(id, gateway.Queue{})
 }
 
-// overloaded reports whether a request that has just come cannot be sent in time, and its caller has time
-// to come back.
-func overloaded(t *gateway.Tables, f *gateway.Forward, now cs.Instant) bool {
-	switch target := f.Route.Target; {
-	case target == 0 || f.Attempt > 0 || now.Sub(f.Arrived) > cs.Span(refuseShare*float64(target)):
-		return false
-	case f.Route.Timeout == 0 || float64(f.Deadline.Sub(f.Arrived)) < fullTime*float64(f.Route.Timeout):
-		return false
-	default:
-		return waitOf(t, f.Service, now) > longWait*float64(target)
-	}
+// outlook is what requests that wait for a service may expect in a tick.
+type outlook struct {
+	// prospects means that a runner may take a request before its deadline.
+	prospects bool
+	// wait estimates the time in milliseconds until what waits now has been sent.
+	wait float64
 }
 
-// waitOf estimates the time in milliseconds until what waits for a service now has been sent.
-func waitOf(t *gateway.Tables, id cs.ServiceID, now cs.Instant) float64 {
-	q := queueOf(t, id)
+// look returns the outlook of a service, which is found once in a tick.
+func look(t *gateway.Tables, id cs.ServiceID, now cs.Instant, known map[cs.ServiceID]outlook, out *gateway.Actions) outlook {
+	if o, ok := known[id]; ok {
+		return o
+	}
+	o := outlook{prospects: !t.KnowsRunners()}
 	slots := cs.Slots(0)
 	for _, r := range t.Runners.All() {
-		if r.Spec.Service == id && r.Usable(now) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
+		if r.Spec.Service != id || r.Spec.Leaving || t.Reach(r.Spec.DataCentre, now) == gateway.ReachCut {
+			continue
+		}
+		o.prospects = true
+		if r.Usable(now) {
 			slots += r.Spec.Slots
 		}
 	}
+	if left := t.Vacancies.Get(id); !o.prospects && left != nil && now.Sub(*left) <= returnWait {
+		o.prospects = true
+		out.WakeAt(left.Add(returnWait + 1))
+	}
+	q := queueOf(t, id)
 	took := q.Took
 	if took == 0 {
 		took = usualTook
 	}
-	return float64(q.Own+q.Peers) * took / float64(max(slots, 1))
+	o.wait = float64(q.Own+q.Peers) * took / float64(max(slots, 1))
+	known[id] = o
+	return o
+}
+
+// overloaded reports whether a request that has just come cannot be sent in time, by the estimated wait, and
+// its caller has time to come back.
+func overloaded(f *gateway.Forward, now cs.Instant, wait float64) bool {
+	switch target := f.Route.Target; {
+	case target == 0 || f.Attempt > 0 || now.Sub(f.Arrived) > cs.Span(refuseShare*float64(target)):
+		return false
+	case f.Route.Timeout == 0 || float64(f.Deadline.Sub(f.Arrived)) < fullTime*float64(f.Route.Timeout):
+		return false
+	default:
+		return wait > longWait*float64(target)
+	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -1,4 +1,5 @@
-// Package gossip carries load reports between VMs as datagrams of CBOR.
+// Package gossip carries load reports between VMs as datagrams of CBOR, and the state of a VM over HTTP to
+// a peer that has started without the store.
 //
 // A report is out of date after a few tens of milliseconds and repeated soon, so that a lost one
 // does no harm, while a connection that goes silent would hold all that follow back. That is why
