--- a/gateway/feed_enumer.go
+++ b/gateway/feed_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _FeedNoOp() {
 	var x [1]struct{}
-	_ = x[FeedCatalog-0]
-	_ = x[FeedRunners-1]
-	_ = x[FeedVMs-2]
-	_ = x[FeedJobs-3]
+	_ = x[FeedCatalog-(0)]
+	_ = x[FeedRunners-(1)]
+	_ = x[FeedVMs-(2)]
+	_ = x[FeedJobs-(3)]
 }
 
 var _FeedValues = []Feed{FeedCatalog, FeedRunners, FeedVMs, FeedJobs}
--- a/gateway/forwardphase_enumer.go
+++ b/gateway/forwardphase_enumer.go
@@ -24,8 +24,8 @@
 // Re-run the stringer command to generate them again.
 func _ForwardPhaseNoOp() {
 	var x [1]struct{}
-	_ = x[ForwardWaiting-0]
-	_ = x[ForwardRunning-1]
+	_ = x[ForwardWaiting-(0)]
+	_ = x[ForwardRunning-(1)]
 }
 
 var _ForwardPhaseValues = []ForwardPhase{ForwardWaiting, ForwardRunning}
--- a/gateway/reach_enumer.go
+++ b/gateway/reach_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _ReachNoOp() {
 	var x [1]struct{}
-	_ = x[ReachGood-0]
-	_ = x[ReachDoubtful-1]
-	_ = x[ReachCut-2]
+	_ = x[ReachGood-(0)]
+	_ = x[ReachDoubtful-(1)]
+	_ = x[ReachCut-(2)]
 }
 
 var _ReachValues = []Reach{ReachGood, ReachDoubtful, ReachCut}
