Log the state of the job log behind a refused query, and delayed ticks

Ruled out: a separate metric; the counter of decisions by kind covers the new event. Change: FeedRead and FeedState have AsOf, the instant for which everything in the feed has been read: when the read was sent, or the end of its wait for a long poll that came back empty. queryRefused logs its age and the offset applied, jobAccepted the offset of the append; tickDelayed tells of ticks over 250 ms late. No decision uses these fields yet. Conclusion: a 404 whose offset is below that of jobAccepted comes from a VM that has not read the job.

--- a/batchjob/append.go
+++ b/batchjob/append.go
@@ -20,7 +20,7 @@
 			}
 			l.End = max(l.End, o.End)
 		} // otherwise other records precede it, and the next read returns those and its own
-		completeInFlight(t, now, out)
+		completeInFlight(t, o.End, now, out)
 	case gateway.AppendConflict:
 		l.RequiredEnd = max(l.RequiredEnd, o.End)
 		out.Add(gateway.ReadJobs{})
@@ -62,13 +62,14 @@
 	l.InFlight, l.Proposals, l.ResendNeeded, l.Attempts, l.RetryAt = nil, nil, false, 0, retryAt
 }
 
-// completeInFlight clears an append that took effect, answers its callers and logs its results.
-func completeInFlight(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+// completeInFlight clears an append that took effect, answers its callers and logs its results; end is an
+// offset up to which the log holds records of the append.
+func completeInFlight(t *gateway.Tables, end cs.Offset, now cs.Instant, out *gateway.Actions) {
 	l := &t.JobLog
 	for _, p := range l.Proposals {
 		switch p := p.(type) {
 		case gateway.ProposeJob:
-			acceptJob(p, l.Conflicts+l.Attempts, now.Sub(l.SentAt), now, out)
+			acceptJob(p, appendStats{attempts: l.Conflicts + l.Attempts, sinceFirstSent: now.Sub(l.SentAt), end: end}, now, out)
 		case gateway.ProposeEnd:
 			confirmJobEnd(p, now, out)
 		case gateway.ProposeResult:
@@ -95,7 +96,7 @@
 	}
 	for _, r := range read.Records {
 		if r.AppendID == l.InFlight.AppendID {
-			completeInFlight(t, now, out)
+			completeInFlight(t, r.Offset+1, now, out)
 			return
 		}
 	}
--- a/batchjob/builder.go
+++ b/batchjob/builder.go
@@ -93,7 +93,7 @@
 // submit it again; one that exceeds the waiting tokens of its route is refused.
 func (b *appendBuilder) addJob(p gateway.ProposeJob) {
 	if b.t.Jobs.Get(p.Spec.ID) != nil {
-		acceptJob(p, 0, 0, b.now, b.out)
+		acceptJob(p, appendStats{}, b.now, b.out)
 		return
 	}
 	sameID := func(s gateway.JobSpec) bool { return s.ID == p.Spec.ID }
--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -154,13 +154,22 @@
 	out.Note(gateway.Note{Kind: gateway.NoteJobRefused, Job: job, Duration: duration, Outcome: refusal.Ran.String(), Reason: refusal.Message})
 }
 
-// acceptJob confirms a submission whose job is in the log. appendAttempts counts the appends that were
-// sent for it, and sinceFirstSent is the time since the last append was first sent.
-func acceptJob(p gateway.ProposeJob, appendAttempts int, sinceFirstSent cs.Span, now cs.Instant, out *gateway.Actions) {
+// appendStats describes the append that accepted a job; it is zero for a job that the log already had.
+type appendStats struct {
+	// attempts counts the appends that were sent.
+	attempts int
+	// sinceFirstSent is the time since the last append was first sent.
+	sinceFirstSent cs.Span
+	// end is an offset up to which the log holds records of the append.
+	end cs.Offset
+}
+
+// acceptJob confirms a submission whose job is in the log.
+func acceptJob(p gateway.ProposeJob, stats appendStats, now cs.Instant, out *gateway.Actions) {
 	out.Add(gateway.AnswerJob{Query: p.Query})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteJobAccepted, Job: p.Spec.ID, Route: p.Spec.Route, Count: len(p.Spec.Items), Duration: now.Sub(p.Since),
-		Attempt: cs.Attempt(appendAttempts), Age: sinceFirstSent,
+		Attempt: cs.Attempt(stats.attempts), Age: stats.sinceFirstSent, Offset: stats.end,
 	})
 }
 
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -80,7 +80,7 @@
 		}
 		a := gateway.AnswerResults{Query: q, Total: len(j.Spec.Items), Next: query.After + len(page), Results: page}
 		if len(page) == 0 && t.Feeds[gateway.FeedJobs].Age(now) > maxReadAge {
-			refuseResults(q, query.Job, staleReadRefusal(), t.Feeds[gateway.FeedJobs].Age(now), out)
+			refuseResults(t, q, query.Job, staleReadRefusal(), now, out)
 			return true
 		}
 		out.Add(a)
@@ -94,9 +94,9 @@
 func answerUnknownJob(t *gateway.Tables, q gateway.QueryID, query *gateway.ResultsQuery, readSinceQuery bool, now cs.Instant, out *gateway.Actions) bool {
 	switch {
 	case readSinceQuery:
-		refuseResults(q, query.Job, unknownJobRefusal(), t.Feeds[gateway.FeedJobs].Age(now), out)
+		refuseResults(t, q, query.Job, unknownJobRefusal(), now, out)
 	case now >= query.UnknownUntil:
-		refuseResults(q, query.Job, staleReadRefusal(), t.Feeds[gateway.FeedJobs].Age(now), out)
+		refuseResults(t, q, query.Job, staleReadRefusal(), now, out)
 	default:
 		out.WakeAt(query.UnknownUntil)
 		return false
@@ -143,17 +143,21 @@
 	}
 	out.Add(a)
 	if a.Refusal != nil {
-		logQueryRefused(e.Job, e.Item, a.Refusal, t.Feeds[gateway.FeedJobs].Age(now), out)
+		logQueryRefused(t, e.Job, e.Item, a.Refusal, now, out)
 	}
 }
 
 // refuseResults refuses a query for results and logs the refusal.
-func refuseResults(q gateway.QueryID, job cs.JobID, refusal *cs.Refusal, readAge cs.Span, out *gateway.Actions) {
+func refuseResults(t *gateway.Tables, q gateway.QueryID, job cs.JobID, refusal *cs.Refusal, now cs.Instant, out *gateway.Actions) {
 	out.Add(gateway.AnswerResults{Query: q, Refusal: refusal})
-	logQueryRefused(job, "", refusal, readAge, out)
+	logQueryRefused(t, job, "", refusal, now, out)
 }
 
-// logQueryRefused logs a refused query; readAge is the age of the last read of the job log.
-func logQueryRefused(job cs.JobID, item cs.ItemID, refusal *cs.Refusal, readAge cs.Span, out *gateway.Actions) {
-	out.Note(gateway.Note{Kind: gateway.NoteQueryRefused, Job: job, Item: item, Reason: refusal.Message, Age: readAge})
+// logQueryRefused logs a refused query with the state of the job log that decided it: the offset up to which
+// it is applied, and the age of that state.
+func logQueryRefused(t *gateway.Tables, job cs.JobID, item cs.ItemID, refusal *cs.Refusal, now cs.Instant, out *gateway.Actions) {
+	out.Note(gateway.Note{
+		Kind: gateway.NoteQueryRefused, Job: job, Item: item, Reason: refusal.Message, Offset: t.JobLog.End,
+		Age: now.Sub(t.Feeds[gateway.FeedJobs].AsOf),
+	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,7 +100,7 @@
 	v.noteLogger = newNoteLogger(v.log, v.meter)
 	v.store = platform.NewStore(s.Store.Address)
 	v.feeds = platform.NewFeeds(platform.FeedsConfig{
-		Store: v.store, Post: post, Log: v.log, GroupTimeout: max(groupTimeout, s.Store.MinGroupTimeout), Self: v.self, MaxRecord: s.Store.MaxRecord,
+		Clock: clock, Store: v.store, Post: post, Log: v.log, GroupTimeout: max(groupTimeout, s.Store.MinGroupTimeout), Self: v.self, MaxRecord: s.Store.MaxRecord,
 	})
 	v.runners = platform.NewRunners()
 	v.forward = forward.NewTraffic(forward.TrafficConfig{
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -16,6 +16,7 @@
 // the state of the fleet, then those that end or start work, last those that write to the store and to peers.
 func Systems() []gateway.System {
 	return []gateway.System{
+		roster.Delay,
 		roster.Feeds,
 		roster.Catalog,
 		roster.Runners,
@@ -106,7 +107,12 @@
 	for _, a := range l.actions.List {
 		l.execute(a)
 	}
-	return l.actions.NextWake(), nil
+	due := l.actions.NextWake()
+	l.tables.DueAt = 0
+	if due != 0 {
+		l.tables.DueAt = max(due, now)
+	}
+	return due, nil
 }
 
 // execute passes an action to its handler.
--- a/entry/notelog.go
+++ b/entry/notelog.go
@@ -75,6 +75,7 @@
 	}{
 		{"attempt", int64(n.Attempt)},
 		{"catalog", int64(n.Version)},
+		{"offset", int64(n.Offset)},
 		{"load", int64(n.Load)},
 		{"count", int64(n.Count)},
 		{"ageMs", int64(n.Age)},
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -45,6 +45,8 @@
 		Feed Feed
 		// Loaded means that the read reached the end of the feed.
 		Loaded bool
+		// AsOf is set if Loaded: everything that was in the feed at this instant has been read.
+		AsOf cs.Instant
 	}
 	// FeedFailed reports a failed read of a feed.
 	FeedFailed struct {
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -72,6 +72,8 @@
 	NotePartsChanged
 	// NoteDrainChanged: a phase of this VM's drain began.
 	NoteDrainChanged
+	// NoteTickDelayed: a tick of the control loop began late, as on a machine without enough processor time.
+	NoteTickDelayed
 )
 
 // Note is one structured log line; fields that do not apply are zero and left out of the line.
@@ -86,12 +88,14 @@
 	Route   cs.RouteName
 	Attempt cs.Attempt
 	Version cs.CatalogVersion
+	// Offset is the end of the job log as far as this VM has applied it.
+	Offset cs.Offset
 	// Load is the number of requests in flight on the runner, as far as this VM knew.
 	Load cs.Slots
 	// Age is the age of the data on which the decision was based, such as the list of runners.
 	Age cs.Span
 	// Duration is the time since the request arrived or the run started; for NoteRunnerAvoided, the length of
-	// the ejection.
+	// the ejection, and for NoteTickDelayed, the delay.
 	Duration cs.Span
 	Outcome  string
 	Reason   string
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChanged"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 298, 307, 315, 323, 335, 347, 359}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 298, 307, 315, 323, 335, 347, 359, 370}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchanged"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -54,9 +54,10 @@
 	_ = x[NoteFeedRegained-(27)]
 	_ = x[NotePartsChanged-(28)]
 	_ = x[NoteDrainChanged-(29)]
+	_ = x[NoteTickDelayed-(30)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -89,6 +90,7 @@
 	_NoteKindName[323:335]: NoteFeedRegained,
 	_NoteKindName[335:347]: NotePartsChanged,
 	_NoteKindName[347:359]: NoteDrainChanged,
+	_NoteKindName[359:370]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -122,6 +124,7 @@
 	_NoteKindLowerName[323:335]: NoteFeedRegained,
 	_NoteKindLowerName[335:347]: NotePartsChanged,
 	_NoteKindLowerName[347:359]: NoteDrainChanged,
+	_NoteKindLowerName[359:370]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -155,6 +158,7 @@
 	_NoteKindName[323:335],
 	_NoteKindName[335:347],
 	_NoteKindName[347:359],
+	_NoteKindName[359:370],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -15,6 +15,8 @@
 	Started cs.Instant
 	// Events are the events that the current tick processes, in the order of their arrival.
 	Events []Event
+	// DueAt is when this tick was due at the latest, or 0 if it was due only upon an event.
+	DueAt cs.Instant
 	// Rand is the only source of randomness of the systems, so that a run can be repeated with its seed.
 	Rand *rand.Rand
 
@@ -110,6 +112,9 @@
 	Loaded bool
 	// ReadAt is when a read last succeeded, or 0.
 	ReadAt cs.Instant
+	// AsOf is the latest instant for which everything that was in the feed then is known to have been read, or
+	// 0. It is earlier than ReadAt by the time that the read and its processing took.
+	AsOf cs.Instant
 	// FailingSince is when the current series of failed reads began, or 0 if the last read succeeded.
 	FailingSince cs.Instant
 	// RecoveredAt is when the last series of failed reads ended, or 0.
--- a/roster/feeds.go
+++ b/roster/feeds.go
@@ -18,6 +18,7 @@
 			}
 			f.ReadAt = now
 			f.Loaded = f.Loaded || e.Loaded
+			f.AsOf = max(f.AsOf, e.AsOf)
 		case gateway.FeedFailed:
 			f := t.Feeds[e.Feed]
 			if f.FailingSince == 0 {
