--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -120,14 +120,14 @@
 	}
 }
 
-// readLog delivers the records of the log that the VM has not read yet.
-func (v *vm) readLog(l *jobLog) {
+// readLog delivers the records of the log that the VM has not read yet; the read was sent at the given time.
+func (v *vm) readLog(l *jobLog, sent cs.Instant) {
 	end := cs.Offset(len(l.records))
 	if v.nextOffset < end {
 		v.inbox = append(v.inbox, gateway.JobsRead{From: v.nextOffset, End: end, Records: l.records[v.nextOffset:end]})
 		v.nextOffset = end
 	}
-	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true})
+	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: sent})
 }
 
 // completeAppends applies the pending appends of the VM to the log without faults.
@@ -173,7 +173,7 @@
 	c.Assert(accepted(a, 1), qt.IsTrue)
 	submit(b, l, newJob("j", 3), 1, startTime) // b has not read the log, so its append must conflict
 	c.Assert(b.answers, qt.HasLen, 0)
-	b.readLog(l)
+	b.readLog(l, startTime)
 	b.tick(startTime.Add(cs.Second))
 	c.Assert(accepted(b, 1), qt.IsTrue)
 	c.Assert(l.records, qt.HasLen, 1)
@@ -186,7 +186,7 @@
 	a, b := newVM("a"), newVM("b")
 	submit(a, l, newJob("j", 60), 1, startTime)
 	submit(b, l, newJob("k", 60), 1, startTime)
-	b.readLog(l)
+	b.readLog(l, startTime)
 	b.tick(startTime.Add(cs.Second))
 	refusal := b.answers[1].(gateway.AnswerJob).Refusal
 	c.Assert(refusal, qt.IsNotNil)
@@ -215,7 +215,7 @@
 				now = now.Add(100)
 				v.tick(now)
 				v.completeAppends(l)
-				v.readLog(l)
+				v.readLog(l, now)
 			}
 			c.Assert(accepted(v, 1), qt.IsTrue)
 			c.Assert(l.records, qt.HasLen, 1)
@@ -341,7 +341,7 @@
 	b.inbox = append(b.inbox, gateway.ResultsRequested{Query: 1, Job: "j", Until: startTime}, gateway.ResultsRequested{Query: 2, Job: "k", Until: startTime})
 	b.tick(startTime)
 	c.Assert(b.answers, qt.HasLen, 0)
-	b.readLog(l)
+	b.readLog(l, startTime)
 	b.tick(startTime.Add(10))
 	c.Assert(b.answers[1].(gateway.AnswerResults).Refusal == nil, qt.IsTrue)
 	c.Assert(b.answers[2].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonNotFound)
@@ -431,7 +431,7 @@
 	}
 	for _, v := range f.vms {
 		if f.rng.IntN(3) == 0 {
-			v.readLog(&f.log)
+			v.readLog(&f.log, f.now)
 		}
 		f.endRuns(v, faulty)
 		v.tick(f.now)
@@ -487,7 +487,7 @@
 		read.Records = append(read.Records, newest[key])
 	}
 	v.nextOffset = cs.Offset(snapshotEnd)
-	v.inbox = append(v.inbox, read, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true})
+	v.inbox = append(v.inbox, read, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: f.now})
 }
 
 // keyOf returns the key of a record in the keyed topic of the job log.
@@ -625,7 +625,7 @@
 	}
 	c.Assert(a.leftGroup, qt.IsTrue)
 	b.inbox = append(b.inbox, gateway.PartitionsAssigned{Partitions: []int{0, 1, 2, 3}})
-	b.readLog(l)
+	b.readLog(l, now)
 	b.tick(now)
 	b.tick(now.Add(cs.Second))
 	c.Assert(b.started, qt.HasLen, 1)
@@ -650,7 +650,7 @@
 	now := startTime.Add(40)
 	a.tick(now)
 	first := a.started[0]
-	b.readLog(l)
+	b.readLog(l, now)
 	b.tick(now)
 	now = now.Add(100)
 	b.inbox = append(b.inbox, gateway.PartitionsAssigned{Partitions: []int{0, 1, 2, 3}})
@@ -669,7 +669,7 @@
 		a.tick(now)
 		a.completeAppends(l)
 	}
-	b.readLog(l)
+	b.readLog(l, now)
 	b.tick(now)
 	b.tick(now.Add(100))
 	c.Assert(b.started, qt.HasLen, 1)
