Answer 404 for a job only from a state of the log as new as the query

Cause: a query for an unknown job was answered by the next read that was processed, whenever it was sent. Change: a query keeps its arrival; 404 needs a read that reached the end of the log and was sent no earlier (FeedState.AsOf). Without one in 800 ms the answer is 503, as before. Conclusion: the state that proves absence is judged by what it can contain, not by when it was processed.

--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -12,8 +12,8 @@
 	// maxReadAge is the age of the last read of the job log above which this VM does not report a job,
 	// item or result as missing: another VM may have appended it since.
 	maxReadAge = 900 * cs.Millisecond
-	// unknownJobWait bounds how long a query about a job that this VM does not know waits for the next
-	// read of the job log.
+	// unknownJobWait bounds how long a query about a job that this VM does not know waits for a read of the
+	// job log that was sent after it arrived.
 	unknownJobWait = 800 * cs.Millisecond
 	// maxPageBytes bounds the total text of the results in one answer, unless the first result alone exceeds it.
 	maxPageBytes = 900 << 10
@@ -52,26 +52,22 @@
 // queueResultsQuery registers a query for results. If the job is unknown, it also requests a read of
 // the job log.
 func queueResultsQuery(t *gateway.Tables, now cs.Instant, e gateway.ResultsRequested, out *gateway.Actions) {
-	query := gateway.ResultsQuery{Job: e.Job, After: max(e.After, 0), Until: e.Until}
 	if t.Jobs.Get(e.Job) == nil {
-		query.UnknownUntil = now.Add(unknownJobWait)
 		out.Add(gateway.ReadJobs{})
 	}
-	t.ResultsQueries.Insert(e.Query, query)
+	t.ResultsQueries.Insert(e.Query, gateway.ResultsQuery{Job: e.Job, After: max(e.After, 0), Until: e.Until, Arrived: now})
 }
 
 // answerResultsQueries answers the queries for which there are results and those whose wait has ended.
 func answerResultsQueries(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
-	readSinceQuery := false
-	for _, e := range t.Events {
-		if f, ok := e.(gateway.FeedRead); ok && f.Feed == gateway.FeedJobs && f.Loaded {
-			readSinceQuery = true
-		}
-	}
 	t.ResultsQueries.DeleteFunc(func(q gateway.QueryID, query *gateway.ResultsQuery) bool {
 		j := t.Jobs.Get(query.Job)
 		if j == nil {
-			return answerUnknownJob(t, q, query, readSinceQuery, now, out)
+			refusal := refuseUnknownJob(t, query.Arrived, now, out)
+			if refusal != nil {
+				refuseResults(t, q, query.Job, refusal, now, out)
+			}
+			return refusal != nil
 		}
 		page := resultsPage(j, query.After)
 		if len(page) == 0 && j.Open() && now < query.Until {
@@ -88,20 +84,20 @@
 	})
 }
 
-// answerUnknownJob answers a query about a job that this VM does not know, and reports whether it did.
-// The job counts as missing once the log has been read after the query arrived; if the log is not read
-// in time, the caller is told that it is unavailable.
-func answerUnknownJob(t *gateway.Tables, q gateway.QueryID, query *gateway.ResultsQuery, readSinceQuery bool, now cs.Instant, out *gateway.Actions) bool {
+// refuseUnknownJob returns the refusal of a query about a job that this VM does not know, or nil while the
+// query must wait. The job counts as missing only if the state of the log that this VM has applied is not older
+// than the query: another VM may have accepted the job before. If no such state is read in time, the caller is
+// told that the log is unavailable.
+func refuseUnknownJob(t *gateway.Tables, arrived, now cs.Instant, out *gateway.Actions) *cs.Refusal {
+	waitEnd := arrived.Add(unknownJobWait)
 	switch {
-	case readSinceQuery:
-		refuseResults(t, q, query.Job, unknownJobRefusal(), now, out)
-	case now >= query.UnknownUntil:
-		refuseResults(t, q, query.Job, staleReadRefusal(), now, out)
-	default:
-		out.WakeAt(query.UnknownUntil)
-		return false
+	case t.Feeds[gateway.FeedJobs].AsOf >= arrived:
+		return unknownJobRefusal()
+	case now >= waitEnd:
+		return staleReadRefusal()
 	}
-	return true
+	out.WakeAt(waitEnd)
+	return nil
 }
 
 // staleReadRefusal says that the last read of the job log is too old to answer from.
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -139,9 +139,8 @@
 	// After is the number of results to skip, and Until when the request is answered without new ones.
 	After int
 	Until cs.Instant
-	// UnknownUntil is how long the answer waits for the next read of the job log, if this VM did not know
-	// the job when the request arrived.
-	UnknownUntil cs.Instant
+	// Arrived is when the request arrived.
+	Arrived cs.Instant
 }
 
 // Partitions describes the partitions of the batch work that this VM owns, and its membership in the batch
