Hold queries for the body of an item until its job is known or proved missing

What callers would see: 404 for the body of an item of an accepted job, at a VM that has not read the job yet. Cause: the same as that of the 404 for jobs. An unknown job counted as missing if any read was processed in the last 900 ms, also one sent long before or one that did not reach the end of the log. Evidence: TestItemBodyOfUnknownJobNeedsCurrentLog failed before, with "no such job" in the tick of the query. Change: the queries are rows of BodyQueries and wait like those for results; refuseUnknownJob decides for both.

--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -31,14 +31,19 @@
 		case gateway.ResultsRequested:
 			queueResultsQuery(t, now, e, out)
 		case gateway.ItemBodyRequested:
-			answerItemBody(t, now, e, out)
+			if t.Jobs.Get(e.Job) == nil {
+				out.Add(gateway.ReadJobs{})
+			}
+			t.BodyQueries.Insert(e.Query, gateway.BodyQuery{Job: e.Job, Item: e.Item, Arrived: now})
 		case gateway.QueryCancelled:
 			t.ResultsQueries.Delete(e.Query)
+			t.BodyQueries.Delete(e.Query)
 			t.Proposals = slices.DeleteFunc(t.Proposals, func(p gateway.Proposal) bool { return isSubmissionOf(p, e.Query) })
 		default:
 		}
 	}
 	answerResultsQueries(t, now, out)
+	answerBodyQueries(t, now, out)
 }
 
 // isSubmissionOf reports whether a proposal is the job submission of a query. If the caller disconnects
@@ -121,26 +126,31 @@
 	return slices.Clone(j.Results[after:end])
 }
 
-// answerItemBody answers a query for the body of an item.
-func answerItemBody(t *gateway.Tables, now cs.Instant, e gateway.ItemBodyRequested, out *gateway.Actions) {
-	a := gateway.AnswerBody{Query: e.Query}
-	j := t.Jobs.Get(e.Job)
-	i := -1
-	if j != nil && !j.Ended {
-		i = itemIndex(j, e.Item)
-	}
-	switch {
-	case i >= 0:
-		a.Body = j.Spec.Items[i].Body
-	case j == nil && t.Feeds[gateway.FeedJobs].Age(now) > maxReadAge:
-		a.Refusal = staleReadRefusal()
-	default:
-		a.Refusal = unknownJobRefusal()
-	}
-	out.Add(a)
-	if a.Refusal != nil {
-		logQueryRefused(t, e.Job, e.Item, a.Refusal, now, out)
+// answerBodyQueries answers the queries for bodies of items, except those that must wait because their job is
+// unknown.
+func answerBodyQueries(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+	t.BodyQueries.DeleteFunc(func(q gateway.QueryID, query *gateway.BodyQuery) bool {
+		a := gateway.AnswerBody{Query: q}
+		if j := t.Jobs.Get(query.Job); j != nil {
+			a.Body, a.Refusal = itemBody(j, query.Item)
+		} else if a.Refusal = refuseUnknownJob(t, query.Arrived, now, out); a.Refusal == nil {
+			return false
+		}
+		out.Add(a)
+		if a.Refusal != nil {
+			logQueryRefused(t, query.Job, query.Item, a.Refusal, now, out)
+		}
+		return true
+	})
+}
+
+// itemBody returns the body of an item, or a refusal if the job has ended or never had the item.
+func itemBody(j *gateway.Job, id cs.ItemID) ([]byte, *cs.Refusal) {
+	i := itemIndex(j, id)
+	if j.Ended || i < 0 {
+		return nil, unknownJobRefusal()
 	}
+	return j.Spec.Items[i].Body, nil
 }
 
 // refuseResults refuses a query for results and logs the refusal.
--- a/batchjob/queries_test.go
+++ b/batchjob/queries_test.go
@@ -36,3 +36,30 @@
 	b.tick(now.Add(10))
 	c.Assert(b.answers[1].(gateway.AnswerResults).Refusal == nil, qt.IsTrue)
 }
+
+// Guards against an item of an accepted job that is reported as missing by a VM that has not read the job yet,
+// because reads that were sent long ago, or that did not reach the end of the log, count as recent.
+func TestItemBodyOfUnknownJobNeedsCurrentLog(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	a, b := newVM("a"), newVM("b")
+	spec := newJob("j", 1)
+	spec.Items[0].Body = []byte("body")
+	submit(a, l, spec, 1, startTime.Add(100))
+	now := startTime.Add(7 * cs.Second)
+	b.oldSnapshot(startTime)
+	b.inbox = append(b.inbox, gateway.FeedRead{Feed: gateway.FeedJobs})
+	b.tick(now)
+	b.inbox = append(b.inbox,
+		gateway.ItemBodyRequested{Query: 1, Job: "j", Item: "j-0"}, gateway.ItemBodyRequested{Query: 2, Job: "k", Item: "k-0"})
+	b.tick(now)
+	c.Assert(b.answers, qt.HasLen, 0)
+	b.readLog(l, now)
+	b.tick(now.Add(10))
+	c.Assert(string(b.answers[1].(gateway.AnswerBody).Body), qt.Equals, "body")
+	c.Assert(b.answers[2].(gateway.AnswerBody).Refusal.Reason, qt.Equals, cs.ReasonNotFound)
+	b.inbox = append(b.inbox, gateway.ItemBodyRequested{Query: 3, Job: "k", Item: "k-0"})
+	b.tick(now.Add(20))
+	b.tick(now.Add(2 * cs.Second))
+	c.Assert(b.answers[3].(gateway.AnswerBody).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -143,6 +143,13 @@
 	Arrived cs.Instant
 }
 
+// BodyQuery is a request for the body of an item, which waits while its job is unknown.
+type BodyQuery struct {
+	Job     cs.JobID
+	Item    cs.ItemID
+	Arrived cs.Instant
+}
+
 // Partitions describes the partitions of the batch work that this VM owns, and its membership in the batch
 // group, through which the store assigns them.
 type Partitions struct {
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -38,6 +38,8 @@
 	Proposals []Proposal
 	// ResultsQueries holds the requests for the results of a job that have not been answered.
 	ResultsQueries *fleet.Table[QueryID, ResultsQuery]
+	// BodyQueries holds the requests for the body of an item that have not been answered.
+	BodyQueries *fleet.Table[QueryID, BodyQuery]
 
 	Feeds      map[Feed]*FeedState
 	JobLog     JobLog
@@ -61,6 +63,7 @@
 		Suspects:       fleet.NewTable[cs.ContentHash, Suspect](),
 		Jobs:           fleet.NewTable[cs.JobID, Job](),
 		ResultsQueries: fleet.NewTable[QueryID, ResultsQuery](),
+		BodyQueries:    fleet.NewTable[QueryID, BodyQuery](),
 		Feeds: map[Feed]*FeedState{
 			FeedCatalog: {}, FeedRunners: {}, FeedVMs: {}, FeedJobs: {},
 		},
