Count the age of a feed from when its last complete read was sent

What callers would see: an empty page of results from a VM that lags behind the log, for positions that they have read at another VM; and a quota checked against an old view. Cause: FeedState.ReadAt was when a read was processed, and a read that returned 512 KB of a longer backlog counted as well. A VM that lags by any time looked current to the checks of maxReadAge and maxQuotaReadAge. Evidence: TestLaggingVMDoesNotSayThatThereIsNoResult failed before: an answer without a refusal 7 s after the last read that reached the end. Ruled out: reads of an idle log as a cause of refusals; an empty long poll counts up to the end of its wait, so that the age stays below the 150 ms pause and 400 ms wait of a read, twice. Change: Age is that of AsOf; ReadAt is gone.

--- a/batchjob/builder.go
+++ b/batchjob/builder.go
@@ -130,8 +130,8 @@
 // the quota is exceeded only if they accept that many jobs before they read each other's.
 const conditionalMarginJobs = 8
 
-// maxQuotaReadAge is the age of the last read of the job log above which this VM's view of a quota counts
-// as out of date, so that jobs are accepted by conditional appends only.
+// maxQuotaReadAge is the age of this VM's view of the job log above which its view of a quota counts as out
+// of date, so that jobs are accepted by conditional appends only.
 const maxQuotaReadAge = cs.Second
 
 // conditional reports whether a proposal needs a conditional append, which takes effect only if the log
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -9,8 +9,8 @@
 
 // Limits on answers to callers.
 const (
-	// maxReadAge is the age of the last read of the job log above which this VM does not report a job,
-	// item or result as missing: another VM may have appended it since.
+	// maxReadAge is the age of this VM's view of the job log above which it does not report that there are no
+	// further results: another VM may have appended some since.
 	maxReadAge = 900 * cs.Millisecond
 	// unknownJobWait bounds how long a query about a job that this VM does not know waits for a read of the
 	// job log that was sent after it arrived.
@@ -164,6 +164,6 @@
 func logQueryRefused(t *gateway.Tables, job cs.JobID, item cs.ItemID, refusal *cs.Refusal, now cs.Instant, out *gateway.Actions) {
 	out.Note(gateway.Note{
 		Kind: gateway.NoteQueryRefused, Job: job, Item: item, Reason: refusal.Message, Offset: t.JobLog.End,
-		Age: now.Sub(t.Feeds[gateway.FeedJobs].AsOf),
+		Age: t.Feeds[gateway.FeedJobs].Age(now),
 	})
 }
--- a/batchjob/queries_test.go
+++ b/batchjob/queries_test.go
@@ -63,3 +63,19 @@
 	b.tick(now.Add(2 * cs.Second))
 	c.Assert(b.answers[3].(gateway.AnswerBody).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
 }
+
+// Guards against a page without results from a VM that lags behind the log, for a position that a caller has
+// read elsewhere: a read that did not reach the end of the log does not make the VM's view current.
+func TestLaggingVMDoesNotSayThatThereIsNoResult(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	v := newVM("a")
+	submit(v, l, newJob("j", 1), 1, startTime)
+	v.readLog(l, startTime)
+	v.tick(startTime)
+	now := startTime.Add(7 * cs.Second)
+	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs}, gateway.ResultsRequested{Query: 2, Job: "j", Until: now})
+	v.tick(now)
+	c.Assert(v.answers[2].(gateway.AnswerResults).Refusal != nil, qt.IsTrue)
+	c.Assert(v.answers[2].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -113,10 +113,8 @@
 type FeedState struct {
 	// Loaded means that the feed has been read to its end at least once.
 	Loaded bool
-	// ReadAt is when a read last succeeded, or 0.
-	ReadAt cs.Instant
 	// AsOf is the latest instant for which everything that was in the feed then is known to have been read, or
-	// 0. It is earlier than ReadAt by the time that the read and its processing took.
+	// 0. The time that reads take, and reads that do not reach the end of the feed, do not advance it.
 	AsOf cs.Instant
 	// FailingSince is when the current series of failed reads began, or 0 if the last read succeeded.
 	FailingSince cs.Instant
@@ -124,5 +122,5 @@
 	RecoveredAt cs.Instant
 }
 
-// Age returns the time since the last successful read of the feed.
-func (f *FeedState) Age(now cs.Instant) cs.Span { return now.Sub(f.ReadAt) }
+// Age returns the age of the state of the feed that this VM has read.
+func (f *FeedState) Age(now cs.Instant) cs.Span { return now.Sub(f.AsOf) }
--- a/roster/feeds.go
+++ b/roster/feeds.go
@@ -16,7 +16,6 @@
 				out.Note(gateway.Note{Kind: gateway.NoteFeedRegained, Feed: e.Feed.String(), Age: now.Sub(f.FailingSince)})
 				f.FailingSince, f.RecoveredAt = 0, now
 			}
-			f.ReadAt = now
 			f.Loaded = f.Loaded || e.Loaded
 			f.AsOf = max(f.AsOf, e.AsOf)
 		case gateway.FeedFailed:
