Hold the end of an unknown job until the job is known or proved missing

What callers would see: 404 for the end of an accepted job, which then runs on, at a VM that has not read it. Cause: as for queries; addEnd took a job that is not in the tables as missing, without asking for a read. Evidence: TestEndOfUnknownJobNeedsCurrentLog failed before, with "no such job" in the tick of the request. Change: such a proposal asks for a read and stays in the queue; refuseUnknownJob decides for it, too.

--- a/batchjob/builder.go
+++ b/batchjob/builder.go
@@ -29,17 +29,17 @@
 }
 
 // addProposal checks a proposal and adds its change. A proposal that needs no change or is refused is
-// answered at once.
-func (b *appendBuilder) addProposal(p gateway.Proposal) {
+// answered at once. It returns false for a proposal that cannot be decided yet.
+func (b *appendBuilder) addProposal(p gateway.Proposal) bool {
 	switch p := p.(type) {
 	case gateway.ProposeJob:
 		b.addJob(p)
 	case gateway.ProposeEnd:
-		b.addEnd(p)
+		return b.addEnd(p)
 	case gateway.ProposeResult:
 		j := b.t.Jobs.Get(p.Key.Job)
 		if j == nil || j.Ended || j.ItemWork[p.Key.Index].Phase == gateway.ItemListed || b.hasResult(p.Key) {
-			return
+			return true
 		}
 		b.appendChange(p, gateway.JobResultAppended{
 			Job: p.Key.Job, Index: p.Key.Index, AppendID: b.appendID, Result: p.Result,
@@ -51,6 +51,7 @@
 			b.appendChange(p, gateway.JobRemoved{Job: p.Job, Spec: j.Spec, ResultKeys: slices.Clone(j.ResultKeys), Progressed: itemsWithProgress(j)})
 		}
 	}
+	return true
 }
 
 // hasResult reports whether the append already holds a result of an item. The same item is proposed twice
@@ -112,17 +113,21 @@
 }
 
 // addEnd adds the end of a job, or answers at once if the job is unknown or has ended.
-func (b *appendBuilder) addEnd(p gateway.ProposeEnd) {
+func (b *appendBuilder) addEnd(p gateway.ProposeEnd) bool {
 	j := b.t.Jobs.Get(p.Job)
-	if j == nil {
-		refuseJob(p.Query, p.Job, b.now.Sub(p.Since), *unknownJobRefusal(), b.out)
-		return
-	}
-	if j.Ended {
+	switch {
+	case j == nil:
+		refusal := refuseUnknownJob(b.t, p.Since, b.now, b.out)
+		if refusal == nil {
+			return false
+		}
+		refuseJob(p.Query, p.Job, b.now.Sub(p.Since), *refusal, b.out)
+	case j.Ended:
 		confirmJobEnd(p, b.now, b.out)
-		return
+	default:
+		b.appendChange(p, gateway.JobEnded{Job: p.Job})
 	}
-	b.appendChange(p, gateway.JobEnded{Job: p.Job})
+	return true
 }
 
 // conditionalMarginJobs is the number of jobs of the size of a new one that must fit into its route's
--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -71,8 +71,11 @@
 			remaining = append(remaining, p)
 			continue
 		}
+		if !b.addProposal(p) {
+			remaining = append(remaining, p)
+			continue
+		}
 		hasFirst, conditional = true, isConditional
-		b.addProposal(p)
 	}
 	t.Proposals = remaining
 	if len(b.changes) == 0 {
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -27,6 +27,9 @@
 		case gateway.JobSubmitted:
 			t.Proposals = append(t.Proposals, gateway.ProposeJob{Query: e.Query, Spec: e.Spec, Since: now})
 		case gateway.JobEndRequested:
+			if t.Jobs.Get(e.Job) == nil {
+				out.Add(gateway.ReadJobs{})
+			}
 			t.Proposals = append(t.Proposals, gateway.ProposeEnd{Query: e.Query, Job: e.Job, Since: now})
 		case gateway.ResultsRequested:
 			queueResultsQuery(t, now, e, out)
--- a/batchjob/queries_test.go
+++ b/batchjob/queries_test.go
@@ -79,3 +79,28 @@
 	c.Assert(v.answers[2].(gateway.AnswerResults).Refusal != nil, qt.IsTrue)
 	c.Assert(v.answers[2].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
 }
+
+// Guards against an accepted job that cannot be ended through a VM that has not read it yet.
+func TestEndOfUnknownJobNeedsCurrentLog(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	a, b := newVM("a"), newVM("b")
+	submit(a, l, newJob("j", 1), 1, startTime.Add(100))
+	now := startTime.Add(7 * cs.Second)
+	b.oldSnapshot(startTime)
+	b.inbox = append(b.inbox, gateway.JobEndRequested{Query: 1, Job: "j"}, gateway.JobEndRequested{Query: 2, Job: "k"})
+	b.tick(now)
+	c.Assert(b.answers, qt.HasLen, 0)
+	b.readLog(l, now)
+	now = now.Add(10)
+	for range 3 {
+		b.tick(now)
+		b.completeAppends(l)
+	}
+	c.Assert(accepted(b, 1), qt.IsTrue)
+	c.Assert(b.answers[2].(gateway.AnswerJob).Refusal.Reason, qt.Equals, cs.ReasonNotFound)
+	b.inbox = append(b.inbox, gateway.JobEndRequested{Query: 3, Job: "k"})
+	b.tick(now.Add(10))
+	b.tick(now.Add(4 * cs.Second))
+	c.Assert(b.answers[3].(gateway.AnswerJob).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+}
