--- a/gateway/view.go
+++ b/gateway/view.go
@@ -9,6 +9,8 @@
 type View struct {
 	// Catalog is nil until a version is known.
 	Catalog *cs.Catalog
+	// CatalogAsOf is the latest instant for which Catalog is known to have been the newest version, or 0.
+	CatalogAsOf cs.Instant
 	// Loaded means that the catalog and the list of runners are known, from the store or from a peer.
 	Loaded bool
 	// Ready is the answer to the platform's readiness probe: callers may be routed to this VM.
@@ -22,6 +24,6 @@
 	leaving := t.Drain.Phase != fleet.DrainNone
 	loaded := t.Catalog != nil && t.RunnersLoaded()
 	return View{
-		Catalog: t.Catalog, Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
+		Catalog: t.Catalog, CatalogAsOf: t.Feeds[FeedCatalog].AsOf, Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
 	}
 }
