Never withhold a batch item since runners crashed under it

What callers saw: after a burst of crashes in which three runners died under the same sound item, the item was not placed again although runners had free slots. It ended as given up (dead_letter) when the retention time of its route had passed.

Cause: an item in flight before its first event was recorded as a suspect at each crash, and Schedule left out items with three crashes until a minute after the last one, which is as long as the retention in the test. Reports spread the suspects, so that the next owner of the item withheld it too.

Evidence: the new tests on the code before this change: TestItemIsOwedAfterRunnersCrashed, 3 crashes: "not started again within a minute after the burst", 3 runs instead of 4, and the log gets a result for j-0 with Done:false; 8 crashes: "not started again within a second after 3 crashes"; TestItemIsOwedByNextOwnerAfterRunnersCrashed: "not started within a minute after the burst", 0 runs instead of 1. Ruled out: probation and ejection of runners, since a runner that is back has a new incarnation or id and no recorded failures; with this change the item starts within 0.5 s of the last crash, at its next owner within 1.5 s.

Change: items are no suspects any more, neither at the VM nor in its reports; only online requests are. The content hash of items and their crash limit are removed. An interrupted run still puts its runner on probation. The limit on online requests that crash runners stays as it was.

--- a/batchjob/outcomes.go
+++ b/batchjob/outcomes.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
@@ -17,9 +16,6 @@
 	interruptedRetryDelay = 100 * cs.Millisecond
 	// errorRetryDelay is the pause after a runner responded with an error.
 	errorRetryDelay = 300 * cs.Millisecond
-	// maxItemCrashes is the number of runner crashes after which an item is not started again. It is then
-	// given up once its retention time has passed.
-	maxItemCrashes = 3
 )
 
 // ApplyOutcomes handles the end of item runs: it stores their output, proposes results and schedules retries.
@@ -78,7 +74,7 @@
 		}
 	case gateway.ItemInterrupted:
 		w.NotBefore, note.Reason = now.Add(interruptedRetryDelay), o.Error
-		recordInterruption(t, runner, e, o, now, out)
+		recordInterruption(t, runner, o, now, out)
 	case gateway.ItemStopped:
 		note.Reason = "stopped"
 	}
@@ -89,18 +85,13 @@
 }
 
 // recordInterruption records the cause of an interrupted run at its runner: a timeout or a lost connection. A
-// connection that was lost before the first event is also recorded as a possible crash caused by the item.
-func recordInterruption(t *gateway.Tables, runner *gateway.Runner, e gateway.ItemRunEnded, o gateway.ItemInterrupted, now cs.Instant, out *gateway.Actions) {
+// crash of the runner is never counted against the item, since the platform's items do not crash runners.
+func recordInterruption(t *gateway.Tables, runner *gateway.Runner, o gateway.ItemInterrupted, now cs.Instant, out *gateway.Actions) {
 	if o.TimedOut {
 		t.TimedOut(runner, now, o.Error, out)
 	}
-	if !o.Disconnected {
-		return
-	}
-	t.RecordConnectionLoss(runner, now, o.Error, out)
-	if e.LastEvent == 0 {
-		itemID := t.Jobs.Get(e.Key.Job).Spec.Items[e.Key.Index].ID
-		t.RecordPossibleCrash(runner, gateway.PossibleCrash{Content: contentHash(e.Key), Item: itemID, At: now})
+	if o.Disconnected {
+		t.RecordConnectionLoss(runner, now, o.Error, out)
 	}
 }
 
@@ -112,20 +103,6 @@
 	w.Text, w.LastEvent = append(w.Text, e.Text...), e.LastEvent
 }
 
-// contentHash returns the hash by which an item is tracked as a possible cause of runner crashes.
-func contentHash(k gateway.ItemKey) cs.ContentHash {
-	return cs.HashContent(string(k.Job), strconv.Itoa(k.Index))
-}
-
-// crashLimitReached reports whether an item has crashed so many runners that it must not run again.
-func crashLimitReached(t *gateway.Tables, k gateway.ItemKey) bool {
-	if t.Suspects.Len() == 0 {
-		return false
-	}
-	s := t.Suspects.Get(contentHash(k))
-	return s != nil && s.Crashes >= maxItemCrashes
-}
-
 // maxAttempts returns after how many failed runs an item is given up. If its route is not in the catalog,
 // the number is practically unlimited, since the route's limit is not known.
 func maxAttempts(t *gateway.Tables, j *gateway.Job) cs.Attempt {
--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -163,9 +163,7 @@
 				out.WakeAt(earliest)
 				continue
 			}
-			if !crashLimitReached(t, k) {
-				waiting = append(waiting, candidate{key: k, urgency: urgencyOf(t, j, w, now)})
-			}
+			waiting = append(waiting, candidate{key: k, urgency: urgencyOf(t, j, w, now)})
 		}
 	}
 	return waiting
--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -69,6 +69,7 @@
 	stopped    []gateway.StopItem
 	answers    map[gateway.QueryID]gateway.Action
 	appends    []gateway.AppendJobs
+	reports    []gateway.Report
 	// leftGroup means that the VM has left the group that divides the job partitions.
 	leftGroup bool
 }
@@ -107,6 +108,8 @@
 			v.stopped = append(v.stopped, a)
 		case gateway.AppendJobs:
 			v.appends = append(v.appends, a)
+		case gateway.SendReport:
+			v.reports = append(v.reports, a.Report)
 		case gateway.LeaveGroup:
 			v.leftGroup = true
 		case gateway.AnswerJob:
@@ -736,6 +739,94 @@
 	}
 }
 
+// restarts lists the ways in which a VM learns that a runner has crashed and is back.
+var restarts = map[string]func(cs.Runner) gateway.RunnersRead{
+	"new incarnation": func(r cs.Runner) gateway.RunnersRead {
+		r.Incarnation++
+		return gateway.RunnersRead{Changes: []gateway.RunnerChange{{ID: r.ID, Runner: &r}}}
+	},
+	"new id": func(r cs.Runner) gateway.RunnersRead {
+		next := r
+		next.ID += "'"
+		return gateway.RunnersRead{Changes: []gateway.RunnerChange{{ID: r.ID}, {ID: next.ID, Runner: &next}}}
+	},
+}
+
+// awaitRun ticks a VM that owns all partitions until it has started n runs, at most for the given time. It
+// returns the time at which it stopped.
+func awaitRun(v *vm, n int, now cs.Instant, limit cs.Span) cs.Instant {
+	for end := now.Add(limit); len(v.started) < n && now < end; {
+		now = now.Add(50)
+		v.inbox = append(v.inbox, gateway.PartitionsAssigned{Partitions: []int{0, 1, 2, 3}})
+		v.tick(now)
+	}
+	return now
+}
+
+// crashBurst lets the runners of the first n runs of a VM's only item crash before the first event. Each is back
+// after 400 ms. It returns the end of the burst.
+func crashBurst(c *qt.C, v *vm, n int, restart func(cs.Runner) gateway.RunnersRead) cs.Instant {
+	now := startTime
+	for i := range n {
+		now = awaitRun(v, i+1, now, cs.Second)
+		c.Assert(len(v.started), qt.Equals, i+1, qt.Commentf("not started again within a second after %d crashes", i))
+		run := v.started[i]
+		v.inbox = append(v.inbox, gateway.ItemRunEnded{
+			Key: run.Key, Attempt: run.Attempt, Outcome: gateway.ItemInterrupted{Error: "reset", Disconnected: true},
+		})
+		v.tick(now)
+		now = now.Add(400)
+		v.inbox = append(v.inbox, restart(v.Runners.Get(run.Runner).Spec))
+		v.tick(now)
+	}
+	return now
+}
+
+// Guards against an item that is never placed again after a burst in which several runners crashed under it. It
+// was withheld for a minute after the third crash, until its retention time had passed.
+func TestItemIsOwedAfterRunnersCrashed(t *testing.T) {
+	for name, restart := range restarts {
+		for _, crashes := range []int{3, 8} {
+			t.Run(fmt.Sprintf("%s, %d crashes", name, crashes), func(t *testing.T) {
+				c := qt.New(t)
+				l := &jobLog{}
+				v := newVM("a", 0, 1, 2, 3)
+				submit(v, l, newJob("j", 1), 1, startTime)
+				calm := crashBurst(c, v, crashes, restart)
+				now := awaitRun(v, crashes+1, calm, cs.Minute)
+				c.Assert(len(v.started), qt.Equals, crashes+1, qt.Commentf("not started again within a minute after the burst"))
+				c.Assert(now.Sub(calm) <= 500, qt.IsTrue, qt.Commentf("started %v after the burst", now.Sub(calm)))
+				run := v.started[crashes]
+				v.inbox = append(v.inbox, gateway.ItemRunEnded{
+					Key: run.Key, Attempt: run.Attempt, Outcome: gateway.ItemCompleted{}, Text: []byte("t"), LastEvent: 1,
+				})
+				v.tick(now)
+				v.completeAppends(l)
+				v.tick(now)
+				c.Assert(v.Jobs.Get("j").Results, qt.DeepEquals, []gateway.Result{{Item: "j-0", Done: true, Text: "t"}})
+			})
+		}
+	}
+}
+
+// Guards against an item that its next owner withholds, since the reports of the previous owner name it as a
+// suspect.
+func TestItemIsOwedByNextOwnerAfterRunnersCrashed(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	a, b := newVM("a", 0, 1, 2, 3), newVM("b")
+	submit(a, l, newJob("j", 1), 1, startTime)
+	b.readLog(l)
+	b.tick(startTime)
+	calm := crashBurst(c, a, 3, restarts["new incarnation"])
+	for _, r := range a.reports {
+		b.inbox = append(b.inbox, gateway.PeerReported{Report: r, Address: "a"})
+	}
+	now := awaitRun(b, 1, calm, cs.Minute)
+	c.Assert(len(b.started), qt.Equals, 1, qt.Commentf("not started within a minute after the burst"))
+	c.Assert(now.Sub(calm) <= 1500, qt.IsTrue, qt.Commentf("started %v after the burst", now.Sub(calm)))
+}
+
 // Guards against a backlog in which jobs that can no longer meet their due time run first, so that the jobs
 // behind them are late as well.
 func TestLateItemsAreScheduledLast(t *testing.T) {
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -58,7 +58,7 @@
 	// NoteRunnerDoubted: a connection to a runner was lost, and it gets one request at a time until it
 	// responds.
 	NoteRunnerDoubted
-	// NoteContentSuspected: a request or item was in flight on a runner that crashed.
+	// NoteContentSuspected: an online request was in flight on a runner that crashed.
 	NoteContentSuspected
 	// NotePeerFound: the first report of a peer arrived, or the first after a timeout.
 	NotePeerFound
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -2,8 +2,8 @@
 
 import cs "github.com/crocusstile/crocusstile"
 
-// Suspect is a request content or batch item that was in flight on runners when they crashed and may have
-// caused the crashes. Its key in the table is the hash of the content.
+// Suspect is the content of an online request that was in flight on runners when they crashed and may have
+// caused the crashes. Its key in the table is the hash of the content. Batch items are never suspects.
 type Suspect struct {
 	// Crashes is the number of crashes that this VM has counted, raised to the highest number that a peer
 	// has reported.
@@ -18,13 +18,11 @@
 	Crashes int            `cbor:"n"`
 }
 
-// PossibleCrash is a connection to a runner that was lost while a request or item was in flight. Whether
+// PossibleCrash is a connection to a runner that was lost while an online request was in flight. Whether
 // the runner has crashed is decided later, when its registration or its address shows it (see Crashed).
 type PossibleCrash struct {
-	Content cs.ContentHash
-	// Request is set for an online request, Item for a batch item.
+	Content     cs.ContentHash
 	Request     cs.RequestID
-	Item        cs.ItemID
 	Runner      cs.RunnerID
 	Incarnation cs.Incarnation
 	DataCentre  cs.DataCentreID
--- a/roster/crashes.go
+++ b/roster/crashes.go
@@ -39,7 +39,6 @@
 	s.Crashes++
 	s.Seen = now
 	out.Note(gateway.Note{
-		Kind: gateway.NoteContentSuspected, Request: p.Request, Item: p.Item, Runner: p.Runner, Count: s.Crashes,
-		Age: now.Sub(p.At),
+		Kind: gateway.NoteContentSuspected, Request: p.Request, Runner: p.Runner, Count: s.Crashes, Age: now.Sub(p.At),
 	})
 }
