Don't quarantine batch items in the former daemon

What callers saw: an item of crocusstiled that had been in flight on two runners when these crashed ended as failed with "failed, quarantined: this request has crashed runners", though it was sound. The users say that items handed in for later never crash servers by themselves, and that an item under which servers crashed is still owed.

Cause: quarantine.Watch made items suspects like online requests, by content hash; batch.startRun returned an item with a refused content as quarantined, and job.isFinal ended it as failed. Runs whose content was quarantined while they ran were stopped. Before the second crash an item was held back for the one runner on which the quarantine placed it.

Change: only online requests become suspects. Batch senders start granted items on the runner that was offered, whatever the quarantine says of the same content sent online, and no run is stopped for it. A run of an item whose connection breaks still reveals the crash of its runner, so that online requests in flight there become suspects. The marks on items and in grants, which are no longer used, are removed; a quarantine refusal from a sender of an earlier version is a failed attempt.

--- a/batch/grant.go
+++ b/batch/grant.go
@@ -6,7 +6,6 @@
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/limit"
-	"github.com/crocusstile/crocusstile/quarantine"
 )
 
 // minDeclineTime and maxDeclineTime bound the time during which an owner that granted fewer items
@@ -67,32 +66,12 @@
 	}
 	for _, item := range m.Items {
 		run := fleet.Run{GrantedItem: item, Grant: item.Attempt, Runner: m.Runner, Owner: from, Shard: m.Shard, Since: now}
-		runner := runnerFor(t, r, run, now)
-		if runner != nil {
-			run.Runner = runner.ID
-		}
-		if !accepts(t, runner, now) || !startRun(t, runner, run, now, out) {
-			returnUnstarted(t, run, nil, out)
-		}
-	}
-}
-
-// runnerFor returns the runner for an item: for a suspect item the one chosen by quarantine, if
-// this VM is the batch sender of that runner, and for any other item the one that was offered.
-func runnerFor(t *fleet.Tables, offered *fleet.Runner, run fleet.Run, now cs.Instant) *fleet.Runner {
-	h := cs.HashTarget(run.Item.Target)
-	if run.Suspect {
-		quarantine.MarkSuspect(t, h, now)
-	}
-	if !quarantine.Suspect(t, h, now) {
-		return offered
-	}
-	if id, ok := quarantine.SuspectRunner(t, h, run.Item.Target, now); ok {
-		if r := t.Runners.Get(id); r != nil && r.Sender == t.Self.ID {
-			return r
+		if !accepts(t, r, now) {
+			returnUnstarted(t, run, out)
+			continue
 		}
+		startRun(t, r, run, now, out)
 	}
-	return offered
 }
 
 // closeOffer removes an offer and returns its number of slots, or 0 if it has expired.
@@ -142,25 +121,16 @@
 	return online+r.Batch+margin(t, r, online) < limit.Slots(r)
 }
 
-// startRun starts an item unless quarantine blocks its content. It returns false if the item may
-// run, but not on this runner.
-func startRun(t *fleet.Tables, r *fleet.Runner, run fleet.Run, now cs.Instant, out *fleet.Actions) bool {
+// startRun starts an item on a runner. The quarantine doesn't apply to items: they never crash runners by
+// themselves, and an item under which runners crashed is still owed.
+func startRun(t *fleet.Tables, r *fleet.Runner, run fleet.Run, now cs.Instant, out *fleet.Actions) {
 	if old := t.Runs.Get(run.Key); old != nil {
 		reassign(old, run, now, out)
-		return true
-	}
-	h := cs.HashTarget(run.Item.Target)
-	if quarantine.Refused(t, h, now) {
-		returnUnstarted(t, run, quarantine.Refusal(), out)
-		return true
-	}
-	if !quarantine.RunnerAllowed(t, h, run.Item.Target, r.ID, now) {
-		return false
+		return
 	}
 	t.Runs.Insert(run.Key, run)
 	limit.AddInFlight(r, cs.Batch, 1, now)
 	out.Add(fleet.RunItem{Item: run.GrantedItem, Runner: r.ID, Address: r.Address})
-	return true
 }
 
 // reassign directs the outcome of a run to the VM that granted the item again: either the same
@@ -172,14 +142,11 @@
 	out.WakeAt(now)
 }
 
-// returnUnstarted returns an item that did not run, with the given refusal; nil means that no slot
-// was free.
-func returnUnstarted(t *fleet.Tables, run fleet.Run, refusal *cs.Refusal, out *fleet.Actions) {
-	if refusal == nil {
-		refusal = cs.Refuse(cs.ReasonUnavailable, "the slot offered is taken")
-	}
+// returnUnstarted returns an item that did not run since no slot was free.
+func returnUnstarted(t *fleet.Tables, run fleet.Run, out *fleet.Actions) {
 	run.Outcome = &cs.ItemOutcome{
-		Key: run.Key, Attempt: run.Attempt, Output: run.Partial, Tokens: run.Tokens, Refusal: refusal,
+		Key: run.Key, Attempt: run.Attempt, Output: run.Partial, Tokens: run.Tokens,
+		Refusal: cs.Refuse(cs.ReasonUnavailable, "the slot offered is taken"),
 	}
 	deliver(t, &run, out)
 }
--- a/batch/preempt.go
+++ b/batch/preempt.go
@@ -7,7 +7,6 @@
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/limit"
-	"github.com/crocusstile/crocusstile/quarantine"
 )
 
 // preemptPause is the time after a preemption during which a runner gets no new batch runs. It
@@ -20,8 +19,8 @@
 const preemptMargin cs.Slots = 1
 
 // Preempt preempts batch runs where online requests need their slots. It also stops all runs that
-// this VM must not continue: those on runners of which it is no longer the batch sender, all of
-// them when this VM leaves, and those with quarantined content.
+// this VM must not continue: those on runners of which it is no longer the batch sender, and all of
+// them when this VM leaves.
 func Preempt(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
 	for _, e := range t.Events {
 		switch e := e.(type) {
@@ -55,7 +54,7 @@
 		}
 	}
 	if changed || t.Drain.Phase >= fleet.DrainFinishing {
-		stopDisallowedRuns(t, now, out)
+		stopDisallowedRuns(t, out)
 	}
 }
 
@@ -119,19 +118,14 @@
 	return float64(g.MaxTokens) - generated
 }
 
-// stopDisallowedRuns stops the runs that this VM must not continue. Non-idempotent runs go on
-// unless their content is quarantined, since a stopped one could not be run again.
-func stopDisallowedRuns(t *fleet.Tables, now cs.Instant, out *fleet.Actions) {
+// stopDisallowedRuns stops the runs that this VM must not continue. Non-idempotent runs go on, since
+// a stopped one could not be run again.
+func stopDisallowedRuns(t *fleet.Tables, out *fleet.Actions) {
 	for _, run := range t.Runs.All() {
 		r := t.Runners.Get(run.Runner)
 		disallowed := r == nil || r.Sender != t.Self.ID || t.Drain.Phase >= fleet.DrainFinishing
-		if disallowed && !run.Item.NonIdempotent || contentBlocked(t, run, now) {
+		if disallowed && !run.Item.NonIdempotent {
 			stopRun(run, out)
 		}
 	}
 }
-
-// contentBlocked reports whether a run's content was quarantined after the run started.
-func contentBlocked(t *fleet.Tables, run *fleet.Run, now cs.Instant) bool {
-	return t.Suspects.Len() > 0 && quarantine.Refused(t, cs.HashTarget(run.Item.Target), now)
-}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -80,10 +80,8 @@
 	Partial   string
 	PartialBy cs.VersionID
 	Tokens    cs.Tokens
-	// Suspect tells whether the item was in flight on a runner that crashed.
-	Suspect bool
-	Output  string
-	Error   string
+	Output    string
+	Error     string
 
 	// Known tells whether the item has been read from the log; it is false for the items still
 	// missing in a job that is partly restored from a snapshot.
--- a/fleet/suspect.go
+++ b/fleet/suspect.go
@@ -2,7 +2,7 @@
 
 import cs "github.com/crocusstile/crocusstile"
 
-// Suspect is the row of a request content that was in flight on a runner when that crashed.
+// Suspect is the row of the content of an online request that was in flight on a runner when that crashed.
 type Suspect struct {
 	// Crashes counts the known crashes of runners with the content in flight.
 	Crashes int
--- a/job/grant.go
+++ b/job/grant.go
@@ -73,7 +73,7 @@
 	s.GrantCount++
 	g := cs.GrantedItem{
 		Key: cs.ItemKey{Job: o.job.ID, Index: i}, Tenant: o.job.Tenant, Item: it.Item, Attempt: it.Grants,
-		Partial: it.Partial, Tokens: it.Tokens, Suspect: it.Suspect || isSuspect(t, it),
+		Partial: it.Partial, Tokens: it.Tokens,
 	}
 	if generation, ok := g.Item.Target.(cs.Generation); ok {
 		generation.Version = version
@@ -82,10 +82,6 @@
 	return g
 }
 
-func isSuspect(t *fleet.Tables, it *fleet.Item) bool {
-	return t.Suspects.Len() > 0 && t.Suspects.Get(cs.HashTarget(it.Target)) != nil
-}
-
 // hasReady reports whether the lane has an item to grant, and removes the items at its head that no
 // longer wait.
 func hasReady(j *fleet.Job, l *fleet.Lane) bool {
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -168,6 +168,7 @@
 	failed := cs.ItemOutcome{Refusal: refusal(cs.ReasonRejected, cs.RanFailed)}
 	unknown := cs.ItemOutcome{Refusal: refusal(cs.ReasonBroken, cs.RanUnknown)}
 	invalid := cs.ItemOutcome{Refusal: refusal(cs.ReasonInvalid, cs.RanNotRun)}
+	quarantined := cs.ItemOutcome{Refusal: refusal(cs.ReasonQuarantined, cs.RanFailed)}
 	tests := []struct {
 		name          string
 		nonIdempotent bool
@@ -185,6 +186,7 @@
 		{"failed", false, 0, "vm0", failed, cs.ItemWaiting, 1},
 		{"failed for the last time", false, 2, "vm0", failed, cs.ItemFailed, 3},
 		{"invalid", false, 0, "vm0", invalid, cs.ItemFailed, 1},
+		{"quarantined by a sender of an earlier version", false, 0, "vm0", quarantined, cs.ItemWaiting, 1},
 		{"non-idempotent, done", true, 0, "vm0", ok, cs.ItemDone, 1},
 		{"non-idempotent, stopped", true, 0, "vm0", stopped, cs.ItemUnknown, 1},
 		{"non-idempotent, not run", true, 0, "vm0", notRun, cs.ItemWaiting, 0},
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -65,9 +65,7 @@
 }
 
 // isFinal reports whether a retry would be refused again.
-func isFinal(r *cs.Refusal) bool {
-	return r.Reason == cs.ReasonInvalid || r.Reason == cs.ReasonQuarantined
-}
+func isFinal(r *cs.Refusal) bool { return r.Reason == cs.ReasonInvalid }
 
 func (o runOutcome) done(output string) {
 	if o.current {
@@ -88,7 +86,6 @@
 		o.it.Attempts--
 		o.requeue(minBackoff + o.jitter())
 	default:
-		o.it.Suspect = o.it.Suspect || r.Reason == cs.ReasonBroken && isSuspect(o.t, o.it)
 		o.retry(r.Message)
 	}
 }
--- a/peer.go
+++ b/peer.go
@@ -88,8 +88,6 @@
 	Attempt Attempt  `cbor:"a"`
 	Partial string   `cbor:"p,omitempty"`
 	Tokens  Tokens   `cbor:"n,omitempty"`
-	// Suspect means that the item may crash runners and must not share a runner with another suspect.
-	Suspect bool `cbor:"x,omitempty"`
 }
 
 // ItemOutcome reports the outcome of an attempt at a granted item.
@@ -113,7 +111,7 @@
 	Job JobID `cbor:"j"`
 }
 
-// SuspectNotice tells the VMs of a data centre about a request that was in flight on a runner when
+// SuspectNotice tells the VMs of a data centre about an online request that was in flight on a runner when
 // the runner crashed.
 type SuspectNotice struct {
 	Hash          ContentHash `cbor:"h"`
--- a/quarantine/place.go
+++ b/quarantine/place.go
@@ -21,14 +21,6 @@
 	return s != nil && now < s.Until
 }
 
-// MarkSuspect makes a content a suspect because an item owner in another data centre reports it as
-// one.
-func MarkSuspect(t *fleet.Tables, h cs.ContentHash, now cs.Instant) {
-	if t.Suspects.Get(h) == nil && !t.Config.Policy.NoQuarantine {
-		t.Suspects.Insert(h, fleet.Suspect{Crashes: 1, Until: now.Add(suspectTTL)})
-	}
-}
-
 // SuspectRunner returns the runner on which a suspect may run now.
 //
 // Suspects are assigned in the order of their hashes, each to the free runner with its highest
@@ -67,15 +59,6 @@
 	return r, r != ""
 }
 
-// RunnerAllowed reports whether a content may run on the given runner now.
-func RunnerAllowed(t *fleet.Tables, h cs.ContentHash, target cs.Target, r cs.RunnerID, now cs.Instant) bool {
-	if !Suspect(t, h, now) {
-		return true
-	}
-	c, ok := SuspectRunner(t, h, target, now)
-	return ok && c == r
-}
-
 // candidates lists the runners of this VM's data centre that serve the target, or those of other
 // data centres if it has none. Load, ejections and reachability are ignored, since VMs can differ
 // in their view of them and must derive the same list.
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -76,9 +76,10 @@
 	}
 }
 
-// handleCrash makes every content that this VM had in flight on the crashed runner a suspect.
-// Contents that were suspects already are checked first: if one of them is the proven cause, it
-// explains the crash and the others do not become suspects.
+// handleCrash makes the content of every online request that this VM had in flight on the crashed
+// runner a suspect. Batch items are not, since they never crash runners by themselves. Contents that
+// were suspects already are checked first: if one of them is the proven cause, it explains the crash
+// and the others do not become suspects.
 func handleCrash(t *fleet.Tables, r cs.RunnerID, now cs.Instant, out *fleet.Actions) {
 	var suspects, newHashes []cs.ContentHash
 	for _, h := range inFlight(t, r) {
@@ -105,7 +106,7 @@
 	}
 }
 
-// inFlight lists the distinct contents of this VM's runs on a runner.
+// inFlight lists the distinct contents of this VM's online requests on a runner.
 func inFlight(t *fleet.Tables, r cs.RunnerID) []cs.ContentHash {
 	var hashes []cs.ContentHash
 	for _, q := range t.Requests.All() {
@@ -113,11 +114,6 @@
 			hashes = append(hashes, q.Hash)
 		}
 	}
-	for _, run := range t.Runs.All() {
-		if run.Runner == r && run.Outcome == nil {
-			hashes = append(hashes, cs.HashTarget(run.Item.Target))
-		}
-	}
 	slices.Sort(hashes)
 	return slices.Compact(hashes)
 }
