Don't count a crashed runner as an attempt of an item

Cause: job.refused counted a run whose runner crashed like one that failed, and an item ends as failed after itemAttempts (3) of them. The outcome didn't tell the owner of a crash.

The new rows of job TestRunOutcomes failed with 1 attempt instead of 0, and failed instead of waiting after two failed attempts.

Change: an outcome tells whether the connection broke as in a crash (RunInterrupted.Crashed). The owner then queues an idempotent item again after the shortest backoff and doesn't count the run. Runs that fail, that are refused, or that reach their idle timeout are counted as before; a row of TestRunOutcomes now holds that bound for a broken answer. Non-idempotent items still end as unknown. An outcome from a sender of an earlier version counts as an attempt.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -184,6 +184,7 @@
 		outcomes := sentMessages[cs.ItemOutcome](list)
 		qt.Assert(t, outcomes, qt.HasLen, 1)
 		qt.Check(t, outcomes[0].Refusal.Reason, qt.Equals, cs.ReasonBroken)
+		qt.Check(t, outcomes[0].Crashed, qt.IsTrue)
 	}
 	qt.Check(t, tb.Suspects.Len(), qt.Equals, 0)
 }
--- a/batch/settle.go
+++ b/batch/settle.go
@@ -76,6 +76,7 @@
 		message.Stopped = true
 	case fleet.RunInterrupted:
 		message.Refusal = &cs.Refusal{Reason: cs.ReasonBroken, Ran: cs.RanUnknown, Message: x.Message}
+		message.Crashed = x.Crashed
 		if !x.Sent {
 			message.Refusal.Ran = cs.RanNotRun
 		}
--- a/e2e/items_test.go
+++ b/e2e/items_test.go
@@ -124,6 +124,53 @@
 	c.checkInvariants(false)
 }
 
+// TestItemIsOwedAfterRunnersCrashed guards against a sound item that ends as failed because one runner
+// after the other crashed under it: quarantined after two crashes, or out of attempts after three.
+func TestItemIsOwedAfterRunnersCrashed(t *testing.T) {
+	t.Parallel()
+	cl := newCluster(t, clusterConfig{
+		dataCentres: []string{"muc-a"}, vms: 2, runners: 2, runnerArgs: []string{"-step-base", "30ms"},
+	})
+	c := newCaller(t, cl)
+	c.setUp()
+	j := newJob("crash-burst", 1, 100)
+	_, err := c.submit(cl.vms()[0], j)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() {
+		if t.Failed() {
+			cl.logState()
+		}
+	}()
+	for i := range 4 {
+		busy := cl.busyRunner(i)
+		t.Logf("crash %d: runner %s", i+1, busy.id)
+		busy.kill()
+		time.Sleep(400 * time.Millisecond)
+		cl.startBackend(busy)
+	}
+	assertAllDone(t, c.waitFinished(cl.vms()[0], j, 60*time.Second), j)
+	c.checkInvariants(false)
+}
+
+// busyRunner waits until a runner runs a request again after the given number of crashes, and returns it.
+func (cl *cluster) busyRunner(crashes int) (busy *backend) {
+	cl.t.Helper()
+	cl.eventually(20*time.Second, fmt.Sprintf("a run is in progress after %d crashes", crashes), func() bool {
+		for _, dc := range cl.dcs {
+			for _, r := range dc.runners {
+				var load struct {
+					Running int `json:"running"`
+				}
+				if getJSON(r.address, "/v1/load", &load) == nil && load.Running > 0 {
+					busy = r
+				}
+			}
+		}
+		return busy != nil
+	})
+	return busy
+}
+
 // TestLogOutageWhileJobRuns guards against work lost or duplicated by an outage of the log, and
 // against a job that is refused as not run during the outage and runs later.
 func TestLogOutageWhileJobRuns(t *testing.T) {
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -167,6 +167,7 @@
 	notRun := cs.ItemOutcome{Refusal: refusal(cs.ReasonUnavailable, cs.RanNotRun)}
 	failed := cs.ItemOutcome{Refusal: refusal(cs.ReasonRejected, cs.RanFailed)}
 	unknown := cs.ItemOutcome{Refusal: refusal(cs.ReasonBroken, cs.RanUnknown)}
+	crashed := cs.ItemOutcome{Refusal: refusal(cs.ReasonBroken, cs.RanUnknown), Crashed: true}
 	invalid := cs.ItemOutcome{Refusal: refusal(cs.ReasonInvalid, cs.RanNotRun)}
 	quarantined := cs.ItemOutcome{Refusal: refusal(cs.ReasonQuarantined, cs.RanFailed)}
 	tests := []struct {
@@ -185,6 +186,10 @@
 		{"not run", false, 0, "vm0", notRun, cs.ItemWaiting, 0},
 		{"failed", false, 0, "vm0", failed, cs.ItemWaiting, 1},
 		{"failed for the last time", false, 2, "vm0", failed, cs.ItemFailed, 3},
+		{"unknown for the last time", false, 2, "vm0", unknown, cs.ItemFailed, 3},
+		{"runner crashed", false, 0, "vm0", crashed, cs.ItemWaiting, 0},
+		{"runner crashed, two failed attempts before", false, 2, "vm0", crashed, cs.ItemWaiting, 2},
+		{"runner crashed, of an earlier grant", false, 0, "vm9", crashed, cs.ItemRunning, 1},
 		{"invalid", false, 0, "vm0", invalid, cs.ItemFailed, 1},
 		{"quarantined by a sender of an earlier version", false, 0, "vm0", quarantined, cs.ItemWaiting, 1},
 		{"non-idempotent, done", true, 0, "vm0", ok, cs.ItemDone, 1},
@@ -193,6 +198,7 @@
 		{"non-idempotent, not run by another", true, 0, "vm9", notRun, cs.ItemRunning, 1},
 		{"non-idempotent, failed", true, 0, "vm0", failed, cs.ItemFailed, 1},
 		{"non-idempotent, unknown", true, 0, "vm0", unknown, cs.ItemUnknown, 1},
+		{"non-idempotent, runner crashed", true, 0, "vm0", crashed, cs.ItemUnknown, 1},
 	}
 	for _, tt := range tests {
 		tables, out := ownerWithJobs(1, 1)
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -50,6 +50,8 @@
 		return
 	case m.Stopped:
 		o.stopped(m)
+	case m.Crashed:
+		o.runnerCrashed()
 	default:
 		o.refused(m.Refusal)
 	}
@@ -90,6 +92,13 @@
 	}
 }
 
+// runnerCrashed queues an idempotent item whose runner crashed. The run does not count as an attempt: items
+// never crash runners by themselves, and one under which runners crashed is still owed.
+func (o runOutcome) runnerCrashed() {
+	o.it.Attempts--
+	o.requeue(minBackoff + o.jitter())
+}
+
 // endNonIdempotent processes a run of a non-idempotent item that did not succeed; r is nil if the
 // run was stopped. The item runs again only if the refusal says that it did not run and comes from
 // its latest grant.
--- a/peer.go
+++ b/peer.go
@@ -99,6 +99,8 @@
 	Output  string   `cbor:"o,omitempty"`
 	Tokens  Tokens   `cbor:"n,omitempty"`
 	Refusal *Refusal `cbor:"e,omitempty"`
+	// Crashed means that the connection broke during the run, as in a crash of the runner.
+	Crashed bool `cbor:"c,omitempty"`
 }
 
 // ItemsHeld tells the owner of shards, on a new link, which of its items the sending VM is running.
