--- a/job/outcome.go
+++ b/job/outcome.go
@@ -50,6 +50,8 @@
 		return
 	case m.Stopped:
 		o.stopped(m)
+	case m.Crashed:
+		o.runnerCrashed()
 	default:
 		o.refused(m.Refusal)
 	}
@@ -65,9 +67,7 @@
 }
 
 // isFinal reports whether a retry would be refused again.
-func isFinal(r *cs.Refusal) bool {
-	return r.Reason == cs.ReasonInvalid || r.Reason == cs.ReasonQuarantined
-}
+func isFinal(r *cs.Refusal) bool { return r.Reason == cs.ReasonInvalid }
 
 func (o runOutcome) done(output string) {
 	if o.current {
@@ -88,11 +88,17 @@
 		o.it.Attempts--
 		o.requeue(minBackoff + o.jitter())
 	default:
-		o.it.Suspect = o.it.Suspect || r.Reason == cs.ReasonBroken && isSuspect(o.t, o.it)
 		o.retry(r.Message)
 	}
 }
 
+// runnerCrashed queues an idempotent item whose runner crashed. The run does not count as an attempt: items
+// never crash runners by themselves, and one under which runners crashed is still owed.
+func (o runOutcome) runnerCrashed() {
+	o.it.Attempts--
+	o.requeue(minBackoff + o.jitter())
+}
+
 // endNonIdempotent processes a run of a non-idempotent item that did not succeed; r is nil if the
 // run was stopped. The item runs again only if the refusal says that it did not run and comes from
 // its latest grant.
--- a/peer.go
+++ b/peer.go
@@ -88,8 +88,6 @@
 	Attempt Attempt  `cbor:"a"`
 	Partial string   `cbor:"p,omitempty"`
 	Tokens  Tokens   `cbor:"n,omitempty"`
-	// Suspect means that the item may crash runners and must not share a runner with another suspect.
-	Suspect bool `cbor:"x,omitempty"`
 }
 
 // ItemOutcome reports the outcome of an attempt at a granted item.
@@ -101,6 +99,8 @@
 	Output  string   `cbor:"o,omitempty"`
 	Tokens  Tokens   `cbor:"n,omitempty"`
 	Refusal *Refusal `cbor:"e,omitempty"`
+	// Crashed means that the connection broke during the run, as in a crash of the runner.
+	Crashed bool `cbor:"c,omitempty"`
 }
 
 // ItemsHeld tells the owner of shards, on a new link, which of its items the sending VM is running.
@@ -113,7 +113,7 @@
 	Job JobID `cbor:"j"`
 }
 
-// SuspectNotice tells the VMs of a data centre about a request that was in flight on a runner when
+// SuspectNotice tells the VMs of a data centre about an online request that was in flight on a runner when
 // the runner crashed.
 type SuspectNotice struct {
 	Hash          ContentHash `cbor:"h"`
