Wait for a read before an empty page is refused as too old

What callers would see: 503 for reads of a job without new results, although the VM reads the log without faults. Cause: since the age of the job log counts from when a read was sent, a quiet log's view gets older than the limit of 900 ms between two reads: 938 ms after a record late in a long poll, 1,054 ms with a store that takes 250 ms. Change: such a query asks for a read and waits for it, at most 800 ms, like one for an unknown job. TestLaggingVMDoesNotSayThatThereIsNoResult expected the refusal in the tick of the query; it now expects no answer until a read reached the end of the log, the page then, and the refusal without one.

--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -12,9 +12,9 @@
 	// maxReadAge is the age of this VM's view of the job log above which it does not report that there are no
 	// further results: another VM may have appended some since.
 	maxReadAge = 900 * cs.Millisecond
-	// unknownJobWait bounds how long a query about a job that this VM does not know waits for a read of the
-	// job log that was sent after it arrived.
-	unknownJobWait = 800 * cs.Millisecond
+	// maxReadWait bounds how long a query waits for a read of the job log that answers it, if this VM does not
+	// know the job or its view of the log is too old.
+	maxReadWait = 800 * cs.Millisecond
 	// maxPageBytes bounds the total text of the results in one answer, unless the first result alone exceeds it.
 	maxPageBytes = 900 << 10
 )
@@ -82,22 +82,36 @@
 			out.WakeAt(query.Until)
 			return false
 		}
-		a := gateway.AnswerResults{Query: q, Total: len(j.Spec.Items), Next: query.After + len(page), Results: page}
 		if len(page) == 0 && t.Feeds[gateway.FeedJobs].Age(now) > maxReadAge {
-			refuseResults(t, q, query.Job, staleReadRefusal(), now, out)
-			return true
+			return refuseStalePage(t, q, query, now, out)
 		}
-		out.Add(a)
+		out.Add(gateway.AnswerResults{Query: q, Total: len(j.Spec.Items), Next: query.After + len(page), Results: page})
 		return true
 	})
 }
 
+// refuseStalePage requests a read of the job log for a query that would get an empty page from an old view, and
+// refuses the query if there is none in time. It reports whether the query is refused.
+func refuseStalePage(t *gateway.Tables, q gateway.QueryID, query *gateway.ResultsQuery, now cs.Instant, out *gateway.Actions) bool {
+	if !query.ReadRequested {
+		query.ReadRequested = true
+		out.Add(gateway.ReadJobs{})
+	}
+	waitEnd := max(query.Until, query.Arrived).Add(maxReadWait)
+	if now < waitEnd {
+		out.WakeAt(waitEnd)
+		return false
+	}
+	refuseResults(t, q, query.Job, staleReadRefusal(), now, out)
+	return true
+}
+
 // refuseUnknownJob returns the refusal of a query about a job that this VM does not know, or nil while the
 // query must wait. The job counts as missing only if the state of the log that this VM has applied is not older
 // than the query: another VM may have accepted the job before. If no such state is read in time, the caller is
 // told that the log is unavailable.
 func refuseUnknownJob(t *gateway.Tables, arrived, now cs.Instant, out *gateway.Actions) *cs.Refusal {
-	waitEnd := arrived.Add(unknownJobWait)
+	waitEnd := arrived.Add(maxReadWait)
 	switch {
 	case t.Feeds[gateway.FeedJobs].AsOf >= arrived:
 		return unknownJobRefusal()
--- a/batchjob/queries_test.go
+++ b/batchjob/queries_test.go
@@ -65,19 +65,37 @@
 }
 
 // Guards against a page without results from a VM that lags behind the log, for a position that a caller has
-// read elsewhere: a read that did not reach the end of the log does not make the VM's view current.
+// read elsewhere: a read that did not reach the end of the log does not make the VM's view current. The query
+// must wait for one that does, or else be told that the VM cannot tell.
 func TestLaggingVMDoesNotSayThatThereIsNoResult(t *testing.T) {
-	c := qt.New(t)
-	l := &jobLog{}
-	v := newVM("a")
-	submit(v, l, newJob("j", 1), 1, startTime)
-	v.readLog(l, startTime)
-	v.tick(startTime)
-	now := startTime.Add(7 * cs.Second)
-	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs}, gateway.ResultsRequested{Query: 2, Job: "j", Until: now})
-	v.tick(now)
-	c.Assert(v.answers[2].(gateway.AnswerResults).Refusal != nil, qt.IsTrue)
-	c.Assert(v.answers[2].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+	for name, answered := range map[string]bool{"log is read to its end": true, "log is not read to its end": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l := &jobLog{}
+			v := newVM("a")
+			submit(v, l, newJob("j", 1), 1, startTime)
+			v.readLog(l, startTime)
+			v.tick(startTime)
+			delete(v.answers, 1)
+			now := startTime.Add(7 * cs.Second)
+			v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs}, gateway.ResultsRequested{Query: 2, Job: "j", Until: now})
+			v.tick(now)
+			c.Assert(v.answers, qt.HasLen, 0)
+			v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs})
+			v.tick(now.Add(10))
+			c.Assert(v.answers, qt.HasLen, 0)
+			if answered {
+				v.readLog(l, now)
+				v.tick(now.Add(20))
+			}
+			v.tick(now.Add(cs.Second))
+			refusal := v.answers[2].(gateway.AnswerResults).Refusal
+			c.Assert(refusal == nil, qt.Equals, answered)
+			if !answered {
+				c.Assert(refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+			}
+		})
+	}
 }
 
 // Guards against an accepted job that cannot be ended through a VM that has not read it yet.
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -141,6 +141,9 @@
 	Until cs.Instant
 	// Arrived is when the request arrived.
 	Arrived cs.Instant
+	// ReadRequested means that a read of the job log was requested, since this VM's view of it was too old to
+	// answer.
+	ReadRequested bool
 }
 
 // BodyQuery is a request for the body of an item, which waits while its job is unknown.
