Refuse a job for its quota only from a state of the log as new as the job

What callers would see: 429 for a job that fits, or for a job that another VM has accepted, from a VM that lags behind the job log. Cause: the same as that of the 404 for accepted jobs. addJob refused by the tokens of a view of any age; only an acceptance was checked against newer records.

--- a/batchjob/builder.go
+++ b/batchjob/builder.go
@@ -33,7 +33,7 @@
 func (b *appendBuilder) addProposal(p gateway.Proposal) bool {
 	switch p := p.(type) {
 	case gateway.ProposeJob:
-		b.addJob(p)
+		return b.addJob(p)
 	case gateway.ProposeEnd:
 		return b.addEnd(p)
 	case gateway.ProposeResult:
@@ -91,33 +91,42 @@
 }
 
 // addJob adds the acceptance of a job. A job that is in the log already is confirmed, so that callers may
-// submit it again; one that exceeds the waiting tokens of its route is refused.
-func (b *appendBuilder) addJob(p gateway.ProposeJob) {
+// submit it again; one that exceeds the waiting tokens of its route is refused. It returns false while the
+// log must be read before the job can be refused.
+func (b *appendBuilder) addJob(p gateway.ProposeJob) bool {
 	if b.t.Jobs.Get(p.Spec.ID) != nil {
 		acceptJob(p, appendStats{}, b.now, b.out)
-		return
+		return true
 	}
 	sameID := func(s gateway.JobSpec) bool { return s.ID == p.Spec.ID }
 	if slices.ContainsFunc(b.openedJobs, sameID) {
 		b.proposals = append(b.proposals, p) // answered together with the first submission
-		return
+		return true
 	}
 	if waitingTokens, tokenLimit := b.waitingTokens(p.Spec.Route), b.tokenLimit(p.Spec.Route); tokenLimit > 0 && waitingTokens+jobTokens(p.Spec) > tokenLimit {
-		refuseJob(p.Query, p.Spec.ID, b.now.Sub(p.Since), cs.Refusal{
-			Reason: cs.ReasonOverloaded, Message: "the job does not fit the tokens that may wait on its route",
-		}, b.out)
-		return
+		refusal := refuseAsOf(b.t, p.Since, quotaRefusal(), b.now, b.out)
+		if refusal != nil {
+			refuseJob(p.Query, p.Spec.ID, b.now.Sub(p.Since), *refusal, b.out)
+		}
+		return refusal != nil
 	}
 	b.openedJobs = append(b.openedJobs, p.Spec)
 	b.appendChange(p, gateway.JobOpened{Spec: p.Spec})
+	return true
+}
+
+// quotaRefusal says that a job exceeds the quota of its route.
+func quotaRefusal() *cs.Refusal {
+	return &cs.Refusal{Reason: cs.ReasonOverloaded, Message: "the job does not fit the tokens that may wait on its route"}
 }
 
-// addEnd adds the end of a job, or answers at once if the job is unknown or has ended.
+// addEnd adds the end of a job, or answers it if the job does not exist or has ended. It returns false while the
+// log must be read to tell whether the job exists.
 func (b *appendBuilder) addEnd(p gateway.ProposeEnd) bool {
 	j := b.t.Jobs.Get(p.Job)
 	switch {
 	case j == nil:
-		refusal := refuseUnknownJob(b.t, p.Since, b.now, b.out)
+		refusal := refuseAsOf(b.t, p.Since, unknownJobRefusal(), b.now, b.out)
 		if refusal == nil {
 			return false
 		}
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -25,18 +25,15 @@
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case gateway.JobSubmitted:
+			readIfUnknown(t, e.Spec.ID, out)
 			t.Proposals = append(t.Proposals, gateway.ProposeJob{Query: e.Query, Spec: e.Spec, Since: now})
 		case gateway.JobEndRequested:
-			if t.Jobs.Get(e.Job) == nil {
-				out.Add(gateway.ReadJobs{})
-			}
+			readIfUnknown(t, e.Job, out)
 			t.Proposals = append(t.Proposals, gateway.ProposeEnd{Query: e.Query, Job: e.Job, Since: now})
 		case gateway.ResultsRequested:
 			queueResultsQuery(t, now, e, out)
 		case gateway.ItemBodyRequested:
-			if t.Jobs.Get(e.Job) == nil {
-				out.Add(gateway.ReadJobs{})
-			}
+			readIfUnknown(t, e.Job, out)
 			t.BodyQueries.Insert(e.Query, gateway.BodyQuery{Job: e.Job, Item: e.Item, Arrived: now})
 		case gateway.QueryCancelled:
 			t.ResultsQueries.Delete(e.Query)
@@ -57,12 +54,17 @@
 	return ok && job.Query == q
 }
 
+// readIfUnknown requests a read of the job log if this VM does not know a job.
+func readIfUnknown(t *gateway.Tables, job cs.JobID, out *gateway.Actions) {
+	if t.Jobs.Get(job) == nil {
+		out.Add(gateway.ReadJobs{})
+	}
+}
+
 // queueResultsQuery registers a query for results. If the job is unknown, it also requests a read of
 // the job log.
 func queueResultsQuery(t *gateway.Tables, now cs.Instant, e gateway.ResultsRequested, out *gateway.Actions) {
-	if t.Jobs.Get(e.Job) == nil {
-		out.Add(gateway.ReadJobs{})
-	}
+	readIfUnknown(t, e.Job, out)
 	t.ResultsQueries.Insert(e.Query, gateway.ResultsQuery{Job: e.Job, After: max(e.After, 0), Until: e.Until, Arrived: now})
 }
 
@@ -71,7 +73,7 @@
 	t.ResultsQueries.DeleteFunc(func(q gateway.QueryID, query *gateway.ResultsQuery) bool {
 		j := t.Jobs.Get(query.Job)
 		if j == nil {
-			refusal := refuseUnknownJob(t, query.Arrived, now, out)
+			refusal := refuseAsOf(t, query.Arrived, unknownJobRefusal(), now, out)
 			if refusal != nil {
 				refuseResults(t, q, query.Job, refusal, now, out)
 			}
@@ -106,15 +108,15 @@
 	return true
 }
 
-// refuseUnknownJob returns the refusal of a query about a job that this VM does not know, or nil while the
-// query must wait. The job counts as missing only if the state of the log that this VM has applied is not older
-// than the query: another VM may have accepted the job before. If no such state is read in time, the caller is
-// told that the log is unavailable.
-func refuseUnknownJob(t *gateway.Tables, arrived, now cs.Instant, out *gateway.Actions) *cs.Refusal {
+// refuseAsOf returns the refusal of a request that rests on what the job log does not hold, such as a job or
+// free quota, or nil while the request must wait. It stands only if the state of the log that this VM has applied
+// is not older than the request: another VM may have appended in the meantime. If no such state is read in time,
+// the caller is told that the log is unavailable.
+func refuseAsOf(t *gateway.Tables, arrived cs.Instant, refusal *cs.Refusal, now cs.Instant, out *gateway.Actions) *cs.Refusal {
 	waitEnd := arrived.Add(maxReadWait)
 	switch {
 	case t.Feeds[gateway.FeedJobs].AsOf >= arrived:
-		return unknownJobRefusal()
+		return refusal
 	case now >= waitEnd:
 		return staleReadRefusal()
 	}
@@ -150,7 +152,7 @@
 		a := gateway.AnswerBody{Query: q}
 		if j := t.Jobs.Get(query.Job); j != nil {
 			a.Body, a.Refusal = itemBody(j, query.Item)
-		} else if a.Refusal = refuseUnknownJob(t, query.Arrived, now, out); a.Refusal == nil {
+		} else if a.Refusal = refuseAsOf(t, query.Arrived, unknownJobRefusal(), now, out); a.Refusal == nil {
 			return false
 		}
 		out.Add(a)
