Give items up for a missing route only by a catalog as new as their job

What callers would see: items of a job on a route that was just added listed as given up (dead_letter), for good. An owner whose catalog is older than the job took its route for one that was removed. Change: such items wait until the catalog is known to be as new as the first read of their job.

--- a/batchjob/absence_test.go
+++ b/batchjob/absence_test.go
@@ -45,3 +45,29 @@
 		})
 	}
 }
+
+// Guards against items that are given up for good by an owner whose catalog is older than the job: the route
+// may have been added since.
+func TestItemsOfNewRouteAreNotGivenUpByOldCatalog(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	a, owner := newVM("a"), newVM("b", 0, 1, 2, 3)
+	added := route
+	added.Name, added.Prefix = "added", "/n/"
+	newer := cs.NewCatalog(2, []cs.Route{route, added}, nil, cs.CallerLimits{})
+	a.Catalog = newer
+	owner.inbox = append(owner.inbox, gateway.FeedRead{Feed: gateway.FeedCatalog, Loaded: true, AsOf: startTime})
+	owner.tick(startTime)
+	spec := newJob("j", 1)
+	spec.Route = added.Name
+	now := startTime.Add(cs.Second)
+	submit(a, l, spec, 1, now)
+	c.Assert(accepted(a, 1), qt.IsTrue)
+	owner.readLog(l, now)
+	owner.inbox = append(owner.inbox, gateway.PartitionsAssigned{Partitions: []int{0, 1, 2, 3}})
+	owner.tick(now)
+	c.Assert(owner.appends, qt.HasLen, 0)
+	owner.inbox = append(owner.inbox, gateway.CatalogRead{Catalog: newer}, gateway.FeedRead{Feed: gateway.FeedCatalog, Loaded: true, AsOf: now})
+	owner.tick(now.Add(100))
+	c.Assert(owner.started, qt.HasLen, 1)
+}
--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -149,6 +149,9 @@
 			continue
 		}
 		route := t.Catalog.Route(j.Spec.Route)
+		if route == nil && t.Feeds[gateway.FeedCatalog].AsOf < j.FirstReadAt {
+			continue // the route may have been added in a version of the catalog that this VM has not read
+		}
 		for i := range j.ItemWork {
 			w := &j.ItemWork[i]
 			if w.Phase != gateway.ItemWaiting {
