--- a/batchjob/absence_test.go
+++ b/batchjob/absence_test.go
@@ -71,3 +71,31 @@
 	owner.tick(now.Add(100))
 	c.Assert(owner.started, qt.HasLen, 1)
 }
+
+// Guards against a job that is dropped by a snapshot that was sent before the job was accepted: its runs are
+// stopped, and an output that arrives in the meantime is lost, so that the item runs twice.
+func TestOldSnapshotDoesNotDropLaterJob(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	v := newVM("a", 0, 1, 2, 3)
+	submit(v, l, newJob("j", 2), 1, startTime.Add(100))
+	c.Assert(accepted(v, 1), qt.IsTrue)
+	now := startTime.Add(200)
+	v.tick(now)
+	c.Assert(v.started, qt.HasLen, 2)
+	first := v.started[0]
+	v.oldSnapshot(startTime)
+	v.inbox = append(v.inbox, gateway.ItemRunEnded{
+		Key: first.Key, Attempt: first.Attempt, Outcome: gateway.ItemCompleted{}, Text: []byte("t"), LastEvent: 1,
+	})
+	for range 5 {
+		v.tick(now)
+		v.completeAppends(l)
+		now = now.Add(100)
+		v.readLog(l, now)
+	}
+	v.tick(now)
+	c.Check(v.stopped, qt.HasLen, 0)
+	c.Check(v.started, qt.HasLen, 2)
+	c.Assert(v.Jobs.Get("j").Results, qt.HasLen, 1)
+}
--- a/batchjob/append.go
+++ b/batchjob/append.go
@@ -16,7 +16,7 @@
 	case gateway.AppendDone:
 		if l.InFlight.ExpectedEnd != cs.NoOffset || o.From == l.End {
 			for _, c := range l.InFlight.Changes {
-				applyChange(t, now, c, out)
+				applyChange(t, now, o.From, c, out)
 			}
 			l.End = max(l.End, o.End)
 		} // otherwise other records precede it, and the next read returns those and its own
--- a/batchjob/apply.go
+++ b/batchjob/apply.go
@@ -24,14 +24,14 @@
 	}
 }
 
-// applySnapshot replaces the jobs with those of a full read of the log. For jobs that are still
-// present, the state of runs at this VM is kept.
+// applySnapshot replaces the jobs with those of a full read of the log, except for jobs that were opened after
+// the snapshot. For jobs that are still present, the state of runs at this VM is kept.
 func applySnapshot(t *gateway.Tables, now cs.Instant, read gateway.JobsRead, out *gateway.Actions) {
 	present := make(map[cs.JobID]bool)
 	for _, r := range read.Records {
 		if opened, ok := r.Change.(gateway.JobOpened); ok {
 			present[opened.Spec.ID] = true
-			applyChange(t, now, r.Change, out)
+			applyChange(t, now, r.Offset, r.Change, out)
 		}
 	}
 	// Results are ordered by the offsets of their records, but a snapshot lists records by key. Results
@@ -43,17 +43,18 @@
 		case gateway.JobOpened:
 		case gateway.JobResultAppended:
 			if r.Offset < read.End {
-				applyChange(t, now, r.Change, out)
+				applyChange(t, now, r.Offset, r.Change, out)
 			}
 		case gateway.ProgressSaved, gateway.JobEnded, gateway.JobRemoved:
-			applyChange(t, now, r.Change, out)
+			applyChange(t, now, r.Offset, r.Change, out)
 		}
 	}
 	t.Jobs.DeleteFunc(func(id cs.JobID, j *gateway.Job) bool {
-		if !present[id] {
-			stopJobRuns(t, j, out)
+		if present[id] || j.Opened >= read.End {
+			return false
 		}
-		return !present[id]
+		stopJobRuns(t, j, out)
+		return true
 	})
 	// Records at or after read.End that were applied before are read again, since the snapshot may lack
 	// some of the jobs that they opened.
@@ -68,19 +69,20 @@
 			continue // applied when this VM's own append completed
 		}
 		if r.Change != nil {
-			applyChange(t, now, r.Change, out)
+			applyChange(t, now, r.Offset, r.Change, out)
 		}
 		t.JobLog.End = r.Offset + 1
 	}
 }
 
-// applyChange applies one change of the job log to the jobs of this VM.
-func applyChange(t *gateway.Tables, now cs.Instant, c gateway.JobChange, out *gateway.Actions) {
+// applyChange applies one change of the job log to the jobs of this VM. The offset is that of its record, or of
+// the first record of the append that brought it.
+func applyChange(t *gateway.Tables, now cs.Instant, offset cs.Offset, c gateway.JobChange, out *gateway.Actions) {
 	switch c := c.(type) {
 	case gateway.JobOpened:
 		if t.Jobs.Get(c.Spec.ID) == nil {
 			t.Jobs.Insert(c.Spec.ID, gateway.Job{
-				Spec: c.Spec, FirstReadAt: now, ItemWork: make([]gateway.ItemWork, len(c.Spec.Items)),
+				Spec: c.Spec, Opened: offset, FirstReadAt: now, ItemWork: make([]gateway.ItemWork, len(c.Spec.Items)),
 			})
 		}
 	case gateway.JobResultAppended:
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -42,6 +42,8 @@
 // Job is a batch job of the job log, with this VM's state of its items.
 type Job struct {
 	Spec JobSpec
+	// Opened is the offset of the append that opened the job, or an offset in it.
+	Opened cs.Offset
 	// FirstReadAt is when this VM first read the job.
 	FirstReadAt cs.Instant
 	ItemWork    []ItemWork // one for each item, in the order of Spec.Items
