--- a/batchjob/queries_test.go
+++ b/batchjob/queries_test.go
@@ -122,3 +122,34 @@
 	b.tick(now.Add(4 * cs.Second))
 	c.Assert(b.answers[3].(gateway.AnswerJob).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
 }
+
+// Guards against queries about unknown jobs that wait for the next poll of the job log, or until they are refused,
+// because nobody asks for a read.
+func TestUnknownJobRequestsRead(t *testing.T) {
+	for _, e := range []gateway.Event{
+		gateway.ResultsRequested{Query: 1, Job: "j"},
+		gateway.ItemBodyRequested{Query: 1, Job: "j"},
+		gateway.JobEndRequested{Query: 1, Job: "j"},
+		gateway.JobSubmitted{Query: 1, Spec: newJob("j", 1)},
+	} {
+		c := qt.New(t)
+		v := newVM("a")
+		v.tick(startTime)
+		v.inbox = append(v.inbox, e)
+		v.tick(startTime.Add(10))
+		c.Assert(v.readRequests, qt.Equals, 1, qt.Commentf("%T", e))
+	}
+}
+
+// Guards against a request that waits for a read of the log and holds up the appends of others.
+func TestWaitingEndDoesNotHoldUpAppends(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	v := newVM("a")
+	v.inbox = append(v.inbox, gateway.JobEndRequested{Query: 1, Job: "unknown"})
+	v.tick(startTime)
+	submit(v, l, newJob("j", 1), 2, startTime.Add(10))
+	c.Assert(accepted(v, 2), qt.IsTrue)
+	v.tick(startTime.Add(900))
+	c.Assert(v.answers[1].(gateway.AnswerJob).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+}
--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -69,6 +69,8 @@
 	stopped    []gateway.StopItem
 	answers    map[gateway.QueryID]gateway.Action
 	appends    []gateway.AppendJobs
+	// readRequests counts the requests to read the log.
+	readRequests int
 	// leftGroup means that the VM has left the group that divides the job partitions.
 	leftGroup bool
 }
@@ -107,6 +109,8 @@
 			v.stopped = append(v.stopped, a)
 		case gateway.AppendJobs:
 			v.appends = append(v.appends, a)
+		case gateway.ReadJobs:
+			v.readRequests++
 		case gateway.LeaveGroup:
 			v.leftGroup = true
 		case gateway.AnswerJob:
