--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -70,6 +70,8 @@
 	answers    map[gateway.QueryID]gateway.Action
 	appends    []gateway.AppendJobs
 	reports    []gateway.Report
+	// readRequests counts the requests to read the log.
+	readRequests int
 	// leftGroup means that the VM has left the group that divides the job partitions.
 	leftGroup bool
 }
@@ -110,6 +112,8 @@
 			v.appends = append(v.appends, a)
 		case gateway.SendReport:
 			v.reports = append(v.reports, a.Report)
+		case gateway.ReadJobs:
+			v.readRequests++
 		case gateway.LeaveGroup:
 			v.leftGroup = true
 		case gateway.AnswerJob:
@@ -816,7 +820,7 @@
 	l := &jobLog{}
 	a, b := newVM("a", 0, 1, 2, 3), newVM("b")
 	submit(a, l, newJob("j", 1), 1, startTime)
-	b.readLog(l)
+	b.readLog(l, startTime)
 	b.tick(startTime)
 	calm := crashBurst(c, a, 3, restarts["new incarnation"])
 	for _, r := range a.reports {
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -42,6 +42,8 @@
 // Job is a batch job of the job log, with this VM's state of its items.
 type Job struct {
 	Spec JobSpec
+	// Opened is the offset of the append that opened the job, or an offset in it.
+	Opened cs.Offset
 	// FirstReadAt is when this VM first read the job.
 	FirstReadAt cs.Instant
 	ItemWork    []ItemWork // one for each item, in the order of Spec.Items
@@ -141,6 +143,9 @@
 	Until cs.Instant
 	// Arrived is when the request arrived.
 	Arrived cs.Instant
+	// ReadRequested means that a read of the job log was requested, since this VM's view of it was too old to
+	// answer.
+	ReadRequested bool
 }
 
 // BodyQuery is a request for the body of an item, which waits while its job is unknown.
