Lower the limit of a buffered response to 256 KB

What callers would see: a body without end that is no stream is read up to 16 MB, and two to three times that while it grows; a few such responses at once exhaust a VM of 120 MB that serves dozens of requests. Cause: maxResponseBytes of forward was set without regard to the requests that a VM serves at once. The outcome, the attempt elsewhere and the closing of the connection were already right, and time is bounded by the caller's deadline. Change: the limit is 256 KB. 48 responses then hold 12 MB, and at most twice that while they are read. The largest response of the users' sites is 4.8 KB.

--- a/forward/session_test.go
+++ b/forward/session_test.go
@@ -78,9 +78,12 @@
 	return nil
 }
 
+// sessionTimeout is the time limit of the requests, which is that of a route of the users.
+const sessionTimeout = 5 * cs.Second
+
 // serveSession runs a session. The decide function stands in for the control loop: it returns the
 // action that follows an event, or nil for none.
-func serveSession(ctx context.Context, s *scriptedRunner, caller *recordingCaller, decide func(gateway.Event) gateway.Action) forward.End {
+func serveSession(ctx context.Context, s forward.Runners, caller *recordingCaller, decide func(gateway.Event) gateway.Action) forward.End {
 	var traffic *forward.Traffic
 	clock := cs.NewClock()
 	ignore := func(cs.RouteName, cs.Span) {}
@@ -99,7 +102,7 @@
 	})
 	f := gateway.Forward{
 		Route:   cs.Route{Kind: cs.RouteStreaming, Resumable: true, MaxAttempts: 2},
-		Arrived: clock.Now(), Deadline: clock.Now().Add(5 * cs.Second),
+		Arrived: clock.Now(), Deadline: clock.Now().Add(sessionTimeout),
 	}
 	return traffic.Serve(ctx, forward.RunnerRequest{ID: "r1"}, f, caller)
 }
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -11,8 +11,8 @@
 )
 
 // maxResponseBytes limits the size of a response that is not a stream. Such a response is held in
-// memory until it is complete.
-const maxResponseBytes = 16 << 20
+// memory until it is complete, and a small VM serves dozens of requests at once.
+const maxResponseBytes = 256 << 10
 
 // TrafficConfig holds the dependencies of Traffic.
 type TrafficConfig struct {
