Count only new events as progress of a stream

What callers would see: a batch item whose runner repeats events, or sends comments or events without an id, stays at that runner for ever and is never listed; an online stream stays there until the caller's deadline instead of resuming elsewhere. Meanwhile the VM reads at full speed. Cause: both readers of streams restarted the idle timer for each event, before they looked whether it brings output, and neither bounded the bytes without output; blank lines were skipped inside the reader. Change: forward.EventReader knows the last event, skips those received before and ends a stream that brings no new event in 256 KB. Only an event with a new id restarts the idle timer. An online stream still passes events without an id on; they no longer count as progress. Ruled out: replays of a runner that ignores Last-Event-Id, which might need more; the platform's runners resume after the last event.

--- /dev/null
+++ b/batchjob/endless_test.go
@@ -0,0 +1,103 @@
+package batchjob_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/batchjob"
+	"github.com/crocusstile/crocusstile/gateway"
+	"github.com/crocusstile/crocusstile/platform"
+	"github.com/crocusstile/crocusstile/standin"
+)
+
+// maxBytesPerRun is the share of a run in the memory of a small VM: 120 MB for four dozen requests at once, as
+// bytes that were received count towards the memory of the VM.
+const maxBytesPerRun = 120 << 20 / 48
+
+// busyMachineMargin is the time beyond a limit that a busy machine may take.
+const busyMachineMargin = 5 * time.Second
+
+const (
+	okHead     = "HTTP/1.1 200 OK\r\nRequest-Id: it1\r\nResponse-Signature: s\r\n"
+	streamHead = okHead + "Content-Type: text/event-stream\r\n\r\n"
+)
+
+// runAtEndless runs an item at a runner that responds without end and returns how the run ended. It fails if
+// the connection is not closed or too many bytes are read.
+func runAtEndless(t *testing.T, respond func(n int) string, pause time.Duration, a gateway.RunItem) gateway.ItemRunEnded {
+	c := qt.New(t)
+	faulty, err := standin.NewEndlessRunner(respond, pause)
+	c.Assert(err, qt.IsNil)
+	defer faulty.Close()
+	runners := platform.NewRunners()
+	defer runners.Close()
+	ended := make(chan gateway.ItemRunEnded, 1)
+	traffic := batchjob.NewTraffic(runners, func(_ context.Context, e gateway.Event) error {
+		ended <- e.(gateway.ItemRunEnded)
+		return nil
+	})
+	defer traffic.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a.Address, a.Item.ID, a.Item.Target = cs.Address(faulty.Address()), "it1", "/p/"
+	traffic.Run(ctx, a)
+	select {
+	case e := <-ended:
+		for until := time.Now().Add(busyMachineMargin); faulty.OpenConns() > 0; time.Sleep(5 * time.Millisecond) {
+			c.Assert(time.Now().Before(until), qt.IsTrue, qt.Commentf("the connection stays open"))
+		}
+		c.Check(faulty.MostBytes() < maxBytesPerRun, qt.IsTrue, qt.Commentf("%d bytes", faulty.MostBytes()))
+		return e
+	case <-time.After(a.EventTimeout.Std() + busyMachineMargin):
+		c.Fatalf("the run did not end; %d bytes were sent", faulty.MostBytes())
+		return gateway.ItemRunEnded{}
+	}
+}
+
+// Events that bring no output must not keep an item at a runner: the run must end after the time limit of an event,
+// with the output received before, so that the item goes on elsewhere.
+func TestRunWithoutNewEventsEnds(t *testing.T) {
+	first := "id: 1\ndata: a\n\n"
+	for name, part := range map[string]string{
+		"repeated event": first, "event without id": "data: x\n\n", "comment": ": x\n\n", "blank line": "\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			respond := func(n int) string {
+				if n == 0 {
+					return streamHead + first
+				}
+				return part
+			}
+			e := runAtEndless(t, respond, 5*time.Millisecond, gateway.RunItem{EventTimeout: 50})
+			interrupted, ok := e.Outcome.(gateway.ItemInterrupted)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", e.Outcome))
+			qt.Check(t, interrupted.TimedOut, qt.IsTrue)
+			qt.Check(t, string(e.Text), qt.Equals, "a")
+		})
+	}
+}
+
+// A stream that brings no new event must not be read without bound until the time limit of an event.
+func TestEndlessStreamOfRunIsCutOff(t *testing.T) {
+	first := "id: 1\ndata: a\n\n"
+	filler := strings.Repeat("x", 4<<10)
+	for name, respond := range map[string]func(int) string{
+		"line":              standin.Repeat(streamHead+first+"data: ", filler),
+		"blank lines":       standin.Repeat(streamHead+first, strings.Repeat("\n", 4<<10)),
+		"repeated events":   standin.Repeat(streamHead, strings.Repeat(first, 100)),
+		"comments":          standin.Repeat(streamHead+first, ": "+filler+"\n\n"),
+		"events without id": standin.Repeat(streamHead+first, "data: "+filler+"\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := runAtEndless(t, respond, 0, gateway.RunItem{EventTimeout: 2 * cs.Second})
+			_, ok := e.Outcome.(gateway.ItemInterrupted)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", e.Outcome))
+			qt.Check(t, string(e.Text), qt.Equals, "a")
+		})
+	}
+}
--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -104,12 +104,12 @@
 }
 
 // readEvents reads the event stream of a response and appends to e.Text the events after last, which earlier
-// runs returned. It calls onEvent for each event read.
+// runs returned. It calls onEvent for each of them.
 func readEvents(response *forward.RunnerResponse, last cs.EventID, e *gateway.ItemRunEnded, onEvent func()) error {
 	if !response.Signed {
 		return errors.New("successful response without the runner's signature")
 	}
-	events := forward.NewEventReader(response.Body)
+	events := forward.NewEventReader(response.Body, last)
 	for {
 		event, err := events.Read()
 		if errors.Is(err, io.EOF) {
@@ -121,10 +121,10 @@
 		if err != nil {
 			return &forward.InterruptedError{Cause: err, Disconnected: true}
 		}
-		onEvent()
-		if event.ID <= last {
-			continue // returned by an earlier run, or an event without an id, which is no output
+		if event.ID == 0 {
+			continue // an event without an id is no output
 		}
+		onEvent()
 		if event.ID != last+1 {
 			return errors.Newf("event %d received directly after event %d, events are missing", event.ID, last)
 		}
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -101,3 +101,46 @@
 
 // workingResponse is the response of the runner that works.
 const workingResponse = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n"
+
+// A stream in which no new event comes must end after a bounded number of bytes and within the time limits of the
+// request, and go on at another runner after its last event.
+func TestEndlessStreamIsCutOff(t *testing.T) {
+	filler := strings.Repeat("x", 4<<10)
+	event := "id: 1\ndata: event 1\n\n"
+	for name, respond := range map[string]func(int) string{
+		"line":            standin.Repeat(streamHead+event+"data: ", filler),
+		"lines":           standin.Repeat(streamHead+event, "data: "+filler+"\n"),
+		"comment lines":   standin.Repeat(streamHead+event, ": "+filler+"\n"),
+		"blank lines":     standin.Repeat(streamHead+event, strings.Repeat("\n", 4<<10)),
+		"repeated events": standin.Repeat(streamHead, strings.Repeat(event, 100)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			caller := &recordingCaller{}
+			ended := serveAfterEndless(t, endlessCase{respond: respond}, caller)
+			qt.Check(t, ended.LastEvent, qt.Equals, cs.EventID(1))
+			qt.Check(t, caller.body.String(), qt.Equals, workingResponse)
+		})
+	}
+}
+
+// Events that the caller has already must not keep a stream at a runner beyond the time limit between two events:
+// a resumable stream must go on elsewhere while it is still on time.
+func TestRepeatedEventsDoNotRestartIdleTimer(t *testing.T) {
+	event := "id: 1\ndata: event 1\n\n"
+	for name, part := range map[string]string{"repeated event": event, "comment": ": x\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			caller := &recordingCaller{}
+			respond := func(n int) string {
+				if n == 0 {
+					return streamHead + event
+				}
+				return part
+			}
+			ended := serveAfterEndless(t, endlessCase{
+				respond: respond, pause: 5 * time.Millisecond, firstByteTimeout: sessionTimeout, eventPause: 50,
+			}, caller)
+			qt.Check(t, ended.TimedOut, qt.IsTrue)
+			qt.Check(t, strings.ReplaceAll(caller.body.String(), ": x\n\n", ""), qt.Equals, workingResponse)
+		})
+	}
+}
--- a/forward/event.go
+++ b/forward/event.go
@@ -14,6 +14,10 @@
 // maxEventBytes limits the size of one event of a stream.
 const maxEventBytes = 64 << 10
 
+// maxBytesBetweenEvents limits the bytes of a stream that bring no new event: blank lines, comments, events
+// without an id and events that were received before.
+const maxBytesBetweenEvents = 256 << 10
+
 // eventBufferBytes is the size of the buffer through which a stream is read.
 const eventBufferBytes = 2 << 10
 
@@ -35,16 +39,37 @@
 type EventReader struct {
 	in  *bufio.Reader
 	raw []byte
+	// last is the id of the newest event, and unproductiveBytes the number of bytes read since.
+	last              cs.EventID
+	unproductiveBytes int
 }
 
-// NewEventReader returns an EventReader that reads from r.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{in: bufio.NewReaderSize(r, eventBufferBytes)}
+// NewEventReader returns an EventReader that reads from r and skips the events up to the one with the ID last,
+// which an earlier attempt has received.
+func NewEventReader(r io.Reader, last cs.EventID) *EventReader {
+	return &EventReader{in: bufio.NewReaderSize(r, eventBufferBytes), last: last}
 }
 
-// Read returns the next complete event, io.EOF at the end of the stream, or an error if the stream
-// fails or ends in the middle of an event.
+// Read returns the next complete event that has no ID or a higher one than all events before. It returns io.EOF
+// at the end of the stream, or an error if the stream fails, ends in the middle of an event or goes on for too
+// long without a new event.
 func (r *EventReader) Read() (StreamEvent, error) {
+	for {
+		e, err := r.readEvent()
+		switch {
+		case err != nil:
+			return StreamEvent{}, err
+		case e.ID == 0:
+			return e, nil
+		case e.ID > r.last:
+			r.last, r.unproductiveBytes = e.ID, 0
+			return e, nil
+		}
+	}
+}
+
+// readEvent returns the next complete event.
+func (r *EventReader) readEvent() (StreamEvent, error) {
 	r.raw = r.raw[:0]
 	var e StreamEvent
 	for {
@@ -75,9 +100,13 @@
 	for {
 		part, err := r.in.ReadSlice('\n')
 		r.raw = append(r.raw, part...)
+		r.unproductiveBytes += len(part)
 		if len(r.raw) > maxEventBytes {
 			return errors.Newf("event exceeds the limit of %d bytes", maxEventBytes)
 		}
+		if r.unproductiveBytes > maxBytesBetweenEvents {
+			return errors.Newf("no new event in %d bytes of the stream", maxBytesBetweenEvents)
+		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
--- a/forward/session.go
+++ b/forward/session.go
@@ -162,7 +162,7 @@
 	if !response.Signed {
 		return s.failure(ctx, errors.New("successful response without the runner's signature"))
 	}
-	events := NewEventReader(response.Body)
+	events := NewEventReader(response.Body, s.lastEvent)
 	for {
 		e, err := events.Read()
 		if errors.Is(err, io.EOF) {
@@ -171,11 +171,8 @@
 		if err != nil {
 			return s.failure(ctx, &InterruptedError{Cause: err, Disconnected: true})
 		}
-		idleTimer.Restart(a.EventTimeout)
 		if e.ID != 0 {
-			if e.ID <= s.lastEvent {
-				continue // already sent to the caller by an earlier attempt
-			}
+			idleTimer.Restart(a.EventTimeout) // events without an id are no output
 			if s.lastEvent != 0 && e.ID != s.lastEvent+1 {
 				return s.failure(ctx, errors.Newf("event %d received directly after event %d, events are missing", e.ID, s.lastEvent))
 			}
