Bound the output of an item by its tokens and by a record of the job log

What callers would see: a runner that sends numbered events without end keeps a batch item until 8 MB of text have come, which small events reach after minutes or hours. The next run resumes after these events, and a sound runner, which has nothing to send there, then completes the item with the wrong text. Cause: the limit of 8 MB is unrelated to what an item may produce and to what the log can hold, and the output of a run that exceeded it was kept. Evidence, with the new fields in place but not enforced: TestOutputBeyondItemIsDiscarded fails in all three cases. More events than tokens, and events without data: not ended after 7 s. Change: an event whose id is above the tokens of the item (prompt and output; an event holds at least one), or an output that does not fit into a record with what earlier runs brought, ends the run as interrupted, and nothing of that run is kept. gateway.Config.MaxOutput comes from the store's record size. Open: events that a faulty runner sent in an earlier run, below both limits and then broken off, are kept, as before.

--- a/batchjob/endless_test.go
+++ b/batchjob/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -101,3 +102,38 @@
 		})
 	}
 }
+
+// numberedEvents returns a stream of events with increasing ids that does not end.
+func numberedEvents(data string) func(n int) string {
+	return func(n int) string {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, data)
+		if n == 0 {
+			return streamHead + event
+		}
+		return event
+	}
+}
+
+// A stream of numbered events that goes on beyond the tokens of its item, or beyond what a record of the job log can
+// hold, is not the item's output. It must be cut off, and none of it may be kept: a run that resumes after it would
+// complete the item with it.
+func TestOutputBeyondItemIsDiscarded(t *testing.T) {
+	for name, test := range map[string]struct {
+		data   string
+		tokens cs.Tokens
+	}{
+		"more events than tokens": {"x", 100},
+		"larger than a record":    {strings.Repeat("x", 4<<10), 1_000_000},
+		"without data":            {"", 1_000_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := runAtEndless(t, numberedEvents(test.data), 0, gateway.RunItem{
+				EventTimeout: 2 * cs.Second, MaxOutput: 64 << 10, Item: gateway.Item{Tokens: test.tokens},
+			})
+			_, ok := e.Outcome.(gateway.ItemInterrupted)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", e.Outcome))
+			qt.Check(t, e.LastEvent, qt.Equals, cs.EventID(0))
+			qt.Check(t, len(e.Text), qt.Equals, 0)
+		})
+	}
+}
--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -196,7 +196,7 @@
 	item := j.Spec.Items[k.Index]
 	out.Add(gateway.RunItem{
 		Key: k, Attempt: w.Attempt, Runner: r.Spec.ID, Address: r.Spec.Address, Host: j.Spec.Host, Item: item, LastEvent: w.LastEvent,
-		EventTimeout: itemIdleTimeout,
+		EventTimeout: itemIdleTimeout, MaxOutput: remainingOutput(t, w),
 	})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteItemStarted, Job: k.Job, Item: item.ID, Runner: r.Spec.ID, Attempt: w.Attempt, Load: load,
@@ -205,6 +205,15 @@
 	return true
 }
 
+// remainingOutput returns the size limit of the output of a run that continues the output so far, or 0 if there
+// is no limit.
+func remainingOutput(t *gateway.Tables, w *gateway.ItemWork) cs.Bytes {
+	if t.Config.MaxOutput == 0 {
+		return 0
+	}
+	return max(t.Config.MaxOutput-cs.Bytes(len(w.Text))-1, 1) // a line feed joins the outputs
+}
+
 // pickRunner picks a random runner of a route's services, weighted by its free batch slots, or returns nil
 // if none has any.
 func pickRunner(t *gateway.Tables, route *cs.Route, now cs.Instant) *gateway.Runner {
--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -805,3 +805,29 @@
 	}
 	c.Assert(l.records, qt.HasLen, len(jobs))
 }
+
+// Guards against an output that is too large for a record of the job log: the append of its result would be rejected
+// again and again, and hold back all other results and jobs of the VM. All runs of an item together have the limit.
+func TestRunsTogetherHaveOutputLimit(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	v := newVM("a", 0, 1, 2, 3)
+	v.Config.MaxOutput = 100
+	submit(v, l, newJob("j", 1), 1, startTime)
+	now := startTime
+	for len(v.started) == 0 && now < startTime.Add(5*cs.Second) {
+		now = now.Add(100)
+		v.tick(now)
+	}
+	c.Assert(v.started, qt.HasLen, 1)
+	c.Check(v.started[0].MaxOutput, qt.Equals, cs.Bytes(99))
+	v.inbox = append(v.inbox, gateway.ItemRunEnded{
+		Key: v.started[0].Key, Attempt: v.started[0].Attempt, Text: make([]byte, 30), LastEvent: 3, Outcome: gateway.ItemInterrupted{},
+	})
+	for len(v.started) == 1 && now < startTime.Add(10*cs.Second) {
+		now = now.Add(100)
+		v.tick(now)
+	}
+	c.Assert(v.started, qt.HasLen, 2)
+	c.Check(v.started[1].MaxOutput, qt.Equals, cs.Bytes(69))
+}
--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -14,9 +14,6 @@
 	"github.com/crocusstile/crocusstile/tick"
 )
 
-// maxOutputBytes bounds the output of one run of an item.
-const maxOutputBytes = 8 << 20
-
 // errStopped is the cancellation cause of a run that this VM stopped.
 var errStopped = errors.New("stopped")
 
@@ -94,8 +91,11 @@
 		ended.Outcome = gateway.ItemError{Status: response.Status, Permanent: response.Status == http.StatusUnprocessableEntity}
 		return ended
 	}
-	err = readEvents(response, a.LastEvent, &ended, func() { idleTimer.Restart(a.EventTimeout) })
+	err = readEvents(response, a, &ended, func() { idleTimer.Restart(a.EventTimeout) })
 	if err != nil {
+		if errors.Is(err, errNotOutput) {
+			ended.Text, ended.LastEvent = nil, 0
+		}
 		ended.Outcome = outcomeOf(ctx, err)
 		return ended
 	}
@@ -103,12 +103,17 @@
 	return ended
 }
 
-// readEvents reads the event stream of a response and appends to e.Text the events after last, which earlier
-// runs returned. It calls onEvent for each of them.
-func readEvents(response *forward.RunnerResponse, last cs.EventID, e *gateway.ItemRunEnded, onEvent func()) error {
+// errNotOutput means that a stream is larger than the output of its item can be. What was read of it must not be
+// kept, since a run that resumes after it would complete the item with it.
+var errNotOutput = errors.New("more than the output of the item")
+
+// readEvents reads the event stream of a response and appends to e.Text the events after a.LastEvent, up to which
+// earlier runs returned them. It calls onEvent for each event that it appends.
+func readEvents(response *forward.RunnerResponse, a gateway.RunItem, e *gateway.ItemRunEnded, onEvent func()) error {
 	if !response.Signed {
 		return errors.New("successful response without the runner's signature")
 	}
+	last := a.LastEvent
 	events := forward.NewEventReader(response.Body, last)
 	for {
 		event, err := events.Read()
@@ -124,16 +129,19 @@
 		if event.ID == 0 {
 			continue // an event without an id is no output
 		}
-		onEvent()
 		if event.ID != last+1 {
 			return errors.Newf("event %d received directly after event %d, events are missing", event.ID, last)
 		}
+		if t := a.Item.Tokens; t > 0 && event.ID > cs.EventID(t) {
+			return errors.Wrapf(errNotOutput, "event %d of an item with %d tokens", event.ID, t)
+		}
+		onEvent()
 		if e.LastEvent > 0 {
 			e.Text = append(e.Text, '\n')
 		}
 		e.Text = append(e.Text, event.Data...)
-		if len(e.Text) > maxOutputBytes {
-			return errors.Newf("output exceeds the limit of %d bytes", maxOutputBytes)
+		if a.MaxOutput > 0 && cs.Bytes(len(e.Text)) > a.MaxOutput {
+			return errors.Wrapf(errNotOutput, "output exceeds the limit of %d bytes", a.MaxOutput)
 		}
 		last, e.LastEvent = event.ID, event.ID
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/crocusstile/crocusstile/gossip"
 	"github.com/crocusstile/crocusstile/meter"
 	"github.com/crocusstile/crocusstile/platform"
+	"github.com/crocusstile/crocusstile/wire"
 )
 
 // Timeouts and intervals of an entry VM.
@@ -87,7 +88,7 @@
 	limitMemory(s.MemoryMB)
 	tables := gateway.New(gateway.Config{
 		Grace: s.Grace, RegistrationGrace: registrationGrace, ResultRetention: s.ResultRetention, PartitionCount: s.Store.PartitionCount,
-		MaxAppend: s.Store.MaxAppend,
+		MaxAppend: s.Store.MaxAppend, MaxOutput: wire.MaxOutput(s.Store.MaxRecord),
 	}, v.self, clock.Now(), rand.Uint64())
 	v.loop = newLoop(clock, tables)
 	return v, v.buildComponents(clock)
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -58,6 +58,8 @@
 		// EventTimeout is the time limit for each event; 0 means no limit. A run that exceeds it is
 		// cancelled, and its outcome is TimedOut.
 		EventTimeout cs.Span
+		// MaxOutput is the size limit of the output of the run; 0 means no limit.
+		MaxOutput cs.Bytes
 	}
 	// StopItem cancels a run. The runner aborts it as well, since its connection is closed.
 	StopItem struct {
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -82,6 +82,9 @@
 	PartitionCount int
 	// MaxAppend is the maximum size of one append to the job log.
 	MaxAppend cs.Bytes
+	// MaxOutput is the maximum size of the output of an item, which must fit into a record of the job log;
+	// 0 means no limit.
+	MaxOutput cs.Bytes
 }
 
 // Drain is the progress of this VM's drain.
--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -28,6 +28,10 @@
 // recordOverheadBytes is an upper bound of the size of a record without its payload: key, append ID and counts.
 const recordOverheadBytes = 512
 
+// MaxOutput returns the size of the largest output of an item whose result or progress fits into a record of
+// maxRecord bytes.
+func MaxOutput(maxRecord cs.Bytes) cs.Bytes { return maxRecord - 2*recordOverheadBytes }
+
 // KeyedRecord is a record of a compacted topic; one without a value is a tombstone, which deletes its key.
 type KeyedRecord struct {
 	Key   string
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -1,10 +1,12 @@
 package wire_test
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
 	"github.com/crocusstile/crocusstile/wire"
 )
@@ -94,3 +96,21 @@
 		c.Assert(decoded.Change, qt.IsNil)
 	}
 }
+
+// Guards against an output of an item that is accepted and then does not fit into a record: its append would be
+// rejected again and again.
+func TestLargestOutputFitsIntoRecord(t *testing.T) {
+	c := qt.New(t)
+	const maxRecord = 4096
+	text := strings.Repeat("x", int(wire.MaxOutput(maxRecord)))
+	id := gateway.AppendID{Writer: 1 << 62, Number: 1 << 62}
+	job, item := cs.JobID(strings.Repeat("j", 100)), cs.ItemID(strings.Repeat("i", 100))
+	records, err := wire.EncodeJobChanges(id, []gateway.JobChange{
+		gateway.JobResultAppended{Job: job, Index: 199, AppendID: id, Result: gateway.Result{Item: item, Done: true, Text: text}},
+		gateway.ProgressSaved{Job: job, Item: item, Index: 199, Progress: gateway.Progress{Text: []byte(text), LastEvent: 1 << 62}},
+	}, maxRecord)
+	c.Assert(err, qt.IsNil)
+	for _, r := range records {
+		c.Check(len(r.Key)+len(r.Value) <= maxRecord, qt.IsTrue, qt.Commentf("%d bytes", len(r.Key)+len(r.Value)))
+	}
+}
