Count an error response of an item only if it is complete

What callers would see: an item is listed as given up after a 422 whose body does not end (or breaks off), and a 500 of that kind counts as an attempt. Such bytes are no answer, so the item has to go on elsewhere. Cause: the run took the status, ignored the error of reading the body, and stopped at 900 KB (maxPageBytes, a limit of pages of results) or at the idle timeout without regard to it. Change: the body is read to its end within 64 KB and the time limit of an event; otherwise the run counts as interrupted.

--- a/batchjob/endless_test.go
+++ b/batchjob/endless_test.go
@@ -137,3 +137,24 @@
 		})
 	}
 }
+
+// An error response that does not end is no answer: neither its status may count against the item, which would be
+// given up for it, nor may it be read without bound.
+func TestEndlessErrorOfRunIsNoAnswer(t *testing.T) {
+	head := func(status string) string { return "HTTP/1.1 " + status + " X\r\nRequest-Id: it1\r\n\r\n" }
+	filler := strings.Repeat("x", 4<<10)
+	for name, test := range map[string]struct {
+		respond func(n int) string
+		pause   time.Duration
+	}{
+		"422":         {standin.Repeat(head("422"), filler), 0},
+		"422, slowly": {standin.Repeat(head("422"), "x"), 5 * time.Millisecond},
+		"500":         {standin.Repeat(head("500"), filler), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := runAtEndless(t, test.respond, test.pause, gateway.RunItem{EventTimeout: cs.Second})
+			_, ok := e.Outcome.(gateway.ItemInterrupted)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", e.Outcome))
+		})
+	}
+}
--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -87,8 +87,10 @@
 	}
 	defer func() { _ = response.Body.Close() }() // a failure to close does not change the outcome
 	if response.Status != http.StatusOK {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxPageBytes)) // lets the connection be reused
 		ended.Outcome = gateway.ItemError{Status: response.Status, Permanent: response.Status == http.StatusUnprocessableEntity}
+		if err := discardBody(response.Body); err != nil {
+			ended.Outcome = outcomeOf(ctx, err)
+		}
 		return ended
 	}
 	err = readEvents(response, a, &ended, func() { idleTimer.Restart(a.EventTimeout) })
@@ -103,6 +105,22 @@
 	return ended
 }
 
+// maxErrorBytes limits the size of the body of an error response.
+const maxErrorBytes = 64 << 10
+
+// discardBody reads the body of an error response, which is a response only if it is complete, and lets its
+// connection be reused.
+func discardBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxErrorBytes+1))
+	if err != nil {
+		return &forward.InterruptedError{Cause: err, Disconnected: true}
+	}
+	if n > maxErrorBytes {
+		return errors.Newf("error response exceeds the limit of %d bytes", maxErrorBytes)
+	}
+	return nil
+}
+
 // errNotOutput means that a stream is larger than the output of its item can be. What was read of it must not be
 // kept, since a run that resumes after it would complete the item with it.
 var errNotOutput = errors.New("more than the output of the item")
