--- a/engine/client.go
+++ b/engine/client.go
@@ -26,6 +26,10 @@
 // maxEventBytes limits the size of one event of a stream, and is the size of the read buffer.
 const maxEventBytes = 16 << 10
 
+// maxResponseHeadBytes limits the head of a response, interim responses included. The default of net/http is 10 MB
+// for each request.
+const maxResponseHeadBytes = 32 << 10
+
 // maxErrorBodyBytes limits how much of an error response is read.
 const maxErrorBodyBytes = 4 << 10
 
@@ -60,6 +64,7 @@
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerRunner,
 			IdleConnTimeout: (20 * cs.Second).Std(), DisableKeepAlives: unpooled,
 			DisableCompression: true, WriteBufferSize: 4 << 10, ReadBufferSize: 16 << 10,
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
 		}
 	}
 	return &Client{
