Bound a load report in the former daemon

What callers would see: a load report without end is decoded up to the limit of a response, 16 MB by default and several times that while it is decoded, for each runner that is polled. Cause: getJSON took the limit of responses to callers. Change: a JSON document of a runner has at most 64 KB.

--- a/engine/client.go
+++ b/engine/client.go
@@ -170,7 +170,10 @@
 	}
 }
 
-// getJSON fetches a small JSON document.
+// maxDocumentBytes limits the size of a JSON document of a runner, such as its load report.
+const maxDocumentBytes = 64 << 10
+
+// getJSON fetches a JSON document of at most maxDocumentBytes.
 func (c *Client) getJSON(ctx context.Context, url string, v any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
@@ -185,7 +188,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("%s: %s", url, resp.Status)
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, int64(c.cfg.MaxResponse))).Decode(v)
+	return json.NewDecoder(io.LimitReader(resp.Body, maxDocumentBytes)).Decode(v)
 }
 
 // drain reads the small remainder of a body, so that the connection can be reused.
--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -107,6 +107,14 @@
 	requireCutOff(t, startEndless(t, respond), endlessRequests(t, client)["generate"])
 }
 
+// A load report without end must be cut off: a VM polls all runners, and keeps nothing of a report but a few names.
+func TestEndlessLoadReportIsCutOff(t *testing.T) {
+	client := engine.New(engine.Config{Clock: cs.NewClock(), DialTimeout: longTimeout, MaxResponse: 16 << 20})
+	t.Cleanup(client.Close)
+	respond := standin.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n{\"loaded\":[", `"`+strings.Repeat("x", 4<<10)+`",`)
+	requireCutOff(t, startEndless(t, respond), endlessRequests(t, client)["load"])
+}
+
 // A runner that switches the protocol must not get hold of a request: net/http hands such a connection to the caller
 // of the transport and no longer closes it when the request's time is up.
 func TestSwitchedProtocolEndsRequest(t *testing.T) {
