--- a/engine/client.go
+++ b/engine/client.go
@@ -26,6 +26,10 @@
 // maxEventBytes limits the size of one event of a stream, and is the size of the read buffer.
 const maxEventBytes = 16 << 10
 
+// maxResponseHeadBytes limits the head of a response, interim responses included. The default of net/http is 10 MB
+// for each request.
+const maxResponseHeadBytes = 32 << 10
+
 // maxErrorBodyBytes limits how much of an error response is read.
 const maxErrorBodyBytes = 4 << 10
 
@@ -60,6 +64,7 @@
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerRunner,
 			IdleConnTimeout: (20 * cs.Second).Std(), DisableKeepAlives: unpooled,
 			DisableCompression: true, WriteBufferSize: 4 << 10, ReadBufferSize: 16 << 10,
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
 		}
 	}
 	return &Client{
@@ -110,7 +115,18 @@
 	if len(body) == 0 {
 		req.Body = io.NopCloser(bytes.NewReader(nil))
 	}
-	return client.Do(req)
+	return do(client, req)
+}
+
+// do sends a request and returns the response. A switch of the protocol is an error, since no request asks for it and
+// reads from such a connection do not end with the request's context.
+func do(client *http.Client, req *http.Request) (*http.Response, error) {
+	resp, err := client.Do(req)
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+		_ = resp.Body.Close() // closes the connection
+		return nil, protocolError("runner switched the protocol")
+	}
+	return resp, err
 }
 
 // failure returns the result of a failed attempt; the cause of ctx tells whether it was cancelled.
@@ -154,13 +170,16 @@
 	}
 }
 
-// getJSON fetches a small JSON document.
+// maxDocumentBytes limits the size of a JSON document of a runner, such as its load report.
+const maxDocumentBytes = 64 << 10
+
+// getJSON fetches a JSON document of at most maxDocumentBytes.
 func (c *Client) getJSON(ctx context.Context, url string, v any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return err
 	}
-	resp, err := c.pooled.Do(req)
+	resp, err := do(c.pooled, req)
 	if err != nil {
 		return err
 	}
@@ -169,7 +188,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("%s: %s", url, resp.Status)
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, int64(c.cfg.MaxResponse))).Decode(v)
+	return json.NewDecoder(io.LimitReader(resp.Body, maxDocumentBytes)).Decode(v)
 }
 
 // drain reads the small remainder of a body, so that the connection can be reused.
