Send the outcome of an item to the owner with the newest claim

What callers saw: after a data centre lost the log, one or a few accepted items stayed running for ever (TestDataCentreLosesLog: 398 or 399 of 400 done after 90 s). Cause: two ways in which a batch sender acts on an old view of the log. (1) A former owner that cannot read the log and is the batch sender of runners took its own claim for the one in force, whatever claim the new owner reported, and sent the outcome of a run that the new owner had granted to itself. There it was dropped, and the new owner waited until the run's limit. Completed runs got through as copies of ended items for the standby; preempted ones did not. (2) A later grant by the former owner took over a run that the new owner had granted, so that the outcome carried the former owner's number of the grant. Ruled out: lost copies of ended items (no item left was a completed run) and lost links (no link broke). Test: TestOutcomeGoesToNewestClaim (package batch). Before, each of its first five cases sent the outcome to vm0, the former owner itself, instead of vm1 or vm2; without the check in reassign, "no heartbeat yet" does so too. Change: fleet.Tables.NewestClaim compares the claim read from the log with those in heartbeats. ItemsGranted carries the claim under which the owner grants; the outcome goes to the newest of these claims. A grant under an older claim than the run's is ignored. If the newest owner is dead, the outcome waits for the next one, instead of going to an older owner.

--- a/batch/batch_test.go
+++ b/batch/batch_test.go
@@ -126,6 +126,56 @@
 	qt.Check(t, countStops(runSystems(tb)), qt.Equals, 4)
 }
 
+// TestOutcomeGoesToNewestClaim guards against a batch sender that cannot read the log, still takes
+// itself for the owner of the shard and keeps the outcome of a run that the new owner granted. The
+// new owner then waited for the outcome until the run's limit.
+func TestOutcomeGoesToNewestClaim(t *testing.T) {
+	key := cs.ItemKey{Job: "j"}
+	for name, c := range map[string]struct {
+		claims map[cs.VMID]cs.Offset // in heartbeats
+		result fleet.RunResult
+		change func(vm2 *fleet.VM)
+		want   []cs.VMID
+	}{
+		"granting owner, done":      {map[cs.VMID]cs.Offset{"vm1": 7}, fleet.RunCompleted{}, nil, []cs.VMID{"vm1"}},
+		"granting owner, preempted": {map[cs.VMID]cs.Offset{"vm1": 7}, fleet.RunCancelled{}, nil, []cs.VMID{"vm1"}},
+		"later owner":               {map[cs.VMID]cs.Offset{"vm1": 7, "vm2": 9}, fleet.RunCompleted{}, nil, []cs.VMID{"vm2"}},
+		"former owner":              {map[cs.VMID]cs.Offset{"vm1": 7, "vm2": 2}, fleet.RunCompleted{}, nil, []cs.VMID{"vm1"}},
+		"no heartbeat yet":          {nil, fleet.RunCompleted{}, nil, []cs.VMID{"vm1"}},
+		"no link to the later owner": {
+			map[cs.VMID]cs.Offset{"vm2": 9}, fleet.RunCompleted{}, func(vm2 *fleet.VM) { vm2.Linked = false }, []cs.VMID{"vm1"},
+		},
+		"later owner is dead": {
+			map[cs.VMID]cs.Offset{"vm2": 9}, fleet.RunCompleted{}, func(vm2 *fleet.VM) { vm2.Live, vm2.Linked = false, false }, nil,
+		},
+	} {
+		tb := newTables(1)
+		tb.Shards.Insert(1, fleet.Shard{Stream: cs.WorkStream(1), Claim: 3, VM: "vm0", Owned: true})
+		for id, fence := range c.claims {
+			tb.VMs.Get(id).LastHeartbeat.Owned = []cs.OwnedShard{{Shard: 1, Fence: fence}}
+		}
+		if c.change != nil {
+			c.change(tb.VMs.Get("vm2"))
+		}
+		grant := grantMessage(1, 1)
+		granted := grant.Message.(cs.ItemsGranted)
+		granted.Fence = 7
+		grant.Message = granted
+		runSystems(tb, grant)
+		granted.Fence = 3
+		runSystems(tb, fleet.PeerMessageReceived{From: "vm0", Message: granted}) // must not take the run over
+		var to []cs.VMID
+		for _, a := range runSystems(tb, fleet.ItemRunEnded{Key: key, Attempt: 1, Result: c.result}) {
+			if s, ok := a.(fleet.Send); ok {
+				if _, ok := s.Message.(cs.ItemOutcome); ok {
+					to = append(to, s.To)
+				}
+			}
+		}
+		qt.Check(t, to, qt.DeepEquals, c.want, qt.Commentf(name))
+	}
+}
+
 // TestGrantLeavesMarginFree guards against granted items that start in the slot which the next
 // online request needs, so that they are stopped right after their prefill.
 func TestGrantLeavesMarginFree(t *testing.T) {
--- a/batch/grant.go
+++ b/batch/grant.go
@@ -66,7 +66,9 @@
 		}
 	}
 	for _, item := range m.Items {
-		run := fleet.Run{GrantedItem: item, Grant: item.Attempt, Runner: m.Runner, Owner: from, Shard: m.Shard, Since: now}
+		run := fleet.Run{
+			GrantedItem: item, Grant: item.Attempt, Runner: m.Runner, Owner: from, Shard: m.Shard, Fence: m.Fence, Since: now,
+		}
 		runner := runnerFor(t, r, run, now)
 		if runner != nil {
 			run.Runner = runner.ID
@@ -165,9 +167,12 @@
 
 // reassign directs the outcome of a run to the VM that granted the item again: either the same
 // grant came twice, or a new owner granted an item that still runs here or whose outcome could not
-// be delivered.
+// be delivered. A grant under an older claim is that of a former owner and changes nothing.
 func reassign(old *fleet.Run, run fleet.Run, now cs.Instant, out *fleet.Actions) {
-	old.Owner, old.Grant, old.Discard = run.Owner, run.Grant, false
+	if run.Fence < old.Fence {
+		return
+	}
+	old.Owner, old.Fence, old.Grant, old.Discard = run.Owner, run.Fence, run.Grant, false
 	old.RetryAt = now
 	out.WakeAt(now)
 }
--- a/batch/settle.go
+++ b/batch/settle.go
@@ -91,15 +91,16 @@
 	return message
 }
 
-// deliver sends a run's outcome to the present owner of the shard, or to the VM that granted the
-// item if no owner is known. It returns false if that VM cannot be reached.
+// deliver sends a run's outcome to the present owner of the item, or, without a link to it, to the VM
+// that granted the item, which passes it on. It returns false if that VM cannot be reached, or is this
+// one and does not own the shard.
 func deliver(t *fleet.Tables, run *fleet.Run, out *fleet.Actions) bool {
 	run.Outcome.Attempt = run.Grant
-	to := ownerOf(t, run.Shard)
-	if to == "" {
+	to := ownerOf(t, run)
+	if vm := t.VMs.Get(to); to != t.Self.ID && vm != nil && vm.Live && !vm.Linked {
 		to = run.Owner
 	}
-	if !reachable(t, to) {
+	if !reachable(t, to) || to == t.Self.ID && !ownsShard(t, run.Shard) {
 		return false
 	}
 	out.Add(fleet.Send{To: to, Message: *run.Outcome})
@@ -114,26 +115,20 @@
 	return vm != nil && vm.Live && vm.Linked
 }
 
-// ownerOf returns the reachable VM whose heartbeat reports the newest claim of a shard, or "".
-func ownerOf(t *fleet.Tables, s cs.ShardID) cs.VMID {
-	if row := t.Shards.Get(s); row != nil && row.Owned {
-		return t.Self.ID
-	}
-	var (
-		owner cs.VMID
-		fence = cs.NoOffset
-	)
-	for id, vm := range t.VMs.All() {
-		if id == t.Self.ID || !reachable(t, id) {
-			continue
-		}
-		for _, o := range vm.LastHeartbeat.Owned {
-			if o.Shard == s && (owner == "" || o.Fence > fence) {
-				owner, fence = id, o.Fence
-			}
-		}
+func ownsShard(t *fleet.Tables, id cs.ShardID) bool {
+	s := t.Shards.Get(id)
+	return s != nil && s.Owned
+}
+
+// ownerOf returns the present owner of a run's item: the VM with the newest claim known, which may be
+// the one under which the item was granted. This VM's own claim counts only if no newer one is known,
+// since it learns late of its successor while it cannot read the log.
+func ownerOf(t *fleet.Tables, run *fleet.Run) cs.VMID {
+	newest := t.NewestClaim(run.Shard)
+	if newest.VM == "" || run.Fence > newest.Fence {
+		return run.Owner
 	}
-	return owner
+	return newest.VM
 }
 
 // resend retries the delivery of outcomes whose owner could not be reached, and drops those that
@@ -162,7 +157,7 @@
 // granted.
 func stopJob(t *fleet.Tables, job cs.JobID, from cs.VMID, out *fleet.Actions) {
 	t.Runs.DeleteFunc(func(k cs.ItemKey, run *fleet.Run) bool {
-		if k.Job != job || run.Owner != from && ownerOf(t, run.Shard) != from {
+		if k.Job != job || run.Owner != from && ownerOf(t, run) != from {
 			return false
 		}
 		run.Discard = true
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -11,7 +11,9 @@
 	Runner cs.RunnerID
 	Owner  cs.VMID // the VM that granted the item
 	Shard  cs.ShardID
-	Since  cs.Instant
+	// Fence is the claim of Shard under which Owner granted the item.
+	Fence cs.Offset
+	Since cs.Instant
 	// Stopping tells whether a StopItem for the run was issued.
 	Stopping bool
 	// Discard tells whether the outcome is to be dropped because the job was cancelled.
--- a/job/grant.go
+++ b/job/grant.go
@@ -46,6 +46,9 @@
 	if t.Drain.Phase < fleet.DrainFinishing && !t.Config.Policy.NoBatch {
 		sel := newSelection(t, m, v, now)
 		g.Shard = sel.shard
+		if sel.s != nil {
+			g.Fence = sel.s.Claim
+		}
 		for cs.Slots(len(g.Items)) < m.Slots {
 			o := sel.next()
 			if o == nil {
