Test that a former owner does not deny a job in the former daemon

What callers would see: 404 for an accepted job from a VM that resumes, cannot read the log and still takes itself for the owner of the shard. Change: the test. Open: a former owner that no heartbeat of the new one reaches still answers from its tables.

--- a/job/job_test.go
+++ b/job/job_test.go
@@ -112,6 +112,18 @@
 	qt.Check(t, []any{s.Owned, len(s.Pending)}, qt.DeepEquals, []any{false, 0})
 }
 
+// TestOwnClaimReadLate guards against a VM that reads its own claim after the heartbeat of a later
+// owner and acts as the owner until it has read the later claim too.
+func TestOwnClaimReadLate(t *testing.T) {
+	tables, out := benchTables(), &fleet.Actions{}
+	s := tables.Shards.Get(0)
+	vm := tables.VMs.Insert("vm1", fleet.VM{VM: cs.VM{ID: "vm1"}, Live: true, Linked: true})
+	vm.LastHeartbeat.Owned = []cs.OwnedShard{{Fence: 1}}
+	tables.Events = []fleet.Event{fleet.LogRead{Stream: s.Stream, Next: 1, Batches: []cs.LoggedBatch{claimBatch()}}}
+	Follow(tables, tables.Started, out)
+	qt.Check(t, []any{s.Claim, s.Owned}, qt.DeepEquals, []any{cs.Offset(0), false})
+}
+
 // TestClaims guards against a claim on a shard whose owner renews its claim, and against a shard
 // that no VM claims after its owner has released it, died or lost access to the log.
 func TestClaims(t *testing.T) {
@@ -145,6 +157,9 @@
 		{"stream not known from its start", func(_ *fleet.Tables, s *fleet.Shard, _ *fleet.VM) {
 			s.Released, s.Synced = true, false
 		}, false},
+		{"newer claim not read yet", func(_ *fleet.Tables, s *fleet.Shard, vm *fleet.VM) {
+			s.Released, vm.LastHeartbeat.Owned = true, []cs.OwnedShard{{Fence: 9}}
+		}, false},
 	}
 	for _, tt := range tests {
 		tables, out := benchTables(), &fleet.Actions{}
@@ -582,3 +597,76 @@
 	sweepShard(tables, 0, s, now.Add(tables.Config.Lease), out)
 	qt.Check(t, j.Items[0].State, qt.Equals, cs.ItemWaiting)
 }
+
+// TestOwnerCutOffFromLogGivesUp guards against an owner that cannot read the log and goes on as the
+// owner although heartbeats show the claim of a new one: it granted items to itself that the new
+// owner had granted, and answered queries from its old state. Ends that it could not append must
+// reach the new owner, and no item may stay running.
+func TestOwnerCutOffFromLogGivesUp(t *testing.T) {
+	c := newOwnedCluster(t, 3)
+	m := job("a", 40, false)
+	submitAccepted(t, c, m)
+	former := c.owner()
+	former.cutOff = true
+	i := slices.Index(c.nodes, former)
+	c.offer(i, i, 10)
+	c.step(50 * cs.Millisecond)
+	for range 5 {
+		c.deliverOutcome(0, cs.ItemOutcome{Output: "ok"})
+	}
+	qt.Assert(t, c.runUntil(30*cs.Second, func() bool { return c.owner() != former }), qt.IsTrue)
+	c.step(50 * cs.Millisecond)
+	c.step(50 * cs.Millisecond)
+	qt.Check(t, former.t.Shards.Get(0).Owned, qt.IsFalse)
+	qt.Check(t, c.owner().t.Jobs.Get(m.Job.ID).Counts[cs.ItemDone], qt.Equals, cs.ItemIndex(5))
+
+	c.offer(i, i, 10)
+	c.ask(i, 2, cs.GetJob{Job: m.Job.ID, Tenant: "t"})
+	granted := len(c.runs)
+	c.runUntil(cs.Second, func() bool { return c.answers[2] != nil })
+	qt.Check(t, len(c.runs), qt.Equals, granted, qt.Commentf("runs granted by the former owner"))
+	reply, ok := c.answers[2].(cs.JobReply)
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%v", c.answers[2]))
+	qt.Check(t, reply.Status, qt.DeepEquals, c.owner().t.Jobs.Get(m.Job.ID).Status())
+
+	qt.Assert(t, c.finish(m.Job.ID, 30*cs.Second), qt.IsTrue)
+}
+
+// TestNewOwnerAdoptsLocalRuns guards against runs that a VM keeps when it takes a shard over and that the
+// former owner then stops: the new owner waited a lease for their outcome.
+func TestNewOwnerAdoptsLocalRuns(t *testing.T) {
+	c := newOwnedCluster(t, 3)
+	m := job("a", 4, false)
+	submitAccepted(t, c, m)
+	former := c.owner()
+	key := cs.ItemKey{Job: m.Job.ID}
+	for _, n := range c.nodes {
+		n.t.Runs.Insert(key, fleet.Run{GrantedItem: cs.GrantedItem{Key: key, Attempt: 2}, Grant: 2, Owner: former.vm.ID})
+	}
+	former.cutOff = true
+	qt.Assert(t, c.runUntil(30*cs.Second, func() bool { return c.owner() != former }), qt.IsTrue)
+	tables := c.owner().t
+	run := tables.Runs.Get(key)
+	got := []any{run.Owner, run.Fence, run.Grant, tables.Jobs.Get(key.Job).Items[0].State}
+	qt.Check(t, got, qt.DeepEquals, []any{tables.Self.ID, tables.Shards.Get(0).Claim, cs.Attempt(2), cs.ItemRunning})
+}
+
+// TestFormerOwnerDoesNotDenyJob guards against 404 for an accepted job: a VM that cannot read the log still
+// takes itself for the owner of the shard, and does not know the jobs that the new owner has accepted.
+func TestFormerOwnerDoesNotDenyJob(t *testing.T) {
+	c := newOwnedCluster(t, 3)
+	former := c.owner()
+	former.frozen = true
+	qt.Assert(t, c.runUntil(60*cs.Second, func() bool { return c.owner() != nil }), qt.IsTrue)
+	m := job("later", 1, false)
+	c.ask(slices.Index(c.nodes, c.owner()), 7, m)
+	qt.Assert(t, c.runUntil(5*cs.Second, func() bool { return c.answers[7] != nil }), qt.IsTrue)
+	_, accepted := c.answers[7].(cs.JobReply)
+	qt.Assert(t, accepted, qt.IsTrue)
+	former.frozen, former.tailing = false, false // it runs again, but its reads of the log do not return
+	c.ask(slices.Index(c.nodes, former), 8, cs.GetJob{Job: m.Job.ID, Tenant: "t"})
+	c.runUntil(3*cs.Second, func() bool { return c.answers[8] != nil })
+	if refused, ok := c.answers[8].(cs.RefusedReply); ok {
+		qt.Assert(t, refused.Refusal.Reason, qt.Not(qt.Equals), cs.ReasonNotFound)
+	}
+}
