Give the VMs of the routing simulation the shards whose items they grant

Cause: the simulation. Its VMs grant items and take outcomes without owning a shard, and all report a backlog of one and the same shard. Since an outcome is not delivered to the sender itself while that does not own the shard, so that each run of an item that a VM granted to itself stayed in its tables and was resent. Change: each VM owns a shard, with a claim in its heartbeats, and grants under it.

--- a/routing/sim_test.go
+++ b/routing/sim_test.go
@@ -26,6 +26,8 @@
 	reportDelay     = cs.Span(50)
 	minTickInterval = cs.Span(2)
 	simStart        = cs.Instant(1_000_000)
+	// simClaim is the offset of each VM's claim of its shard.
+	simClaim = cs.Offset(1)
 	// crashingPrompt is the prompt of a request that crashes the runners it runs on.
 	crashingPrompt = "poison"
 )
@@ -126,7 +128,8 @@
 		id := cs.VMID(fmt.Sprint("vm", i))
 		s.vms = append(s.vms, &simVM{t: fleet.New(c, cs.VM{ID: id, DataCentre: "a"}, s.now, simSeed+uint64(i))})
 	}
-	for _, v := range s.vms {
+	for i, v := range s.vms {
+		v.t.Shards.Insert(cs.ShardID(i), fleet.Shard{Claim: simClaim, VM: v.t.Self.ID, Owned: true})
 		for _, o := range s.vms {
 			v.t.VMs.Insert(o.t.Self.ID, fleet.VM{VM: o.t.Self, Live: true, Linked: true})
 		}
@@ -245,7 +248,7 @@
 func (s *sim) deliver(from cs.VMID, to *simVM, m cs.PeerMessage) {
 	switch m := m.(type) {
 	case cs.SlotsOffered:
-		grant := cs.ItemsGranted{Offer: m.Offer, Runner: m.Runner}
+		grant := cs.ItemsGranted{Offer: m.Offer, Runner: m.Runner, Shard: s.shardOf(to), Fence: simClaim}
 		for range m.Slots {
 			s.items++
 			grant.Items = append(grant.Items, cs.GrantedItem{
@@ -259,9 +262,13 @@
 	}
 }
 
+// shardOf returns the shard that a VM owns, the items of which it grants.
+func (s *sim) shardOf(v *simVM) cs.ShardID { return cs.ShardID(slices.Index(s.vms, v)) }
+
 // sendHeartbeat sends a VM's heartbeat to all VMs.
 func (s *sim) sendHeartbeat(v *simVM) {
-	h := cs.Heartbeat{}
+	shard := s.shardOf(v)
+	h := cs.Heartbeat{Owned: []cs.OwnedShard{{Shard: shard, Fence: simClaim}}}
 	for id, r := range v.t.Runners.All() {
 		if r.Online > 0 {
 			h.Online = append(h.Online, cs.RunnerCount{Runner: id, Count: r.Online})
@@ -271,7 +278,7 @@
 		row := o.t.VMs.Get(v.t.Self.ID)
 		row.LastHeartbeat, row.HeartbeatAt = h, s.now
 		if s.batchEnabled {
-			row.Backlog = map[cs.ShardID]cs.ItemIndex{0: 1000}
+			row.Backlog = map[cs.ShardID]cs.ItemIndex{shard: 1000}
 		}
 		s.addEvent(o, fleet.PeerMessageReceived{From: v.t.Self.ID, Message: h})
 	}
