Show that items of an ended job are started from an old view, in a test that fails

An owner that lags behind the job log starts items of a job whose end it has not read; the platform allows 3 s from the acknowledgement. Evidence: TestEndedJobIsNotStartedFromOldView fails: one start with a view that is 8 s old. Conclusion: open.

--- a/batchjob/absence_test.go
+++ b/batchjob/absence_test.go
@@ -99,3 +99,31 @@
 	c.Check(v.started, qt.HasLen, 2)
 	c.Assert(v.Jobs.Get("j").Results, qt.HasLen, 1)
 }
+
+// Guards against items that are started although their job was ended seconds ago, by an owner that lags behind the
+// log. The platform allows 3 s from the acknowledgement of the end.
+func TestEndedJobIsNotStartedFromOldView(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	a, owner := newVM("a"), newVM("b", 0, 1, 2, 3)
+	for _, r := range owner.Runners.All() {
+		r.Spec.Leaving = true // the items wait
+	}
+	submit(a, l, newJob("j", 1), 1, startTime)
+	owner.readLog(l, startTime)
+	owner.tick(startTime)
+	now := startTime.Add(cs.Second)
+	a.inbox = append(a.inbox, gateway.JobEndRequested{Query: 2, Job: "j"})
+	a.tick(now)
+	a.completeAppends(l)
+	a.tick(now)
+	c.Assert(accepted(a, 2), qt.IsTrue)
+	for _, r := range owner.Runners.All() {
+		r.Spec.Leaving = false
+	}
+	now = now.Add(7 * cs.Second)
+	owner.inbox = append(owner.inbox, gateway.PartitionsAssigned{Partitions: []int{0, 1, 2, 3}}, gateway.FeedRead{Feed: gateway.FeedJobs})
+	owner.tick(now)
+	owner.tick(now.Add(100))
+	c.Assert(owner.started, qt.HasLen, 0)
+}
