--- a/entry/notelog.go
+++ b/entry/notelog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,12 @@
 			event = event.Str(field.name, field.value)
 		}
 	}
+	if n.Content != 0 {
+		event = event.Str("content", strconv.FormatUint(uint64(n.Content), 16))
+	}
+	if len(n.Parts) > 0 {
+		event = event.Strs("parts", formatParts(n.Parts))
+	}
 	for _, field := range []struct {
 		name  string
 		value int64
@@ -88,6 +95,15 @@
 	event.Msg(n.Kind.String())
 }
 
+// formatParts formats the parts of a prompt as hexadecimal numbers, as callers write them.
+func formatParts(parts []cs.PromptPart) []string {
+	formatted := make([]string, len(parts))
+	for i, p := range parts {
+		formatted[i] = strconv.FormatUint(uint64(p), 16)
+	}
+	return formatted
+}
+
 // recordFirstByte records the time to the first byte of a response. The route takes the place of the tenant
 // in the labels, since requests of the platform have no tenant.
 func (l *noteLogger) recordFirstByte(route cs.RouteName, s cs.Span) {
--- a/forward/outcomes.go
+++ b/forward/outcomes.go
@@ -25,7 +25,7 @@
 		switch e := e.(type) {
 		case gateway.ForwardStarted:
 			if f := t.Forwards.Get(e.ID); f != nil && f.Attempt == e.Attempt {
-				f.MayHaveRun = true
+				f.MayHaveRun, f.Begun = true, true
 				if r := t.Runners.Get(f.Runner); r != nil {
 					r.ResetFailures()
 				}
@@ -107,7 +107,9 @@
 		note.Reason, note.Outcome = o.Error, cs.RanUnknown.String()
 		if o.Disconnected {
 			t.RecordConnectionLoss(runner, now, note.Reason, out)
-			t.RecordPossibleCrash(runner, gateway.PossibleCrash{Content: f.Content, Request: f.Request, At: now})
+			t.RecordPossibleCrash(runner, gateway.PossibleCrash{
+				Content: f.Content, Parts: f.Parts, Begun: f.Begun, Request: f.Request, At: now,
+			})
 		}
 		if o.TimedOut {
 			t.TimedOut(runner, now, note.Reason, out)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -20,12 +20,14 @@
 
 // Forward is an online request that this VM proxies to a runner unchanged.
 type Forward struct {
-	ID       ForwardID
-	Request  cs.RequestID // assigned by the caller
-	Route    cs.Route
-	Version  cs.CatalogVersion
-	Service  cs.ServiceID
-	Content  cs.ContentHash
+	ID      ForwardID
+	Request cs.RequestID // assigned by the caller
+	Route   cs.Route
+	Version cs.CatalogVersion
+	Service cs.ServiceID
+	Content cs.ContentHash
+	// Parts are the parts of the prompt that other requests may share.
+	Parts    []cs.PromptPart
 	Arrived  cs.Instant
 	Deadline cs.Instant
 	Phase    ForwardPhase
@@ -40,6 +42,8 @@
 	// MayHaveRun means that a runner may have started to run the request, so that it is only sent again if
 	// its route allows a repetition.
 	MayHaveRun bool
+	// Begun means that the response of a runner has begun: its first byte was passed to the caller.
+	Begun bool
 	// NotBefore is the earliest time of the next attempt after a failure.
 	NotBefore cs.Instant
 	// LastEvent is the id of the last event that was passed to the caller.
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -58,7 +58,8 @@
 	// NoteRunnerDoubted: a connection to a runner was lost, and it gets one request at a time until it
 	// responds.
 	NoteRunnerDoubted
-	// NoteContentSuspected: an online request was in flight on a runner that crashed.
+	// NoteContentSuspected: an online request was in flight on a runner that crashed, as this VM found or, if
+	// Peer is set, as a peer reported.
 	NoteContentSuspected
 	// NotePeerFound: the first report of a peer arrived, or the first after a timeout.
 	NotePeerFound
@@ -82,6 +83,9 @@
 	Request cs.RequestID
 	Job     cs.JobID
 	Item    cs.ItemID
+	// Content and Parts identify what a suspected request asks for.
+	Content cs.ContentHash
+	Parts   []cs.PromptPart
 	Runner  cs.RunnerID
 	Peer    cs.VMID
 	Feed    string
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -21,7 +21,10 @@
 // PossibleCrash is a connection to a runner that was lost while an online request was in flight. Whether
 // the runner has crashed is decided later, when its registration or its address shows it (see Crashed).
 type PossibleCrash struct {
-	Content     cs.ContentHash
+	Content cs.ContentHash
+	Parts   []cs.PromptPart
+	// Begun means that the response had begun.
+	Begun       bool
 	Request     cs.RequestID
 	Runner      cs.RunnerID
 	Incarnation cs.Incarnation
--- a/id.go
+++ b/id.go
@@ -38,6 +38,8 @@
 	IdempotencyKey string
 	// ContentHash identifies a request by its content, independently of the sender.
 	ContentHash uint64
+	// PromptPart identifies a part of a prompt that several requests may share, such as their instructions.
+	PromptPart uint64
 	// ShardID numbers the shards of jobs and calls, from 0; each has a work stream in the log.
 	ShardID uint16
 	// StreamID identifies a stream of the platform's log.
--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -29,6 +29,8 @@
 	Request string    `json:"request"`
 	Job     string    `json:"job"`
 	Item    string    `json:"item"`
+	Content string    `json:"content"`
+	Parts   []string  `json:"parts"`
 	Runner  string    `json:"runner"`
 	Feed    string    `json:"feed"`
 	Route   string    `json:"route"`
@@ -232,6 +234,8 @@
 		{"request", l.Request},
 		{"job", l.Job},
 		{"item", l.Item},
+		{"content", l.Content},
+		{"parts", strings.Join(l.Parts, ",")},
 		{"runner", l.Runner},
 		{"feed", l.Feed},
 		{"route", l.Route},
--- a/roster/crashes.go
+++ b/roster/crashes.go
@@ -39,6 +39,15 @@
 	s.Crashes++
 	s.Seen = now
 	out.Note(gateway.Note{
-		Kind: gateway.NoteContentSuspected, Request: p.Request, Runner: p.Runner, Count: s.Crashes, Age: now.Sub(p.At),
+		Kind: gateway.NoteContentSuspected, Request: p.Request, Content: p.Content, Parts: p.Parts, Runner: p.Runner,
+		Outcome: progressBeforeCrash(p), Count: s.Crashes, Age: now.Sub(p.At),
 	})
 }
+
+// progressBeforeCrash says how far a request had come when the connection to its runner was lost.
+func progressBeforeCrash(p gateway.PossibleCrash) string {
+	if p.Begun {
+		return "begun"
+	}
+	return "notBegun"
+}
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -92,12 +92,7 @@
 		}
 	}
 	for _, s := range r.Suspects {
-		known := t.Suspects.Get(s.Content)
-		if known == nil {
-			t.Suspects.Insert(s.Content, gateway.Suspect{Crashes: s.Crashes, Seen: now})
-		} else {
-			known.Crashes = max(known.Crashes, s.Crashes)
-		}
+		applyPeerSuspect(t, now, r.From, s, out)
 	}
 	p.StoreUnreadable, p.BatchDemand = r.StoreUnreadable, r.BatchDemand
 	changed := !slices.Equal(p.Loads, r.Loads) || !slices.Equal(p.Demands, r.Demands)
@@ -105,6 +100,20 @@
 	return changed
 }
 
+// applyPeerSuspect raises the crashes counted for a content to those that a peer has counted.
+func applyPeerSuspect(t *gateway.Tables, now cs.Instant, peer cs.VMID, reported gateway.SuspectCount, out *gateway.Actions) {
+	known := t.Suspects.Get(reported.Content)
+	switch {
+	case known == nil:
+		t.Suspects.Insert(reported.Content, gateway.Suspect{Crashes: reported.Crashes, Seen: now})
+	case known.Crashes < reported.Crashes:
+		known.Crashes = reported.Crashes
+	default:
+		return
+	}
+	out.Note(gateway.Note{Kind: gateway.NoteContentSuspected, Content: reported.Content, Peer: peer, Count: reported.Crashes})
+}
+
 // recordDataCentreReport records that a VM of a data centre has reported. If the data centre was
 // unreachable until now, its runners become usable again without delay.
 func recordDataCentreReport(t *gateway.Tables, now cs.Instant, dc cs.DataCentreID) {
