Quarantine parts of prompts that crash runners

Callers saw runners crash one after the other: one part of their prompts crashes each runner that begins a response on it, and no two requests with it are alike. Most sound requests were refused for want of runners.

Cause: a suspect was the content of a request, so that each request with the part began at no crashes. Class of fault: evidence is kept for a unit that does not come again, and has one side only.

Change: a suspect is a content or a part of prompts, with the crashes by runner and incarnation, so that what several VMs know can be joined. A crash counts against the parts of requests and items whose response had not begun; a response that begins acquits its parts for 10 s, wherever it begins. Three crashes quarantine a part after two more reports, in which peers may acquit it. Requests with it are refused at once and finally (502), also those that wait; items are held. A part that another quarantined part explains counts only together with it, so that the sound part beside the cause is served. Reports list what is new for 0.6 s and all suspects once a second, as ages, at most 22 rows within 1,500 bytes whatever callers make up; formerly all contents of the last 3 s. They also list refused connections, since a VM that avoids a runner for its peers could not prove its crash. After 15 s, and then after as long as the outage has lasted, one VM lets one request through, to find out whether the cause is gone.

Tests that set a count of crashes now record as many crashes.

--- a/batchjob/outcomes.go
+++ b/batchjob/outcomes.go
@@ -38,18 +38,20 @@
 		return
 	}
 	runner := t.Runners.Get(w.Runner)
+	item := &j.Spec.Items[e.Key.Index]
 	if w.Phase == gateway.ItemRunning && runner != nil && runner.Batch > 0 {
 		runner.Batch--
 	}
 	if e.LastEvent > 0 {
 		updatePace(&t.Pace, now.Sub(w.Started), e.LastEvent-w.LastEvent, 0)
 		appendOutput(w, e)
+		t.RecordBegun(item.Parts, w.Started, now) // the run began at some time since then
 		if runner != nil {
 			runner.ResetFailures()
 		}
 	}
 	w.Phase = gateway.ItemWaiting
-	itemID := j.Spec.Items[e.Key.Index].ID
+	itemID := item.ID
 	note := gateway.Note{
 		Kind: gateway.NoteItemReturned, Job: e.Key.Job, Item: itemID, Runner: w.Runner, Attempt: w.Attempt,
 		Duration: now.Sub(w.Started), Count: int(w.LastEvent),
@@ -75,6 +77,9 @@
 	case gateway.ItemInterrupted:
 		w.NotBefore, note.Reason = now.Add(interruptedRetryDelay), o.Error
 		recordInterruption(t, runner, o, now, out)
+		if o.Disconnected && w.LastEvent == 0 {
+			t.RecordPossibleCrash(runner, gateway.PossibleCrash{Item: itemID, Parts: item.Parts, At: now})
+		}
 	case gateway.ItemStopped:
 		note.Reason = "stopped"
 	}
@@ -84,8 +89,7 @@
 	out.Note(note)
 }
 
-// recordInterruption records the cause of an interrupted run at its runner: a timeout or a lost connection. A
-// crash of the runner is never counted against the item, since the platform's items do not crash runners.
+// recordInterruption records the cause of an interrupted run at its runner: a timeout or a lost connection.
 func recordInterruption(t *gateway.Tables, runner *gateway.Runner, o gateway.ItemInterrupted, now cs.Instant, out *gateway.Actions) {
 	if o.TimedOut {
 		t.TimedOut(runner, now, o.Error, out)
--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -166,6 +166,9 @@
 				out.WakeAt(earliest)
 				continue
 			}
+			if part, ok := t.QuarantinedPart(j.Spec.Items[i].Parts); ok && !t.MayProbe(part, now) {
+				continue // the item is held until the part is released
+			}
 			waiting = append(waiting, candidate{key: k, urgency: urgencyOf(t, j, w, now)})
 		}
 	}
@@ -189,12 +192,18 @@
 	if r == nil {
 		return false
 	}
+	item := j.Spec.Items[k.Index]
+	if part, ok := t.QuarantinedPart(item.Parts); ok {
+		if !t.MayProbe(part, now) {
+			return false // another item was started as the probe
+		}
+		t.RecordProbe(part, now, out)
+	}
 	load := r.Load()
 	r.Batch++
 	w := &j.ItemWork[k.Index]
 	w.Phase, w.Runner, w.Started = gateway.ItemRunning, r.Spec.ID, now
 	w.Attempt++
-	item := j.Spec.Items[k.Index]
 	out.Add(gateway.RunItem{
 		Key: k, Attempt: w.Attempt, Runner: r.Spec.ID, Address: r.Spec.Address, Host: j.Spec.Host, Item: item, LastEvent: w.LastEvent,
 		EventTimeout: itemIdleTimeout, MaxOutput: remainingOutput(t, w),
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -80,6 +80,9 @@
 	// deadly is a part that crashes each runner that begins a response to a prompt with it, or 0.
 	deadly cs.PromptPart
 
+	// observeReport is called with each report, if it is set.
+	observeReport func(gateway.Report)
+
 	crashes    []cs.Instant
 	dispatches []simDispatch
 	refusals   []simRefusal
@@ -195,6 +198,9 @@
 
 // report delivers a report to all other VMs that the sender can reach.
 func (f *simFleet) report(from *simVM, r gateway.Report) {
+	if f.observeReport != nil {
+		f.observeReport(r)
+	}
 	e := gateway.PeerReported{Address: from.tables.Self.Address, Report: r}
 	f.at(simStep, func() {
 		for _, v := range f.vms {
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -5,8 +5,10 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
 )
 
 // Bounds that the users' platform sets for parts that crash runners.
@@ -28,6 +30,10 @@
 	// deadly are the shared parts of the requests that crash runners, deadlyPerSecond their number a second.
 	deadly          []cs.PromptPart
 	deadlyPerSecond float64
+	// stopDeadlyAt is when the deadly requests end; 0 means never.
+	stopDeadlyAt cs.Span
+	// length is how long the day lasts; 0 means 20 s.
+	length cs.Span
 	// disturb is called in each step with the time since the beginning.
 	disturb func(f *simFleet, at cs.Span)
 }
@@ -38,12 +44,16 @@
 	laterPart  cs.PromptPart = 0x99
 )
 
-// play plays a day of 20 s on which the deadly requests begin after 4 s.
+// play plays a day on which the deadly requests begin after 4 s.
 func (d deadlyDay) play() *simFleet {
+	length := d.length
+	if length == 0 {
+		length = 20 * cs.Second
+	}
 	f := newSimFleet(d.seed, d.vms, d.runners)
 	f.deadly = deadlyPart
 	begin := f.now
-	for f.now < begin.Add(20*cs.Second) {
+	for f.now < begin.Add(length) {
 		at := f.now.Sub(begin)
 		if d.disturb != nil {
 			d.disturb(f, at)
@@ -51,7 +61,7 @@
 		if f.rand.Float64() < d.perSecond*float64(simStep)/1000 {
 			f.send(f.vms[f.rand.IntN(len(f.vms))], firstPart+cs.PromptPart(f.rand.IntN(8)))
 		}
-		if at >= 4*cs.Second && f.rand.Float64() < d.deadlyPerSecond*float64(simStep)/1000 {
+		if stopped := d.stopDeadlyAt > 0 && at >= d.stopDeadlyAt; at >= 4*cs.Second && !stopped && f.rand.Float64() < d.deadlyPerSecond*float64(simStep)/1000 {
 			f.send(f.vms[f.rand.IntN(len(f.vms))], d.deadly...)
 		}
 		f.step()
@@ -146,3 +156,123 @@
 		c.Check(unjustRefusals(f), qt.Equals, 0)
 	}
 }
+
+// Guards against a VM that learns of a part that crashes runners only when its own requests crash some: it must know the
+// part from its peers soon after it has started or its cut has healed, also if no such request comes meanwhile.
+func TestPeersTellOfQuarantinedParts(t *testing.T) {
+	const (
+		lastCause = 8 * cs.Second
+		returned  = 12 * cs.Second
+	)
+	d := deadlyDay{
+		vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 2.4, length: returned + contactTime, stopDeadlyAt: lastCause,
+		disturb: func(f *simFleet, at cs.Span) {
+			switch at {
+			case 4 * cs.Second:
+				for _, v := range f.vms[:4] {
+					v.cutUntil = f.now.Add(returned - 4*cs.Second)
+				}
+			case returned:
+				for i := 4; i < 8; i++ {
+					f.restart(i)
+				}
+			}
+		},
+	}
+	c := qt.New(t)
+	f := d.play()
+	for _, v := range f.vms {
+		c.Check(v.tables.Quarantine.Parts, qt.DeepEquals, []cs.PromptPart{deadlyPart}, qt.Commentf("%s", v.tables.Self.ID))
+	}
+}
+
+// Guards against refusing requests for a sound part that was in flight at the same crashes as the part that caused them,
+// since only requests that crashed runners had it until then.
+func TestPartBesideTheCauseIsServed(t *testing.T) {
+	for seed := range uint64(3) {
+		d := deadlyDay{
+			vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, laterPart, deadlyPart}, deadlyPerSecond: 2.4, seed: seed,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at >= 8*cs.Second && f.rand.Float64() < 2*float64(simStep)/1000 {
+					f.send(f.vms[f.rand.IntN(len(f.vms))], firstPart+1, laterPart)
+				}
+			},
+		}
+		c := qt.New(t)
+		f := d.play()
+		c.Check(unjustRefusals(f), qt.Equals, 0)
+	}
+}
+
+// Guards against a part that stays quarantined after its cause is gone, and against finding that out at the cost of many
+// runners: at most three requests with the part may reach runners while it goes on.
+func TestQuarantineEndsWhenCauseIsGone(t *testing.T) {
+	const (
+		quarantined = 8 * cs.Second
+		causeGone   = 90 * cs.Second
+		end         = 180 * cs.Second
+	)
+	for seed := range uint64(3) {
+		c := qt.New(t)
+		d := deadlyDay{
+			vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 2.4, seed: seed, length: end,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at == causeGone {
+					f.deadly = 0
+				}
+			},
+		}
+		f := d.play()
+		since, gone := f.now.Add(quarantined-end), f.now.Add(causeGone-end)
+		reached := 0
+		for _, s := range f.dispatches {
+			if slices.Contains(s.parts, deadlyPart) && s.at > since && s.at < gone {
+				reached++
+			}
+		}
+		c.Check(reached > 0 && reached <= maxLateRequests, qt.IsTrue, qt.Commentf("%d requests reached runners", reached))
+		var last cs.Instant
+		for _, r := range f.refusals {
+			if r.refuse.Refusal.Reason == cs.ReasonQuarantined {
+				last = r.at
+			}
+		}
+		// The time without a probe doubles with each of them, so that it is at most as long as the outage was.
+		c.Check(last < gone.Add(causeGone), qt.IsTrue, qt.Commentf("refused until %s after the cause was gone", last.Sub(gone)))
+		for _, v := range f.vms {
+			c.Check(v.tables.Quarantine.Parts, qt.HasLen, 0)
+		}
+	}
+}
+
+// Guards against callers that make up parts: they must neither make the reports of a VM larger than a datagram, nor keep
+// VMs from learning which part crashes runners.
+func TestMadeUpPartsDoNotHideTheCause(t *testing.T) {
+	const maxDatagram = 1500
+	largest := 0
+	made := cs.PromptPart(1 << 32)
+	d := deadlyDay{
+		vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 2.4,
+		disturb: func(f *simFleet, _ cs.Span) {
+			f.observeReport = func(r gateway.Report) {
+				data, err := cbor.Marshal(r)
+				qt.Assert(t, err, qt.IsNil)
+				largest = max(largest, len(data))
+			}
+			if f.rand.Float64() < 40*float64(simStep)/1000 {
+				parts := []cs.PromptPart{firstPart}
+				for range 15 {
+					made++
+					parts = append(parts, made)
+				}
+				f.send(f.vms[f.rand.IntN(len(f.vms))], parts...)
+			}
+		},
+	}
+	c := qt.New(t)
+	f := d.play()
+	late := lateRequests(f, func(simDispatch) bool { return false })
+	c.Check(len(late) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d requests reached runners too late, %d crashes", len(late), len(f.crashes)))
+	c.Check(unjustRefusals(f), qt.Equals, 0)
+	c.Check(largest <= maxDatagram, qt.IsTrue, qt.Commentf("a report of %d bytes", largest))
+}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -16,9 +16,6 @@
 	// Runners restart some seconds after a crash, and the registration of a crashed runner expires
 	// after about 4 s.
 	emptiedTimeout = 3 * cs.Second
-	// maxContentCrashes is the number of runner crashes after which requests with the same content
-	// are refused.
-	maxContentCrashes = 2
 	// maxWaitingRequests limits the requests that wait for a runner on one VM.
 	maxWaitingRequests = 2000
 )
@@ -33,10 +30,17 @@
 		}
 		f := arrived.Forward
 		f.Service = pickService(t, &f)
-		if s := t.Suspects.Get(f.Content); s != nil && s.Crashes >= maxContentCrashes {
+		if t.ContentQuarantined(f.Content) {
 			refuse(now, &f, cs.Refusal{Reason: cs.ReasonQuarantined, Ran: cs.RanFailed, Message: "the request has crashed runners"}, out)
 			continue
 		}
+		if part, ok := t.QuarantinedPart(f.Parts); ok {
+			if f.Probe = t.MayProbe(part, now); !f.Probe {
+				refuse(now, &f, quarantineRefusal(&f), out)
+				continue
+			}
+			t.RecordProbe(part, now, out)
+		}
 		if t.Drain.Phase >= fleet.DrainFinishing {
 			refuse(now, &f, cs.Refusal{Reason: cs.ReasonLeaving, Message: "this VM is leaving"}, out)
 			continue
@@ -75,7 +79,7 @@
 	var done []gateway.ForwardID
 	for _, id := range waitingByRank(t, now) {
 		f := t.Forwards.Get(id)
-		if refusal := terminalRefusal(f, now); refusal != nil {
+		if refusal := terminalRefusal(t, f, now); refusal != nil {
 			refuse(now, f, *refusal, out)
 			done = append(done, id)
 			continue
@@ -110,12 +114,27 @@
 	updateDemand(t, now) // peers are sent the demand of the requests that still wait
 }
 
-// terminalRefusal returns the refusal of a request that must not be sent again, because its
-// deadline has passed or its attempts are used up, or nil if it may still be sent.
-func terminalRefusal(f *gateway.Forward, now cs.Instant) *cs.Refusal {
-	ran := cs.RanNotRun
+// quarantineRefusal returns the refusal of a request with a part that crashes runners.
+func quarantineRefusal(f *gateway.Forward) cs.Refusal {
+	return cs.Refusal{Reason: cs.ReasonQuarantined, Ran: ranSoFar(f), Message: "a part of the prompt has crashed runners"}
+}
+
+// ranSoFar returns whether a request that waits for a runner may have run in an earlier attempt.
+func ranSoFar(f *gateway.Forward) cs.Ran {
 	if f.MayHaveRun {
-		ran = cs.RanUnknown
+		return cs.RanUnknown
+	}
+	return cs.RanNotRun
+}
+
+// terminalRefusal returns the refusal of a request that must not be sent again, because its
+// deadline has passed, its attempts are used up or a part of its prompt was quarantined, or nil if
+// it may still be sent.
+func terminalRefusal(t *gateway.Tables, f *gateway.Forward, now cs.Instant) *cs.Refusal {
+	ran := ranSoFar(f)
+	if _, quarantined := t.QuarantinedPart(f.Parts); quarantined && (!f.Probe || f.Attempt > 0) {
+		refusal := quarantineRefusal(f)
+		return &refusal
 	}
 	switch {
 	case now >= f.Deadline:
@@ -143,11 +162,7 @@
 // unavailableRefusal returns the refusal of a request whose service has no reachable runner. Such a
 // request is refused without waiting, because the caller may reach a runner through another VM.
 func unavailableRefusal(f *gateway.Forward) cs.Refusal {
-	refusal := cs.Refusal{Reason: cs.ReasonUnavailable, Ran: cs.RanNotRun, Message: "no runner of the service can be reached"}
-	if f.MayHaveRun {
-		refusal.Ran = cs.RanUnknown
-	}
-	return refusal
+	return cs.Refusal{Reason: cs.ReasonUnavailable, Ran: ranSoFar(f), Message: "no runner of the service can be reached"}
 }
 
 // dispatchTo sends a request to a runner and counts it as in flight there.
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -208,7 +208,9 @@
 	c := qt.New(t)
 	vm := newTestVM()
 	vm.addRunner("a1", "a")
-	vm.Suspects.Insert(1, gateway.Suspect{Crashes: 2, Seen: vm.now})
+	for id := range gateway.CrashID(2) {
+		vm.RecordCrash(gateway.ContentKey(1), gateway.Crash{ID: id, At: vm.now, LearnedAt: vm.now})
+	}
 	dispatches, refusals := vm.tick(vm.arrival(1, resumableRoute))
 	c.Assert(dispatches, qt.HasLen, 0)
 	c.Assert(refusals, qt.HasLen, 1)
@@ -238,7 +240,7 @@
 				vm.tick()
 				vm.now = vm.now.Add(5 * cs.Second)
 			}
-			c.Assert(vm.Suspects.Get(7).Crashes, qt.Equals, 2)
+			c.Assert(vm.Suspects.Get(gateway.ContentKey(7)).Crashes, qt.HasLen, 2)
 			vm.addRunner("a3", "a")
 			arrived := vm.arrival(9, onceRoute).(gateway.ForwardArrived)
 			arrived.Forward.Content = 7
--- a/forward/outcomes.go
+++ b/forward/outcomes.go
@@ -26,6 +26,7 @@
 		case gateway.ForwardStarted:
 			if f := t.Forwards.Get(e.ID); f != nil && f.Attempt == e.Attempt {
 				f.MayHaveRun, f.Begun = true, true
+				t.RecordBegun(f.Parts, now, now)
 				if r := t.Runners.Get(f.Runner); r != nil {
 					r.ResetFailures()
 				}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -44,6 +44,8 @@
 	MayHaveRun bool
 	// Begun means that the response of a runner has begun: its first byte was passed to the caller.
 	Begun bool
+	// Probe means that the request may be sent once although a part of its prompt is quarantined.
+	Probe bool
 	// NotBefore is the earliest time of the next attempt after a failure.
 	NotBefore cs.Instant
 	// LastEvent is the id of the last event that was passed to the caller.
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -11,6 +11,8 @@
 	Target string            `cbor:"p"` // path and query
 	Header map[string]string `cbor:"h,omitempty"`
 	Body   []byte            `cbor:"b"`
+	// Parts are the parts of the prompt that other items and requests may share.
+	Parts []cs.PromptPart `cbor:"q,omitempty"`
 	// Tokens is the number of prompt tokens plus the maximum number of generated tokens.
 	Tokens cs.Tokens `cbor:"t"`
 }
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -58,9 +58,14 @@
 	// NoteRunnerDoubted: a connection to a runner was lost, and it gets one request at a time until it
 	// responds.
 	NoteRunnerDoubted
-	// NoteContentSuspected: an online request was in flight on a runner that crashed, as this VM found or, if
-	// Peer is set, as a peer reported.
+	// NoteContentSuspected: an online request or an item was in flight on a runner that crashed.
 	NoteContentSuspected
+	// NotePromptPartQuarantined: a part of prompts crashes runners, and requests with it are refused from now on.
+	NotePromptPartQuarantined
+	// NotePromptPartProbed: a request with a quarantined part is let through to find out whether it still crashes runners.
+	NotePromptPartProbed
+	// NotePromptPartReleased: a part is no longer quarantined.
+	NotePromptPartReleased
 	// NotePeerFound: the first report of a peer arrived, or the first after a timeout.
 	NotePeerFound
 	// NotePeerLost: no report of a peer arrived within the timeout.
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 298, 307, 315, 323, 335, 347, 359, 370}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 298, 319, 335, 353, 362, 370, 378, 390, 402, 414, 425}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -48,16 +48,19 @@
 	_ = x[NoteRunnerAvoided-(21)]
 	_ = x[NoteRunnerDoubted-(22)]
 	_ = x[NoteContentSuspected-(23)]
-	_ = x[NotePeerFound-(24)]
-	_ = x[NotePeerLost-(25)]
-	_ = x[NoteFeedLost-(26)]
-	_ = x[NoteFeedRegained-(27)]
-	_ = x[NotePartsChanged-(28)]
-	_ = x[NoteDrainChanged-(29)]
-	_ = x[NoteTickDelayed-(30)]
+	_ = x[NotePromptPartQuarantined-(24)]
+	_ = x[NotePromptPartProbed-(25)]
+	_ = x[NotePromptPartReleased-(26)]
+	_ = x[NotePeerFound-(27)]
+	_ = x[NotePeerLost-(28)]
+	_ = x[NoteFeedLost-(29)]
+	_ = x[NoteFeedRegained-(30)]
+	_ = x[NotePartsChanged-(31)]
+	_ = x[NoteDrainChanged-(32)]
+	_ = x[NoteTickDelayed-(33)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -84,13 +87,16 @@
 	_NoteKindName[256:269]: NoteRunnerAvoided,
 	_NoteKindName[269:282]: NoteRunnerDoubted,
 	_NoteKindName[282:298]: NoteContentSuspected,
-	_NoteKindName[298:307]: NotePeerFound,
-	_NoteKindName[307:315]: NotePeerLost,
-	_NoteKindName[315:323]: NoteFeedLost,
-	_NoteKindName[323:335]: NoteFeedRegained,
-	_NoteKindName[335:347]: NotePartsChanged,
-	_NoteKindName[347:359]: NoteDrainChanged,
-	_NoteKindName[359:370]: NoteTickDelayed,
+	_NoteKindName[298:319]: NotePromptPartQuarantined,
+	_NoteKindName[319:335]: NotePromptPartProbed,
+	_NoteKindName[335:353]: NotePromptPartReleased,
+	_NoteKindName[353:362]: NotePeerFound,
+	_NoteKindName[362:370]: NotePeerLost,
+	_NoteKindName[370:378]: NoteFeedLost,
+	_NoteKindName[378:390]: NoteFeedRegained,
+	_NoteKindName[390:402]: NotePartsChanged,
+	_NoteKindName[402:414]: NoteDrainChanged,
+	_NoteKindName[414:425]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -118,13 +124,16 @@
 	_NoteKindLowerName[256:269]: NoteRunnerAvoided,
 	_NoteKindLowerName[269:282]: NoteRunnerDoubted,
 	_NoteKindLowerName[282:298]: NoteContentSuspected,
-	_NoteKindLowerName[298:307]: NotePeerFound,
-	_NoteKindLowerName[307:315]: NotePeerLost,
-	_NoteKindLowerName[315:323]: NoteFeedLost,
-	_NoteKindLowerName[323:335]: NoteFeedRegained,
-	_NoteKindLowerName[335:347]: NotePartsChanged,
-	_NoteKindLowerName[347:359]: NoteDrainChanged,
-	_NoteKindLowerName[359:370]: NoteTickDelayed,
+	_NoteKindLowerName[298:319]: NotePromptPartQuarantined,
+	_NoteKindLowerName[319:335]: NotePromptPartProbed,
+	_NoteKindLowerName[335:353]: NotePromptPartReleased,
+	_NoteKindLowerName[353:362]: NotePeerFound,
+	_NoteKindLowerName[362:370]: NotePeerLost,
+	_NoteKindLowerName[370:378]: NoteFeedLost,
+	_NoteKindLowerName[378:390]: NoteFeedRegained,
+	_NoteKindLowerName[390:402]: NotePartsChanged,
+	_NoteKindLowerName[402:414]: NoteDrainChanged,
+	_NoteKindLowerName[414:425]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -152,13 +161,16 @@
 	_NoteKindName[256:269],
 	_NoteKindName[269:282],
 	_NoteKindName[282:298],
-	_NoteKindName[298:307],
-	_NoteKindName[307:315],
-	_NoteKindName[315:323],
-	_NoteKindName[323:335],
-	_NoteKindName[335:347],
-	_NoteKindName[347:359],
-	_NoteKindName[359:370],
+	_NoteKindName[298:319],
+	_NoteKindName[319:335],
+	_NoteKindName[335:353],
+	_NoteKindName[353:362],
+	_NoteKindName[362:370],
+	_NoteKindName[370:378],
+	_NoteKindName[378:390],
+	_NoteKindName[390:402],
+	_NoteKindName[402:414],
+	_NoteKindName[414:425],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -45,8 +45,40 @@
 	Demands []DemandReport `cbor:"k,omitempty"`
 	// Ejected lists the runners that the sender has ejected after a failure.
 	Ejected []cs.RunnerID `cbor:"w,omitempty"`
-	// Suspects lists the contents that the sender suspects and whose Suspect.Seen is recent.
-	Suspects []SuspectCount `cbor:"s,omitempty"`
+	// Refusing lists the runners at whose addresses nothing listened when the sender last tried to connect.
+	Refusing []RefusingRunner `cbor:"c,omitempty"`
+	// Suspects lists what the sender suspects of crashing runners.
+	Suspects []SuspectReport `cbor:"p,omitempty"`
+}
+
+// RefusingRunner is a runner that refused a connection some time ago.
+type RefusingRunner struct {
+	_      struct{} `cbor:",toarray"`
+	Runner cs.RunnerID
+	Age    cs.Span
+}
+
+// SuspectReport is what a VM knows of a suspect, from itself or from others. Instants are sent as ages, since the clocks
+// of VMs differ.
+type SuspectReport struct {
+	_   struct{} `cbor:",toarray"`
+	Key SuspectKey
+	// Begun means that a response to a prompt with the part began BegunAge ago.
+	Begun    bool
+	BegunAge cs.Span
+	// FirstCrashAge and LastCrashAge are the times since the first and the last crash, if there are any.
+	FirstCrashAge, LastCrashAge cs.Span
+	Crashes                     []CrashReport
+	// Probed means that a VM let a request with the quarantined part pass ProbeAge ago.
+	Probed   bool
+	ProbeAge cs.Span
+}
+
+// CrashReport is one crash of a runner under a suspect.
+type CrashReport struct {
+	_   struct{} `cbor:",toarray"`
+	ID  CrashID
+	Age cs.Span
 }
 
 // StoreUnreadable reports whether this VM cannot read the store, as shown by its feed of runners.
@@ -93,4 +125,19 @@
 	SentAt cs.Instant
 	// Sent is the load in the last report. A load that differs from it is reported sooner.
 	Sent []RunnerLoad
+	// AllSuspectsAt is when a report last listed old suspects too.
+	AllSuspectsAt cs.Instant
+}
+
+// liveVMRank returns how many of the peers that report and are not leaving come before this VM in the order of a key. The
+// order is another one for each key, and the same on all VMs that know the same peers.
+func (t *Tables) liveVMRank(key string) int {
+	rank := 0
+	own := cs.RendezvousWeight(key, string(t.Self.ID))
+	for id, p := range t.Peers.All() {
+		if p.LastReportAt != 0 && !p.VM.Leaving && cs.RendezvousWeight(key, string(id)) > own {
+			rank++
+		}
+	}
+	return rank
 }
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"slices"
+	"strconv"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+const (
+	// maxContentCrashes is the number of crashes after which requests with the same content are refused.
+	maxContentCrashes = 2
+	// maxPartCrashes is the number of crashes, without a response that began, after which a part of prompts is
+	// quarantined. One more than for a content, since a part that few requests have may be in flight beside the cause of
+	// two crashes.
+	maxPartCrashes = 3
+	// minQuarantine is how long after the last crash requests with a quarantined part are refused without exception. Later
+	// one request may pass, to find out whether the cause is gone. The time grows with that from the first to the last
+	// crash, up to maxQuarantine, so that it doubles with each crash of such a probe.
+	minQuarantine = 15 * cs.Second
+	maxQuarantine = 5 * cs.Minute
+	// probeTimeout is the time after which another request may pass if no outcome of the last one is known. It exceeds the
+	// time in which a crash becomes known.
+	probeTimeout = 7 * cs.Second
+	// probeStagger is the time between VMs being allowed to let a request pass, in which they learn from a report that one
+	// of them has.
+	probeStagger = 100 * cs.Millisecond
+)
+
+// Quarantine lists the parts of prompts that crash runners, in ascending order.
+type Quarantine struct{ Parts []cs.PromptPart }
+
+// partSettleTime is the time from a crash becoming known at this VM until the crash counts against a part. Peers that
+// know of a response that acquits the part have been told of the crash by then and have reported the response, also if
+// one datagram was lost.
+func (t *Tables) partSettleTime() cs.Span { return 300*cs.Millisecond + 2*t.MinReportInterval() }
+
+// UpdateQuarantine decides which parts of prompts are quarantined. It returns when a crash that is known counts at the
+// earliest, or 0.
+func (t *Tables) UpdateQuarantine(now cs.Instant, out *Actions) (next cs.Instant) {
+	var parts []cs.PromptPart
+	for k, s := range t.Suspects.All() {
+		if k.Kind != SuspectPart || len(s.Crashes) < maxPartCrashes {
+			continue
+		}
+		counts := s.learnedAt(maxPartCrashes).Add(t.partSettleTime())
+		if now >= counts || slices.Contains(t.Quarantine.Parts, cs.PromptPart(k.Hash)) {
+			parts = append(parts, cs.PromptPart(k.Hash))
+		} else if next == 0 || counts < next {
+			next = counts
+		}
+	}
+	slices.Sort(parts)
+	t.logQuarantine(now, parts, out)
+	t.Quarantine.Parts = parts
+	return next
+}
+
+// logQuarantine logs the parts that are quarantined from now on, and those that no longer are.
+func (t *Tables) logQuarantine(now cs.Instant, parts []cs.PromptPart, out *Actions) {
+	for _, p := range parts {
+		if !slices.Contains(t.Quarantine.Parts, p) {
+			s := t.Suspects.Get(PartKey(p))
+			out.Note(Note{
+				Kind: NotePromptPartQuarantined, Parts: []cs.PromptPart{p}, Count: len(s.Crashes), Age: now.Sub(s.LastCrashAt),
+			})
+		}
+	}
+	for _, p := range t.Quarantine.Parts {
+		if !slices.Contains(parts, p) {
+			n := Note{Kind: NotePromptPartReleased, Parts: []cs.PromptPart{p}, Reason: "no crash for a long time"}
+			if begun := t.BegunParts.Get(p); begun != nil && now.Sub(*begun) <= soundPeriod {
+				n.Reason, n.Age = "a response began", now.Sub(*begun)
+			}
+			out.Note(n)
+		}
+	}
+}
+
+// ContentQuarantined reports whether requests with a content are refused.
+func (t *Tables) ContentQuarantined(c cs.ContentHash) bool {
+	s := t.Suspects.Get(ContentKey(c))
+	return s != nil && len(s.Crashes) >= maxContentCrashes
+}
+
+// QuarantinedPart returns the part for which a request with the given parts must not be sent to a runner.
+//
+// Requests that crash runners may have several parts in common, of which one is the cause. A quarantined part counts
+// only if no other quarantined part, which the request does not have, explains most of its crashes: parts that always
+// were in flight together are refused together, and a request that has only some of them shows which one is sound.
+func (t *Tables) QuarantinedPart(parts []cs.PromptPart) (cs.PromptPart, bool) {
+	for _, p := range t.Quarantine.Parts {
+		if slices.Contains(parts, p) && !t.explainedWithout(parts, p) {
+			return p, true
+		}
+	}
+	return 0, false
+}
+
+// explainedWithout reports whether a quarantined part that is not among the given ones was in flight at most crashes of
+// a part. Not at all of them, since a VM may not know all crashes of each part.
+func (t *Tables) explainedWithout(parts []cs.PromptPart, p cs.PromptPart) bool {
+	crashes := t.partCrashes(p)
+	return slices.ContainsFunc(t.Quarantine.Parts, func(other cs.PromptPart) bool {
+		if slices.Contains(parts, other) {
+			return false
+		}
+		common := 0
+		for _, c := range t.partCrashes(other) {
+			if _, ok := findCrash(crashes, c.ID); ok {
+				common++
+			}
+		}
+		return 2*common > len(crashes)
+	})
+}
+
+// partCrashes returns the known crashes of a part.
+func (t *Tables) partCrashes(p cs.PromptPart) []Crash {
+	if s := t.Suspects.Get(PartKey(p)); s != nil {
+		return s.Crashes
+	}
+	return nil // the row has given way since the part was quarantined
+}
+
+// quarantineTime returns how long after its last crash a part is quarantined without exception.
+func (s *Suspect) quarantineTime() cs.Span {
+	return min(max(s.LastCrashAt.Sub(s.FirstCrashAt), minQuarantine), maxQuarantine)
+}
+
+// MayProbe reports whether this VM may send one request with a quarantined part to a runner, which RecordProbe records.
+// The VMs get this right one after the other, so that one that has such a request sends it and the others learn of it.
+func (t *Tables) MayProbe(p cs.PromptPart, now cs.Instant) bool {
+	s := t.Suspects.Get(PartKey(p))
+	if s == nil {
+		return false
+	}
+	allowed := s.LastCrashAt.Add(s.quarantineTime())
+	if s.ProbedAt != 0 {
+		allowed = max(allowed, s.ProbedAt.Add(probeTimeout))
+	}
+	return now >= allowed && now >= allowed.Add(cs.Span(t.liveVMRank("part/"+strconv.FormatUint(uint64(p), 16)))*probeStagger)
+}
+
+// RecordProbe records that this VM sends a request with a quarantined part to a runner.
+func (t *Tables) RecordProbe(p cs.PromptPart, now cs.Instant, out *Actions) {
+	if s := t.Suspects.Get(PartKey(p)); s != nil {
+		s.ProbedAt, s.ChangedAt = now, now
+		out.Note(Note{Kind: NotePromptPartProbed, Parts: []cs.PromptPart{p}, Age: now.Sub(s.LastCrashAt)})
+	}
+}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -22,8 +22,9 @@
 	Failures int
 	// Timeouts counts the attempts that timed out since the runner last responded.
 	Timeouts int
-	// RefusedAt is when a connection was last refused because nothing listened at the address, or 0.
-	RefusedAt cs.Instant
+	// RefusedAt is when a connection of this VM was last refused because nothing listened at the address, or 0, and
+	// PeerRefusedAt the same of a connection of a peer.
+	RefusedAt, PeerRefusedAt cs.Instant
 }
 
 // Load returns the requests in flight on the runner: those of this VM and those that peers last reported.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -30,7 +30,10 @@
 	DataCentres *fleet.Table[cs.DataCentreID, DataCentreState]
 	Forwards    *fleet.Table[ForwardID, Forward]
 	Demands     *fleet.Table[cs.ServiceID, ServiceDemand]
-	Suspects    *fleet.Table[cs.ContentHash, Suspect]
+	Suspects    *fleet.Table[SuspectKey, Suspect]
+	// BegunParts holds when a response to a prompt with a part last began, at any VM as far as this one knows.
+	BegunParts *fleet.Table[cs.PromptPart, cs.Instant]
+	Quarantine Quarantine
 	// PossibleCrashes are the lost connections of which it is not yet known whether the runner has crashed.
 	PossibleCrashes []PossibleCrash
 	Jobs            *fleet.Table[cs.JobID, Job]
@@ -60,7 +63,8 @@
 		DataCentres:    fleet.NewTable[cs.DataCentreID, DataCentreState](),
 		Forwards:       fleet.NewTable[ForwardID, Forward](),
 		Demands:        fleet.NewTable[cs.ServiceID, ServiceDemand](),
-		Suspects:       fleet.NewTable[cs.ContentHash, Suspect](),
+		Suspects:       fleet.NewTable[SuspectKey, Suspect](),
+		BegunParts:     fleet.NewTable[cs.PromptPart, cs.Instant](),
 		Jobs:           fleet.NewTable[cs.JobID, Job](),
 		ResultsQueries: fleet.NewTable[QueryID, ResultsQuery](),
 		BodyQueries:    fleet.NewTable[QueryID, BodyQuery](),
--- a/roster/crashes.go
+++ b/roster/crashes.go
@@ -7,18 +7,13 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-const (
-	// crashDetectionWindow is how long after a lost connection its runner may still be found to
-	// have crashed. A registration expires after three heartbeat intervals of about 1.2 s, and the
-	// expiry is read within 500 ms.
-	crashDetectionWindow = 6 * cs.Second
-	// suspectTTL is how long a request content stays suspected of crashing runners after its last
-	// crash.
-	suspectTTL = 60 * cs.Second
-)
+// crashDetectionWindow is how long after a lost connection its runner may still be found to
+// have crashed. A registration expires after three heartbeat intervals of about 1.2 s, and the
+// expiry is read within 500 ms.
+const crashDetectionWindow = 6 * cs.Second
 
-// Crashes determines which lost connections were caused by a crash of the runner, and records the
-// crash against the request content that was in flight on it.
+// Crashes determines which lost connections were caused by a crash of the runner, records the crash against the content
+// and the parts of the prompt that were in flight on it, and decides which parts are quarantined.
 func Crashes(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	t.PossibleCrashes = slices.DeleteFunc(t.PossibleCrashes, func(p gateway.PossibleCrash) bool {
 		if t.Crashed(p, now) {
@@ -27,21 +22,34 @@
 		}
 		return now.Sub(p.At) > crashDetectionWindow
 	})
-	t.Suspects.DeleteFunc(func(_ cs.ContentHash, s *gateway.Suspect) bool { return now.Sub(s.Seen) > suspectTTL })
+	if t.Suspects.Len() == 0 && len(t.Quarantine.Parts) == 0 {
+		return
+	}
+	t.ForgetSuspects(now)
+	if next := t.UpdateQuarantine(now, out); next != 0 {
+		out.WakeAt(next)
+	}
 }
 
-// recordCrash counts a crash against the content that was in flight.
+// recordCrash counts a crash against the content that was in flight and, if the response had not begun, against the
+// parts of the prompt: a part crashes a runner when the response begins.
 func recordCrash(t *gateway.Tables, now cs.Instant, p gateway.PossibleCrash, out *gateway.Actions) {
-	s := t.Suspects.Get(p.Content)
-	if s == nil {
-		s = t.Suspects.Insert(p.Content, gateway.Suspect{})
+	crash := gateway.Crash{ID: gateway.NewCrashID(p.Runner, p.Incarnation), At: p.At, LearnedAt: now}
+	note := gateway.Note{
+		Kind: gateway.NoteContentSuspected, Request: p.Request, Item: p.Item, Content: p.Content, Parts: p.Parts, Runner: p.Runner,
+		Outcome: progressBeforeCrash(p), Age: now.Sub(p.At),
 	}
-	s.Crashes++
-	s.Seen = now
-	out.Note(gateway.Note{
-		Kind: gateway.NoteContentSuspected, Request: p.Request, Content: p.Content, Parts: p.Parts, Runner: p.Runner,
-		Outcome: progressBeforeCrash(p), Count: s.Crashes, Age: now.Sub(p.At),
-	})
+	if p.Content != 0 {
+		key := gateway.ContentKey(p.Content)
+		t.RecordCrash(key, crash)
+		note.Count = len(t.Suspects.Get(key).Crashes)
+	}
+	if !p.Begun {
+		for _, part := range p.Parts {
+			t.RecordCrash(gateway.PartKey(part), crash)
+		}
+	}
+	out.Note(note)
 }
 
 // progressBeforeCrash says how far a request had come when the connection to its runner was lost.
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -18,9 +18,6 @@
 	// peerEjectionTime is how long a runner that a peer has ejected is not picked, counted from
 	// the last report that says so.
 	peerEjectionTime = 500 * cs.Millisecond
-	// suspectReportPeriod is how long after its last crash a suspected content is included in reports
-	// to peers.
-	suspectReportPeriod = 3 * cs.Second
 )
 
 // Peers applies the list of VMs from the store and the reports received from peers.
@@ -91,8 +88,13 @@
 			runner.PeerEjectedUntil = now.Add(peerEjectionTime)
 		}
 	}
+	for _, refusing := range r.Refusing {
+		if runner := t.Runners.Get(refusing.Runner); runner != nil {
+			runner.PeerRefusedAt = max(runner.PeerRefusedAt, now.Add(-refusing.Age))
+		}
+	}
 	for _, s := range r.Suspects {
-		applyPeerSuspect(t, now, r.From, s, out)
+		t.Merge(s, now)
 	}
 	p.StoreUnreadable, p.BatchDemand = r.StoreUnreadable, r.BatchDemand
 	changed := !slices.Equal(p.Loads, r.Loads) || !slices.Equal(p.Demands, r.Demands)
@@ -100,20 +102,6 @@
 	return changed
 }
 
-// applyPeerSuspect raises the crashes counted for a content to those that a peer has counted.
-func applyPeerSuspect(t *gateway.Tables, now cs.Instant, peer cs.VMID, reported gateway.SuspectCount, out *gateway.Actions) {
-	known := t.Suspects.Get(reported.Content)
-	switch {
-	case known == nil:
-		t.Suspects.Insert(reported.Content, gateway.Suspect{Crashes: reported.Crashes, Seen: now})
-	case known.Crashes < reported.Crashes:
-		known.Crashes = reported.Crashes
-	default:
-		return
-	}
-	out.Note(gateway.Note{Kind: gateway.NoteContentSuspected, Content: reported.Content, Peer: peer, Count: reported.Crashes})
-}
-
 // recordDataCentreReport records that a VM of a data centre has reported. If the data centre was
 // unreachable until now, its runners become usable again without delay.
 func recordDataCentreReport(t *gateway.Tables, now cs.Instant, dc cs.DataCentreID) {
@@ -172,7 +160,7 @@
 	minInterval := t.MinReportInterval()
 	idleInterval := max(idleReportInterval, minInterval)
 	due := gossip.SentAt.Add(idleInterval)
-	if !slices.Equal(loads, gossip.Sent) {
+	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) {
 		due = gossip.SentAt.Add(minInterval)
 	}
 	if now < due {
@@ -190,12 +178,11 @@
 		if runner.Failures > 0 && now < runner.EjectedUntil {
 			r.Ejected = append(r.Ejected, id)
 		}
-	}
-	for content, s := range t.Suspects.All() {
-		if now.Sub(s.Seen) < suspectReportPeriod {
-			r.Suspects = append(r.Suspects, gateway.SuspectCount{Content: content, Crashes: s.Crashes})
+		if age := now.Sub(runner.RefusedAt); age <= gateway.SuspectNewsPeriod {
+			r.Refusing = append(r.Refusing, gateway.RefusingRunner{Runner: id, Age: age})
 		}
 	}
+	r.Suspects = suspectsToReport(t, now)
 	for id, demand := range t.Demands.All() {
 		if demand.Own > 0 {
 			r.Demands = append(r.Demands, gateway.DemandReport{Service: id, Demand: demand.Own})
--- a/roster/peers_test.go
+++ b/roster/peers_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
@@ -127,3 +128,84 @@
 		c.Assert(sent/seconds >= test.minRate && sent/seconds <= test.maxRate, qt.IsTrue, qt.Commentf("%d peers: %d datagrams per second", test.peers, sent/seconds))
 	}
 }
+
+// Guards against a crash that is proved only when the runner starts again, since the VM that lost the connection avoids a
+// runner that its peers could not reach.
+func TestRefusedConnectionOfPeerProvesCrash(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	for _, vm := range []*gateway.Tables{a, b} {
+		runSystem(vm, startTime, roster.Peers, gateway.PeerReported{Address: "x:1", Report: gateway.Report{From: "x", DataCentre: "x", Seq: 1}})
+	}
+	a.RecordPossibleCrash(a.Runners.Get("r"), gateway.PossibleCrash{Parts: []cs.PromptPart{7}, At: startTime})
+	now := startTime.Add(20)
+	var out gateway.Actions
+	b.RecordUnreachable(b.Runners.Get("r"), true, now, "connection refused", &out)
+	report := reportOf(b, now.Add(200))
+	c.Assert(report, qt.IsNotNil)
+	now = now.Add(210)
+	runSystem(a, now, roster.Peers,
+		gateway.PeerReported{Address: "x:1", Report: gateway.Report{From: "x", DataCentre: "x", Seq: 2}},
+		gateway.PeerReported{Address: "b:1", Report: *report})
+	runSystem(a, now, roster.Crashes)
+	c.Assert(a.Suspects.Get(gateway.PartKey(7)).Crashes, qt.HasLen, 1)
+}
+
+// Guards against two VMs that report an old suspect to each other in each report, since the time on the network makes it
+// look newer to the other one.
+func TestReportsOfSuspectsDoNotEcho(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	var out gateway.Actions
+	for id := range gateway.CrashID(3) {
+		a.RecordCrash(gateway.PartKey(7), gateway.Crash{ID: id, At: startTime, LearnedAt: startTime})
+	}
+	now := startTime
+	withSuspects := 0
+	for range 150 { // 30 s, with 3 ms on the network
+		now = now.Add(200)
+		if now == startTime.Add(20*cs.Second) {
+			a.Quarantine.Parts = []cs.PromptPart{7}
+			c.Assert(a.MayProbe(7, now) || b.MayProbe(7, now), qt.IsTrue)
+			a.RecordProbe(7, now, &out)
+		}
+		reportA, reportB := reportOf(a, now), reportOf(b, now)
+		c.Assert(reportA, qt.IsNotNil)
+		c.Assert(reportB, qt.IsNotNil)
+		if len(reportA.Suspects) > 0 {
+			withSuspects++
+		}
+		runSystem(a, now.Add(3), roster.Peers, gateway.PeerReported{Address: "b:1", Report: *reportB})
+		runSystem(b, now.Add(3), roster.Peers, gateway.PeerReported{Address: "a:1", Report: *reportA})
+	}
+	// One report a second lists all suspects, and a few more the news of the crashes and of the probe.
+	c.Assert(withSuspects <= 30+10, qt.IsTrue, qt.Commentf("%d of 150 reports", withSuspects))
+	c.Assert(b.Suspects.Get(gateway.PartKey(7)).LastCrashAt < startTime.Add(cs.Second), qt.IsTrue)
+}
+
+// Guards against a report that callers make larger than a datagram, by making up parts and contents: it is lost if a part
+// of it is.
+func TestReportOfSuspectsFitsIntoDatagram(t *testing.T) {
+	const maxDatagram = 1500
+	c := qt.New(t)
+	vm := newTables("a")
+	for i := range 12 {
+		id := cs.RunnerID(fmt.Sprintf("i-7f3a91c2%02d", i))
+		vm.Runners.Insert(id, gateway.Runner{Spec: cs.Runner{ID: id, DataCentre: "x", Slots: 8}, Online: 3, Batch: 3})
+	}
+	for i := range 500 {
+		vm.RecordBegun([]cs.PromptPart{cs.PromptPart(1<<60 + i)}, startTime, startTime)
+		for id := range gateway.CrashID(20) {
+			crash := gateway.Crash{ID: 1<<31 + id, At: startTime.Add(-cs.Minute), LearnedAt: startTime}
+			vm.RecordCrash(gateway.PartKey(cs.PromptPart(1<<61+i)), crash)
+			vm.RecordCrash(gateway.ContentKey(cs.ContentHash(1<<62+i)), crash)
+		}
+		acquitted := gateway.SuspectReport{Key: gateway.PartKey(cs.PromptPart(1<<60 + i)), Crashes: []gateway.CrashReport{{ID: 1}}}
+		vm.Merge(acquitted, startTime)
+	}
+	report := reportOf(vm, startTime.Add(200))
+	c.Assert(len(report.Suspects) > 20, qt.IsTrue)
+	data, err := cbor.Marshal(report)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(data) <= maxDatagram, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+}
