Count a stream that ends with its connection before its first event as a lost connection

A response says now whether it ends with its connection, and an end before the first event is a lost connection then, for requests and items. With a length or chunks it is not, as before. Streams that end inside an event were and are interrupted (errTruncatedEvent).

--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -137,7 +137,7 @@
 		event, err := events.Read()
 		if errors.Is(err, io.EOF) {
 			if last == 0 {
-				return errors.New("stream ended before its first event")
+				return &forward.InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection}
 			}
 			return nil
 		}
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -37,6 +37,9 @@
 	Header http.Header
 	// Stream means that the body is a stream of server-sent events.
 	Stream bool
+	// EndsWithConnection means that the body has neither a length nor chunks: it ends when the runner closes the
+	// connection.
+	EndsWithConnection bool
 	// Signed means that the response has the runner's signature header.
 	Signed bool
 	Body   io.ReadCloser
--- a/forward/session.go
+++ b/forward/session.go
@@ -189,7 +189,7 @@
 		}
 	}
 	if !s.headSent {
-		return s.failure(ctx, errors.New("stream ended before its first event"))
+		return s.failure(ctx, &InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection})
 	}
 	return gateway.OutcomeAnswered{Status: response.Status}
 }
--- a/forward/session_test.go
+++ b/forward/session_test.go
@@ -186,6 +186,36 @@
 	c.Assert(end, qt.Equals, forward.EndBroken{})
 }
 
+// Guards against a crash that is not noticed since the response ends with its connection: before the first event such an
+// end is a lost connection, on which a part of the prompt that crashes runners is suspected.
+func TestStreamThatEndsWithConnectionBeforeFirstEventIsDisconnected(t *testing.T) {
+	for _, endsWithConnection := range []bool{true, false} {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		s := &scriptedRunner{responses: []func(context.Context) (*forward.RunnerResponse, error){
+			func(ctx context.Context) (*forward.RunnerResponse, error) {
+				response, err := streamOf("", nil)(ctx)
+				response.EndsWithConnection = endsWithConnection
+				return response, err
+			},
+		}}
+		var ended gateway.OutcomeInterrupted
+		serveSession(ctx, s, &recordingCaller{}, func(e gateway.Event) gateway.Action {
+			switch e := e.(type) {
+			case gateway.ForwardArrived:
+				return gateway.Dispatch{ID: e.Forward.ID, Attempt: 1, Runner: "a"}
+			case gateway.ForwardEnded:
+				ended, _ = e.Outcome.(gateway.OutcomeInterrupted)
+				return gateway.Refuse{ID: e.ID, Refusal: cs.Refusal{Reason: cs.ReasonBroken, Ran: cs.RanUnknown}}
+			default:
+			}
+			return nil
+		})
+		c.Check(ended.Disconnected, qt.Equals, endsWithConnection)
+	}
+}
+
 // A stream on whose connection nothing arrives must end with a timeout while there is time to resume
 // on another runner, and must not count as a lost connection.
 func TestStreamEndsAtIdleTimeout(t *testing.T) {
