Log the limits that runners name

Server-Limit was not read, so that the logs could not tell that a runner named a limit. The client of runners reads it from each response, also one of a request that has not run, and posts what is new; a value that is no rate is logged and changes nothing. runnerLimited and runnerUnlimited are written when a VM learns of a change. No decision reads the limit.

--- a/batchjob/endless_test.go
+++ b/batchjob/endless_test.go
@@ -35,7 +35,7 @@
 	faulty, err := standin.NewEndlessRunner(respond, pause)
 	c.Assert(err, qt.IsNil)
 	defer faulty.Close()
-	runners := platform.NewRunners()
+	runners := platform.NewRunners(platform.RunnersConfig{})
 	defer runners.Close()
 	ended := make(chan gateway.ItemRunEnded, 1)
 	traffic := batchjob.NewTraffic(runners, func(_ context.Context, e gateway.Event) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,7 +103,7 @@
 	v.feeds = platform.NewFeeds(platform.FeedsConfig{
 		Clock: clock, Store: v.store, Post: post, Log: v.log, GroupTimeout: max(groupTimeout, s.Store.MinGroupTimeout), Self: v.self, MaxRecord: s.Store.MaxRecord,
 	})
-	v.runners = platform.NewRunners()
+	v.runners = platform.NewRunners(platform.RunnersConfig{Clock: clock, Post: post, Log: v.log})
 	v.forward = forward.NewTraffic(forward.TrafficConfig{
 		Clock: clock, Runners: v.runners, Post: post, ObserveFirstByte: v.noteLogger.recordFirstByte, ObserveDuration: v.noteLogger.recordResponse,
 	})
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -21,6 +21,7 @@
 		roster.Catalog,
 		roster.Runners,
 		roster.Peers,
+		roster.Limits,
 		roster.Bootstrap,
 		roster.Drain,
 		forward.Admit, // before ApplyOutcomes, since a caller may disconnect in the tick in which its request arrives
--- a/entry/notelog.go
+++ b/entry/notelog.go
@@ -92,6 +92,9 @@
 			event = event.Int64(field.name, field.value)
 		}
 	}
+	if n.Rate != 0 {
+		event = event.Float64("perSecond", float64(n.Rate))
+	}
 	event.Msg(n.Kind.String())
 }
 
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -43,7 +43,7 @@
 	defer faulty.Close()
 	working := httptest.NewServer(standin.NewEndpoint("b", 3, 0))
 	defer working.Close()
-	runners := platform.NewRunners()
+	runners := platform.NewRunners(platform.RunnersConfig{})
 	defer runners.Close()
 	var ended gateway.OutcomeInterrupted
 	started := time.Now()
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -160,6 +160,14 @@
 		Text      []byte
 		LastEvent cs.EventID
 	}
+	// RunnerLimitRead brings the limit that a runner named in a response.
+	RunnerLimitRead struct {
+		Runner cs.RunnerID
+		// Named means that the runner named Limit, the requests a second that it takes from all VMs; otherwise it no
+		// longer names one.
+		Named bool
+		Limit cs.PerSecond
+	}
 	// PeerReported brings a report and the address from which it was sent.
 	PeerReported struct {
 		Address cs.Address
@@ -194,6 +202,7 @@
 func (ItemBodyRequested) isEvent()  {}
 func (QueryCancelled) isEvent()     {}
 func (ItemRunEnded) isEvent()       {}
+func (RunnerLimitRead) isEvent()    {}
 func (PeerReported) isEvent()       {}
 func (PeerStateRead) isEvent()      {}
 func (PeerStateRequested) isEvent() {}
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -58,6 +58,10 @@
 	// NoteRunnerDoubted: a connection to a runner was lost, and it gets one request at a time until it
 	// responds.
 	NoteRunnerDoubted
+	// NoteRunnerLimited: a runner names a limit on the requests that it takes, or another one than before.
+	NoteRunnerLimited
+	// NoteRunnerUnlimited: a runner no longer names a limit.
+	NoteRunnerUnlimited
 	// NoteContentSuspected: an online request or an item was in flight on a runner that crashed.
 	NoteContentSuspected
 	// NotePromptPartQuarantined: a part of prompts crashes runners, and requests with it are refused from now on.
@@ -101,6 +105,8 @@
 	Offset cs.Offset
 	// Load is the number of requests in flight on the runner, as far as this VM knew.
 	Load cs.Slots
+	// Rate is the limit that a runner names.
+	Rate cs.PerSecond
 	// Age is the age of the data on which the decision was based, such as the list of runners.
 	Age cs.Span
 	// Duration is the time since the request arrived or the run started; for NoteRunnerAvoided, the length of
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 298, 319, 335, 353, 362, 370, 378, 390, 402, 414, 425}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 295, 310, 326, 347, 363, 381, 390, 398, 406, 418, 430, 442, 453}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -47,20 +47,22 @@
 	_ = x[NoteRunnerRemoved-(20)]
 	_ = x[NoteRunnerAvoided-(21)]
 	_ = x[NoteRunnerDoubted-(22)]
-	_ = x[NoteContentSuspected-(23)]
-	_ = x[NotePromptPartQuarantined-(24)]
-	_ = x[NotePromptPartProbed-(25)]
-	_ = x[NotePromptPartReleased-(26)]
-	_ = x[NotePeerFound-(27)]
-	_ = x[NotePeerLost-(28)]
-	_ = x[NoteFeedLost-(29)]
-	_ = x[NoteFeedRegained-(30)]
-	_ = x[NotePartsChanged-(31)]
-	_ = x[NoteDrainChanged-(32)]
-	_ = x[NoteTickDelayed-(33)]
+	_ = x[NoteRunnerLimited-(23)]
+	_ = x[NoteRunnerUnlimited-(24)]
+	_ = x[NoteContentSuspected-(25)]
+	_ = x[NotePromptPartQuarantined-(26)]
+	_ = x[NotePromptPartProbed-(27)]
+	_ = x[NotePromptPartReleased-(28)]
+	_ = x[NotePeerFound-(29)]
+	_ = x[NotePeerLost-(30)]
+	_ = x[NoteFeedLost-(31)]
+	_ = x[NoteFeedRegained-(32)]
+	_ = x[NotePartsChanged-(33)]
+	_ = x[NoteDrainChanged-(34)]
+	_ = x[NoteTickDelayed-(35)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -86,17 +88,19 @@
 	_NoteKindName[243:256]: NoteRunnerRemoved,
 	_NoteKindName[256:269]: NoteRunnerAvoided,
 	_NoteKindName[269:282]: NoteRunnerDoubted,
-	_NoteKindName[282:298]: NoteContentSuspected,
-	_NoteKindName[298:319]: NotePromptPartQuarantined,
-	_NoteKindName[319:335]: NotePromptPartProbed,
-	_NoteKindName[335:353]: NotePromptPartReleased,
-	_NoteKindName[353:362]: NotePeerFound,
-	_NoteKindName[362:370]: NotePeerLost,
-	_NoteKindName[370:378]: NoteFeedLost,
-	_NoteKindName[378:390]: NoteFeedRegained,
-	_NoteKindName[390:402]: NotePartsChanged,
-	_NoteKindName[402:414]: NoteDrainChanged,
-	_NoteKindName[414:425]: NoteTickDelayed,
+	_NoteKindName[282:295]: NoteRunnerLimited,
+	_NoteKindName[295:310]: NoteRunnerUnlimited,
+	_NoteKindName[310:326]: NoteContentSuspected,
+	_NoteKindName[326:347]: NotePromptPartQuarantined,
+	_NoteKindName[347:363]: NotePromptPartProbed,
+	_NoteKindName[363:381]: NotePromptPartReleased,
+	_NoteKindName[381:390]: NotePeerFound,
+	_NoteKindName[390:398]: NotePeerLost,
+	_NoteKindName[398:406]: NoteFeedLost,
+	_NoteKindName[406:418]: NoteFeedRegained,
+	_NoteKindName[418:430]: NotePartsChanged,
+	_NoteKindName[430:442]: NoteDrainChanged,
+	_NoteKindName[442:453]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -123,17 +127,19 @@
 	_NoteKindLowerName[243:256]: NoteRunnerRemoved,
 	_NoteKindLowerName[256:269]: NoteRunnerAvoided,
 	_NoteKindLowerName[269:282]: NoteRunnerDoubted,
-	_NoteKindLowerName[282:298]: NoteContentSuspected,
-	_NoteKindLowerName[298:319]: NotePromptPartQuarantined,
-	_NoteKindLowerName[319:335]: NotePromptPartProbed,
-	_NoteKindLowerName[335:353]: NotePromptPartReleased,
-	_NoteKindLowerName[353:362]: NotePeerFound,
-	_NoteKindLowerName[362:370]: NotePeerLost,
-	_NoteKindLowerName[370:378]: NoteFeedLost,
-	_NoteKindLowerName[378:390]: NoteFeedRegained,
-	_NoteKindLowerName[390:402]: NotePartsChanged,
-	_NoteKindLowerName[402:414]: NoteDrainChanged,
-	_NoteKindLowerName[414:425]: NoteTickDelayed,
+	_NoteKindLowerName[282:295]: NoteRunnerLimited,
+	_NoteKindLowerName[295:310]: NoteRunnerUnlimited,
+	_NoteKindLowerName[310:326]: NoteContentSuspected,
+	_NoteKindLowerName[326:347]: NotePromptPartQuarantined,
+	_NoteKindLowerName[347:363]: NotePromptPartProbed,
+	_NoteKindLowerName[363:381]: NotePromptPartReleased,
+	_NoteKindLowerName[381:390]: NotePeerFound,
+	_NoteKindLowerName[390:398]: NotePeerLost,
+	_NoteKindLowerName[398:406]: NoteFeedLost,
+	_NoteKindLowerName[406:418]: NoteFeedRegained,
+	_NoteKindLowerName[418:430]: NotePartsChanged,
+	_NoteKindLowerName[430:442]: NoteDrainChanged,
+	_NoteKindLowerName[442:453]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -160,17 +166,19 @@
 	_NoteKindName[243:256],
 	_NoteKindName[256:269],
 	_NoteKindName[269:282],
-	_NoteKindName[282:298],
-	_NoteKindName[298:319],
-	_NoteKindName[319:335],
-	_NoteKindName[335:353],
-	_NoteKindName[353:362],
-	_NoteKindName[362:370],
-	_NoteKindName[370:378],
-	_NoteKindName[378:390],
-	_NoteKindName[390:402],
-	_NoteKindName[402:414],
-	_NoteKindName[414:425],
+	_NoteKindName[282:295],
+	_NoteKindName[295:310],
+	_NoteKindName[310:326],
+	_NoteKindName[326:347],
+	_NoteKindName[347:363],
+	_NoteKindName[363:381],
+	_NoteKindName[381:390],
+	_NoteKindName[390:398],
+	_NoteKindName[398:406],
+	_NoteKindName[406:418],
+	_NoteKindName[418:430],
+	_NoteKindName[430:442],
+	_NoteKindName[442:453],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -12,6 +12,8 @@
 	Online, Batch cs.Slots
 	// PeerOnline and PeerBatch are the sums of the counts that other VMs last reported.
 	PeerOnline, PeerBatch cs.Slots
+	// Limit is the limit on requests that the runner names.
+	Limit RunnerLimit
 	// EjectedUntil is the end of the ejection after a failure that this VM saw, and PeerEjectedUntil the end
 	// of the one after a failure that a peer reported. The runner gets no request until both have passed.
 	EjectedUntil, PeerEjectedUntil cs.Instant
--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -42,6 +42,8 @@
 	Count   int       `json:"count"`
 	AgeMs   int64     `json:"ageMs"`
 	TookMs  int64     `json:"tookMs"`
+	// PerSecond is the limit that a runner names.
+	PerSecond float64 `json:"perSecond"`
 }
 
 // Read returns the lines of a log. Text before the JSON object of a line is ignored. Lines that are
@@ -261,6 +263,9 @@
 			parts = append(parts, fmt.Sprintf("%s=%d", f.name, f.value))
 		}
 	}
+	if l.PerSecond != 0 {
+		parts = append(parts, fmt.Sprintf("perSecond=%g", l.PerSecond))
+	}
 	return strings.Join(parts, " ")
 }
 
