--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -29,6 +29,12 @@
 	// downUntil is the end of the time after a crash during which connections are refused.
 	downUntil cs.Instant
 	inFlight  map[*simAttempt]bool
+	// limit is the limit that the runner names in its responses, or 0.
+	limit cs.PerSecond
+	// told holds the VMs that have learned of a limit from the runner's last response to them.
+	told map[*simVM]bool
+	// arrivals are the times at which requests reached the runner.
+	arrivals []cs.Instant
 }
 
 // simAttempt is one attempt of a request at a runner.
@@ -47,6 +53,8 @@
 	vm     cs.VMID
 	parts  []cs.PromptPart
 	refuse gateway.Refuse
+	// waited is the time since the request arrived.
+	waited cs.Span
 }
 
 // simDispatch is a request that a VM sent to a runner.
@@ -66,6 +74,9 @@
 	// cutUntil is the end of a network partition between this VM and all others.
 	cutUntil cs.Instant
 	requests map[gateway.ForwardID][]cs.PromptPart
+	arrived  map[gateway.ForwardID]cs.Instant
+	// stopped means that the process has been killed.
+	stopped bool
 }
 
 // simFleet runs the systems of many VMs in front of simulated runners, in simulated time.
@@ -99,7 +110,7 @@
 		},
 	}
 	for i := range runners {
-		f.runners = append(f.runners, &simRunner{inFlight: make(map[*simAttempt]bool), spec: cs.Runner{
+		f.runners = append(f.runners, &simRunner{inFlight: make(map[*simAttempt]bool), told: make(map[*simVM]bool), spec: cs.Runner{
 			ID: cs.RunnerID(fmt.Sprintf("r%d", i)), Service: "s", DataCentre: "a", Slots: 8, Incarnation: 1,
 			Address: cs.Address(fmt.Sprintf("r%d:1", i)),
 		}})
@@ -115,6 +126,7 @@
 	self := cs.VM{ID: cs.VMID(fmt.Sprintf("vm%03d", i)), DataCentre: "a", Incarnation: incarnation, Address: cs.Address(fmt.Sprintf("vm%d:1", i))}
 	v := &simVM{
 		tables: gateway.New(gateway.Config{RegistrationGrace: 2500}, self, f.now, f.rand.Uint64()), requests: make(map[gateway.ForwardID][]cs.PromptPart),
+		arrived: make(map[gateway.ForwardID]cs.Instant),
 	}
 	v.tables.Catalog = cs.NewCatalog(1, []cs.Route{f.route}, nil, cs.CallerLimits{})
 	v.tables.Feeds[gateway.FeedRunners].Loaded = true
@@ -146,10 +158,19 @@
 	f.vms[i] = f.newVM(i, f.vms[i].tables.Self.Incarnation+1)
 }
 
+// anyVM returns one of the VMs that run.
+func (f *simFleet) anyVM() *simVM {
+	for {
+		if v := f.vms[f.rand.IntN(len(f.vms))]; !v.stopped {
+			return v
+		}
+	}
+}
+
 // send sends a request of a caller to a VM; each has a content of its own.
 func (f *simFleet) send(v *simVM, parts ...cs.PromptPart) {
 	f.lastID++
-	v.requests[f.lastID] = parts
+	v.requests[f.lastID], v.arrived[f.lastID] = parts, f.now
 	v.inbox = append(v.inbox, gateway.ForwardArrived{Forward: gateway.Forward{
 		ID: f.lastID, Request: cs.RequestID(fmt.Sprint(f.lastID)), Route: f.route, Content: cs.ContentHash(f.lastID) + 1<<40, Parts: parts,
 		Arrived: f.now, Deadline: f.now.Add(f.route.Timeout),
@@ -165,7 +186,7 @@
 		run()
 	}
 	for _, v := range f.vms {
-		if len(v.inbox) > 0 || v.dueAt <= f.now {
+		if !v.stopped && (len(v.inbox) > 0 || v.dueAt <= f.now) {
 			f.tick(v)
 		}
 	}
@@ -187,7 +208,7 @@
 		case gateway.Dispatch:
 			f.dispatch(v, a)
 		case gateway.Refuse:
-			f.refusals = append(f.refusals, simRefusal{at: f.now, vm: v.tables.Self.ID, parts: v.requests[a.ID], refuse: a})
+			f.refusals = append(f.refusals, simRefusal{at: f.now, vm: v.tables.Self.ID, parts: v.requests[a.ID], refuse: a, waited: f.now.Sub(v.arrived[a.ID])})
 			delete(v.requests, a.ID)
 		case gateway.SendReport:
 			f.report(v, a.Report)
@@ -204,7 +225,7 @@
 	e := gateway.PeerReported{Address: from.tables.Self.Address, Report: r}
 	f.at(simStep, func() {
 		for _, v := range f.vms {
-			if v != from && f.now >= v.cutUntil && f.now >= from.cutUntil {
+			if v != from && !v.stopped && f.now >= v.cutUntil && f.now >= from.cutUntil {
 				v.inbox = append(v.inbox, e)
 			}
 		}
@@ -226,6 +247,7 @@
 		return
 	}
 	r.inFlight[a] = true
+	r.arrivals = append(r.arrivals, f.now)
 	f.at(runnerPrefill, func() { f.begin(a) })
 }
 
@@ -242,6 +264,7 @@
 	}
 	a.begun = true
 	f.begun++
+	a.runner.tellLimit(a.vm)
 	a.vm.inbox = append(a.vm.inbox, gateway.ForwardStarted{ID: a.id, Attempt: a.attempt})
 	f.at(runnerService, func() {
 		if a.runner.inFlight[a] {
@@ -251,6 +274,18 @@
 	})
 }
 
+// tellLimit tells a VM the limit in a response.
+func (r *simRunner) tellLimit(v *simVM) {
+	switch {
+	case r.limit > 0:
+		v.inbox = append(v.inbox, gateway.RunnerLimitRead{Runner: r.spec.ID, Named: true, Limit: r.limit})
+		r.told[v] = true
+	case r.told[v]:
+		v.inbox = append(v.inbox, gateway.RunnerLimitRead{Runner: r.spec.ID})
+		delete(r.told, v)
+	}
+}
+
 // crash ends a runner and all attempts at it, and registers it again after a time.
 func (f *simFleet) crash(r *simRunner) {
 	f.crashes = append(f.crashes, f.now)
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -59,10 +59,10 @@
 			d.disturb(f, at)
 		}
 		if f.rand.Float64() < d.perSecond*float64(simStep)/1000 {
-			f.send(f.vms[f.rand.IntN(len(f.vms))], firstPart+cs.PromptPart(f.rand.IntN(8)))
+			f.send(f.anyVM(), firstPart+cs.PromptPart(f.rand.IntN(8)))
 		}
 		if stopped := d.stopDeadlyAt > 0 && at >= d.stopDeadlyAt; at >= 4*cs.Second && !stopped && f.rand.Float64() < d.deadlyPerSecond*float64(simStep)/1000 {
-			f.send(f.vms[f.rand.IntN(len(f.vms))], d.deadly...)
+			f.send(f.anyVM(), d.deadly...)
 		}
 		f.step()
 	}
@@ -194,7 +194,7 @@
 			vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, laterPart, deadlyPart}, deadlyPerSecond: 2.4, seed: seed,
 			disturb: func(f *simFleet, at cs.Span) {
 				if at >= 8*cs.Second && f.rand.Float64() < 2*float64(simStep)/1000 {
-					f.send(f.vms[f.rand.IntN(len(f.vms))], firstPart+1, laterPart)
+					f.send(f.anyVM(), firstPart+1, laterPart)
 				}
 			},
 		}
@@ -265,7 +265,7 @@
 					made++
 					parts = append(parts, made)
 				}
-				f.send(f.vms[f.rand.IntN(len(f.vms))], parts...)
+				f.send(f.anyVM(), parts...)
 			}
 		},
 	}
