Hold the limits that runners name over all VMs together

Back ends that named a limit got more than twice of it, as before they named it (Server-Limit; 6.0 to 6.6 requests a second at limits of 2.1 to 2.8). Callers saw nothing of it.

Cause: the limit was read by nobody. Class of fault: what a runner asks of all VMs cannot be kept by what one VM knows of itself. Ruled out: a limit for each VM's own requests (no VM alone exceeds one, and the last VMs learn of a limit 10 to 18 s after it was named), and second sends (3 of 757).

Change: reports list the limits that have changed, and all of them once a second, with what their sender has sent. Of the VMs that report, the first in the order of the runner may send to it, three and one for each request a second. Each VM keeps a token bucket for each limited runner and takes from it what it sends and what the others report; between two reports several may take one token, for which they wait after that. Items take tokens as well and leave them for 0.3 s to online requests that need them. A limited runner is chosen when the others are half full, or when no response has told for 1 s whether the limit holds. VMs that are cut off use the part of the limit that they are of all VMs. A request that no limit allows before its deadline is refused at once as not run, and so is one at a VM that may send to none.

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -17,6 +17,9 @@
 	// roundInterval is the time between two rounds of starts. It lets peers learn of the starts of one
 	// round before the next, so that VMs do not fill the same slots.
 	roundInterval = 30 * cs.Millisecond
+	// onlineTokenTime is how long online requests that need a runner that names a limit come before items,
+	// from when its limit allows a request.
+	onlineTokenTime = 300 * cs.Millisecond
 	// maxStartsPerRound bounds the starts of one round: prefills that begin together delay each other and
 	// the other streams of the runner.
 	maxStartsPerRound = 4
@@ -107,12 +110,16 @@
 }
 
 // startQuota returns how many items this VM may start in a round: the free slots in proportion to its
-// share of the slot demand of all VMs. A fractional remainder is rounded up at random with that
+// share of the slot demand of all VMs, and those of the runners whose limits allow this VM a request. A fractional remainder is rounded up at random with that
 // probability, so that VMs that see the same few slots do not all take them.
 func startQuota(t *gateway.Tables, now cs.Instant) int {
-	free, totalDemand := 0, t.Partitions.BatchDemand
+	free, ownSlots, totalDemand := 0, 0, t.Partitions.BatchDemand
 	for _, r := range t.Runners.All() {
-		free += batchSlots(t, r, now)
+		if r.Limit.Named {
+			ownSlots += batchSlots(t, r, now)
+		} else {
+			free += batchSlots(t, r, now)
+		}
 	}
 	for _, p := range t.Peers.All() {
 		totalDemand += p.BatchDemand
@@ -122,7 +129,7 @@
 	if t.Rand.Float64() < exactQuota-float64(n) {
 		n++
 	}
-	return min(n, maxStartsPerRound)
+	return min(n+ownSlots, maxStartsPerRound)
 }
 
 // batchSlots returns the number of free slots of a runner that batch items may take.
@@ -130,7 +137,28 @@
 	if !r.Usable(now) || r.OnProbation(now) || t.Reach(r.Spec.DataCentre, now) != gateway.ReachGood || !runsBatchItems(t, r.Spec.Service) {
 		return 0
 	}
-	return max(int(r.Spec.Slots-reservedOnlineSlots-r.Load()), 0)
+	free := max(int(r.Spec.Slots-reservedOnlineSlots-r.Load()), 0)
+	if !r.Limit.Named {
+		return free
+	}
+	if !r.WithinLimit(now) || hasOnlineNeed(t, r.Spec.Service, now) && now.Sub(r.NextWithinLimit()) < onlineTokenTime {
+		return 0
+	}
+	return min(free, 1)
+}
+
+// hasOnlineNeed reports whether online requests need the runners of a service that name a limit: some wait,
+// or no other runner has a free slot.
+func hasOnlineNeed(t *gateway.Tables, id cs.ServiceID, now cs.Instant) bool {
+	if demand := t.Demands.Get(id); demand != nil && demand.Own+demand.Peers > 0 {
+		return true
+	}
+	for _, r := range t.Runners.All() {
+		if r.Spec.Service == id && !r.Limit.Named && r.Usable(now) && r.Online+r.PeerOnline < r.Spec.Slots {
+			return false
+		}
+	}
+	return true
 }
 
 // runsBatchItems reports whether a service runs batch items: its runners are engines, or the catalog has no
@@ -201,6 +229,7 @@
 	}
 	load := r.Load()
 	r.Batch++
+	r.TakeToken(now)
 	w := &j.ItemWork[k.Index]
 	w.Phase, w.Runner, w.Started = gateway.ItemRunning, r.Spec.ID, now
 	w.Attempt++
@@ -225,20 +254,29 @@
 }
 
 // pickRunner picks a random runner of a route's services, weighted by its free batch slots, or returns nil
-// if none has any.
+// if none has any. It prefers runners that name a limit, since an item occupies a slot for longer than an
+// online request and counts as one request as well.
 func pickRunner(t *gateway.Tables, route *cs.Route, now cs.Instant) *gateway.Runner {
-	var picked *gateway.Runner
-	sum := 0
+	var picked, pickedLimited *gateway.Runner
+	sum, limited := 0, 0
 	for _, r := range t.Runners.All() {
-		if !routeUsesService(route, r.Spec.Service) {
+		slots := batchSlots(t, r, now)
+		if slots == 0 || !routeUsesService(route, r.Spec.Service) {
 			continue
 		}
-		slots := batchSlots(t, r, now)
-		sum += slots
-		if slots > 0 && t.Rand.IntN(sum) < slots {
+		if r.Limit.Named {
+			if limited++; t.Rand.IntN(limited) == 0 {
+				pickedLimited = r
+			}
+			continue
+		}
+		if sum += slots; t.Rand.IntN(sum) < slots {
 			picked = r
 		}
 	}
+	if pickedLimited != nil {
+		return pickedLimited
+	}
 	return picked
 }
 
--- a/forward/capacity.go
+++ b/forward/capacity.go
@@ -40,11 +40,11 @@
 }
 
 // freeCapacity returns how many more requests the runners of a service may be sent, queued ones
-// included.
+// included. Runners that name a limit are left out, since their limits are shared in another way.
 func freeCapacity(t *gateway.Tables, id cs.ServiceID, now cs.Instant) int {
 	n := 0
 	for _, r := range t.Runners.All() {
-		if r.Spec.Service == id && r.Usable(now) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
+		if r.Spec.Service == id && !r.Limit.Named && r.Usable(now) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
 			n += int(max(r.Spec.Slots+maxQueuedPerRunner-r.Online-r.PeerOnline, 0))
 		}
 	}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -75,7 +75,7 @@
 // served.
 func Dispatch(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	updateDemand(t, now) // mayDispatch divides the free capacity by this demand
-	estimates := make(map[cs.ServiceID]waitEstimate)
+	estimates := make(map[cs.ServiceID]*waitEstimate)
 	var done []gateway.ForwardID
 	for _, id := range waitingByRank(t, now) {
 		f := t.Forwards.Get(id)
@@ -90,19 +90,21 @@
 		}
 		estimate := estimateWait(t, f.Service, now, estimates, out)
 		if !estimate.servable {
-			refuse(now, f, unavailableRefusal(f), out)
+			refuse(now, f, unavailableRefusal(f, estimate), out)
 			done = append(done, id)
 			continue
 		}
-		if mayDispatch(t, f.Service, now, out) {
-			if r := pickRunner(t, f, now); r != nil {
-				dispatchTo(t, f, r, now, out)
+		onlyLimited := !mayDispatch(t, f.Service, now, out)
+		if r := pickRunner(t, f, now, onlyLimited); r != nil {
+			dispatchTo(t, f, r, now, out)
+			if !r.Limit.Named {
 				spendAllowance(t, f.Service)
-				continue
 			}
+			continue
 		}
-		if shouldShed(f, now, estimate.estimatedWaitMs) {
-			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: cs.RanNotRun, Message: "the wait for a runner is too long"}, out)
+		estimate.waiting++
+		if shouldShed(f, now, estimate) || estimate.limitExceeded(now, f.Deadline) {
+			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: ranSoFar(f), Message: "the wait for a runner is too long"}, out)
 			done = append(done, id)
 			continue
 		}
@@ -159,16 +161,22 @@
 	return ids
 }
 
-// unavailableRefusal returns the refusal of a request whose service has no reachable runner. Such a
-// request is refused without waiting, because the caller may reach a runner through another VM.
-func unavailableRefusal(f *gateway.Forward) cs.Refusal {
-	return cs.Refusal{Reason: cs.ReasonUnavailable, Ran: ranSoFar(f), Message: "no runner of the service can be reached"}
+// unavailableRefusal returns the refusal of a request whose service has no runner that can be
+// reached and to which this VM may send. Such a request is refused without waiting, because the
+// caller may reach a runner through another VM.
+func unavailableRefusal(f *gateway.Forward, estimate *waitEstimate) cs.Refusal {
+	refusal := cs.Refusal{Reason: cs.ReasonUnavailable, Ran: ranSoFar(f), Message: "no runner of the service can be reached"}
+	if estimate.limited {
+		refusal.Message = "all runners of the service name limits, by which only other VMs may send to them"
+	}
+	return refusal
 }
 
 // dispatchTo sends a request to a runner and counts it as in flight there.
 func dispatchTo(t *gateway.Tables, f *gateway.Forward, r *gateway.Runner, now cs.Instant, out *gateway.Actions) {
 	load := r.Load()
 	r.Online++
+	r.TakeToken(now)
 	f.Phase, f.Runner, f.SentAt = gateway.ForwardRunning, r.Spec.ID, now
 	f.Attempt++
 	firstByte, betweenEvents := idleTimeouts(f, load < r.Spec.Slots)
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -575,3 +575,49 @@
 	dispatches, _ := vm.tick(vm.arrival(1, idempotentRoute))
 	c.Assert(dispatches[0].FirstByteTimeout, qt.Equals, 2*idempotentRoute.Target, qt.Commentf("a response that is not a stream begins only once its work is done"))
 }
+
+// Guards against holding requests until their deadlines that the limits of all runners do not allow by then. Callers that
+// come back after a refusal have little time left and are not refused for a long wait otherwise.
+func TestRequestsBeyondLimitAreRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	vm := newTestVM()
+	vm.addRunner("a1", "a")
+	vm.tick(gateway.RunnerLimitRead{Runner: "a1", Named: true, Limit: 1})
+	vm.now = vm.now.Add(5 * cs.Second)
+	route := resumableRoute
+	route.Timeout = 5 * cs.Second
+	var events []gateway.Event
+	for id := range gateway.ForwardID(10) {
+		arrived := vm.arrival(id, route).(gateway.ForwardArrived)
+		arrived.Forward.Deadline = vm.now.Add(3 * cs.Second)
+		events = append(events, arrived)
+	}
+	dispatches, refusals := vm.tick(events...)
+	c.Assert(dispatches, qt.HasLen, 1)
+	// Three more can be sent in 3 s; one may be held in vain, since the time of the next is not known exactly.
+	c.Assert(len(refusals) >= 5 && len(refusals) <= 6, qt.IsTrue, qt.Commentf("%d of 10 refused", len(refusals)))
+	for _, r := range refusals {
+		c.Assert(r.Refusal.Ran, qt.Equals, cs.RanNotRun)
+		c.Assert(r.RetryAfter > 0, qt.IsTrue)
+	}
+}
+
+// Guards against holding requests at a VM that may not send to any runner of the service, since all name limits: the
+// caller may reach a runner through another VM.
+func TestRequestAtVMThatMayNotSendIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	vm := newTestVM()
+	vm.addRunner("a1", "a")
+	vm.tick(gateway.RunnerLimitRead{Runner: "a1", Named: true, Limit: 1})
+	vm.Runners.Get("a1").Limit.Sender = false
+	dispatches, refusals := vm.tick(vm.arrival(1, onceRoute))
+	c.Assert(dispatches, qt.HasLen, 0)
+	c.Assert(refusals, qt.HasLen, 1)
+	c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
+	c.Assert(refusals[0].RetryAfter > 0, qt.IsTrue)
+
+	vm.addRunner("a2", "a") // names no limit
+	dispatches, refusals = vm.tick(vm.arrival(2, onceRoute))
+	c.Assert(refusals, qt.HasLen, 0)
+	c.Assert(dispatches[0].Runner, qt.Equals, cs.RunnerID("a2"))
+}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -9,8 +9,9 @@
 // Among runners with free slots it prefers those of this data centre. A runner whose slots are
 // occupied by batch items counts as having capacity, because batch items are stopped to make room
 // for online requests. A request that can no longer meet its target is not queued at a runner,
-// where it would delay requests that still can.
-func pickRunner(t *gateway.Tables, f *gateway.Forward, now cs.Instant) *gateway.Runner {
+// where it would delay requests that still can. If onlyLimited is set, it returns only runners that
+// name a limit, which the VMs do not divide by their demand.
+func pickRunner(t *gateway.Tables, f *gateway.Forward, now cs.Instant, onlyLimited bool) *gateway.Runner {
 	var best *gateway.Runner
 	bestCost := 0.0
 	allTried := triedAllReachable(t, f, now)
@@ -22,6 +23,9 @@
 		if r.Spec.Service != f.Service || !r.Usable(now) || mayHaveRunOn(f, id) && !allTried {
 			continue
 		}
+		if !r.WithinLimit(now) || onlyLimited && !r.Limit.Named {
+			continue
+		}
 		online := r.Online + r.PeerOnline
 		if online >= r.Spec.Slots+maxQueued {
 			continue
@@ -30,7 +34,7 @@
 		if reach == gateway.ReachCut {
 			continue
 		}
-		cost := cost(t, r) + t.Rand.Float64()*tieBreakJitter
+		cost := cost(t, r, now) + t.Rand.Float64()*tieBreakJitter
 		if reach == gateway.ReachDoubtful {
 			cost += doubtfulPenalty
 		}
@@ -48,7 +52,7 @@
 		return false
 	}
 	for id, r := range t.Runners.All() {
-		if r.Spec.Service == f.Service && !r.Spec.Leaving && !mayHaveRunOn(f, id) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
+		if r.Spec.Service == f.Service && !r.Spec.Leaving && r.MayEverSend() && !mayHaveRunOn(f, id) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
 			return false
 		}
 	}
@@ -66,13 +70,20 @@
 	// doubtfulPenalty is added for a data centre that may be partitioned from this one, so that its
 	// runners are picked only when all others are full.
 	doubtfulPenalty = 3.0
+	// limitedPenalty is added for a runner that names a limit, so that it is picked when half of the
+	// slots of the others are occupied: the requests that it takes are few.
+	limitedPenalty = 0.5
 	// fullPenalty is added for a runner without a free slot: a request sent there waits until a
 	// running request ends or a batch item is stopped.
 	fullPenalty = 1.0
 )
 
+// limitRefreshInterval is the time without a response to any VM after which limitedPenalty does not apply:
+// only a response shows whether the limit still holds.
+const limitRefreshInterval = cs.Second
+
 // cost returns a runner's load as a share of its slots, plus the penalties that apply.
-func cost(t *gateway.Tables, r *gateway.Runner) float64 {
+func cost(t *gateway.Tables, r *gateway.Runner, now cs.Instant) float64 {
 	slots := float64(r.Spec.Slots)
 	total := float64(r.Load()) / slots
 	if r.Load() >= r.Spec.Slots {
@@ -81,5 +92,8 @@
 	if r.Spec.DataCentre != t.Self.DataCentre {
 		total += remotePenalty
 	}
+	if r.Limit.Named && now.Sub(r.Limit.AsOf) < limitRefreshInterval {
+		total += limitedPenalty
+	}
 	return total
 }
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -7,6 +7,8 @@
 	VM cs.VM
 	// LastReportAt is when the last report arrived, or 0 if there was none or the peer has timed out.
 	LastReportAt cs.Instant
+	// HeardAt is when the last report arrived, or 0 if there was none.
+	HeardAt cs.Instant
 	// Seq is the sequence number of the last report, by which datagrams that arrive out of order are
 	// discarded.
 	Seq   uint64
@@ -18,6 +20,8 @@
 	BatchDemand int
 	// Demands is the peer's demand for the free capacity of services.
 	Demands []DemandReport
+	// SentTo holds the requests that the peer has sent to runners while they named a limit, as last reported.
+	SentTo map[cs.RunnerID]uint32
 }
 
 // RunnerLoad is the number of requests that one VM has in flight on a runner.
@@ -47,10 +51,24 @@
 	Ejected []cs.RunnerID `cbor:"w,omitempty"`
 	// Refusing lists the runners at whose addresses nothing listened when the sender last tried to connect.
 	Refusing []RefusingRunner `cbor:"c,omitempty"`
+	// Limits lists the limits that runners name, and those that have ended since.
+	Limits []LimitReport `cbor:"m,omitempty"`
 	// Suspects lists what the sender suspects of crashing runners.
 	Suspects []SuspectReport `cbor:"p,omitempty"`
 }
 
+// LimitReport is the limit of a runner as a VM knows it.
+type LimitReport struct {
+	_      struct{} `cbor:",toarray"`
+	Runner cs.RunnerID
+	Named  bool
+	Rate   cs.PerSecond
+	// Age is the time since a response showed it.
+	Age cs.Span
+	// Sent counts the requests that the sender of the report has sent since the limit was named.
+	Sent uint32
+}
+
 // RefusingRunner is a runner that refused a connection some time ago.
 type RefusingRunner struct {
 	_      struct{} `cbor:",toarray"`
@@ -125,8 +143,8 @@
 	SentAt cs.Instant
 	// Sent is the load in the last report. A load that differs from it is reported sooner.
 	Sent []RunnerLoad
-	// AllSuspectsAt is when a report last listed old suspects too.
-	AllSuspectsAt cs.Instant
+	// AllSuspectsAt is when a report last listed old suspects too, and AllLimitsAt when one listed old limits.
+	AllSuspectsAt, AllLimitsAt cs.Instant
 }
 
 // liveVMRank returns how many of the peers that report and are not leaving come before this VM in the order of a key. The
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -26,6 +26,9 @@
 	// EmptiedAt holds, for each service whose last runner was removed, when that was.
 	EmptiedAt *fleet.Table[cs.ServiceID, cs.Instant]
 	Peers     *fleet.Table[cs.VMID, Peer]
+	// LiveChanges counts the changes of the set of peers that report and are not leaving.
+	LiveChanges uint64
+	Senders     Senders
 	// DataCentres has a row for each data centre of which a VM has reported.
 	DataCentres *fleet.Table[cs.DataCentreID, DataCentreState]
 	Forwards    *fleet.Table[ForwardID, Forward]
--- a/roster/limits.go
+++ b/roster/limits.go
@@ -5,11 +5,46 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// Limits applies the limits on requests that runners name.
+const (
+	// allLimitsInterval is the time between two reports that list limits that have not changed, for peers that have
+	// started or were cut off since.
+	allLimitsInterval = cs.Second
+	// maxReportedLimits bounds the limits of a report. Of more than these each report lists others, by chance.
+	maxReportedLimits = 16
+)
+
+// Limits applies the limits on requests that runners name to this VM, and decides to which of these runners this VM may send.
 func Limits(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	for _, e := range t.Events {
 		if read, ok := e.(gateway.RunnerLimitRead); ok {
-			t.RecordLimit(t.Runners.Get(read.Runner), read.Named, read.Limit, now, out)
+			t.RecordLimit(t.Runners.Get(read.Runner), read.Named, read.Limit, now, now, out)
+		}
+	}
+	t.AssignSenders(now)
+}
+
+// limitsToReport returns the limits for a report to peers: those that have changed and, at intervals, the others.
+func limitsToReport(t *gateway.Tables, now cs.Instant) []gateway.LimitReport {
+	all := now.Sub(t.Gossip.AllLimitsAt) >= allLimitsInterval
+	if all {
+		t.Gossip.AllLimitsAt = now
+	}
+	var reports []gateway.LimitReport
+	for id, r := range t.Runners.All() {
+		if r.HasLimitNews(now) || all && r.Limit.Named {
+			reports = append(reports, gateway.LimitReport{Runner: id, Named: r.Limit.Named, Rate: r.Limit.Rate, Age: now.Sub(r.Limit.AsOf), Sent: r.Limit.Sent})
+		}
+	}
+	t.Rand.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+	return reports[:min(len(reports), maxReportedLimits)]
+}
+
+// hasLimitNews reports whether a limit has changed since the last report.
+func hasLimitNews(t *gateway.Tables) bool {
+	for _, r := range t.Runners.All() {
+		if r.Limit.ChangedAt != 0 && r.Limit.ChangedAt >= t.Gossip.SentAt {
+			return true
 		}
 	}
+	return false
 }
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -36,6 +36,7 @@
 		if p.LastReportAt != 0 && now.Sub(p.LastReportAt) > peerTimeout {
 			out.Note(gateway.Note{Kind: gateway.NotePeerLost, Peer: id, Age: now.Sub(p.LastReportAt)})
 			p.LastReportAt, p.Loads, p.Demands, p.BatchDemand, changed = 0, nil, nil, 0, true
+			t.LiveChanges++
 		}
 	}
 	if changed {
@@ -53,10 +54,12 @@
 		case c.ID == t.Self.ID:
 		case c.VM == nil:
 			t.Peers.Delete(c.ID)
+			t.LiveChanges++
 		case p == nil:
 			t.Peers.Insert(c.ID, gateway.Peer{VM: *c.VM})
 		case p.VM.Incarnation < c.VM.Incarnation:
 			p.VM = *c.VM
+			t.LiveChanges++
 		}
 	}
 	if e.Snapshot {
@@ -80,8 +83,14 @@
 	if p.LastReportAt == 0 {
 		out.Note(gateway.Note{Kind: gateway.NotePeerFound, Peer: r.From})
 	}
+	if p.LastReportAt == 0 || p.VM.Leaving != r.Leaving {
+		t.LiveChanges++
+	}
+	if r.Incarnation != p.VM.Incarnation {
+		p.SentTo = nil
+	}
 	p.VM.Incarnation, p.VM.DataCentre, p.VM.Address, p.VM.Leaving = r.Incarnation, r.DataCentre, e.Address, r.Leaving
-	p.LastReportAt, p.Seq = now, r.Seq
+	p.LastReportAt, p.HeardAt, p.Seq = now, now, r.Seq
 	recordDataCentreReport(t, now, r.DataCentre)
 	for _, id := range r.Ejected {
 		if runner := t.Runners.Get(id); runner != nil {
@@ -96,6 +105,9 @@
 	for _, s := range r.Suspects {
 		t.Merge(s, now)
 	}
+	for _, l := range r.Limits {
+		t.MergeLimit(p, l, now, out)
+	}
 	p.StoreUnreadable, p.BatchDemand = r.StoreUnreadable, r.BatchDemand
 	changed := !slices.Equal(p.Loads, r.Loads) || !slices.Equal(p.Demands, r.Demands)
 	p.Loads, p.Demands = r.Loads, r.Demands
@@ -160,7 +172,7 @@
 	minInterval := t.MinReportInterval()
 	idleInterval := max(idleReportInterval, minInterval)
 	due := gossip.SentAt.Add(idleInterval)
-	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) {
+	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) {
 		due = gossip.SentAt.Add(minInterval)
 	}
 	if now < due {
@@ -183,6 +195,7 @@
 		}
 	}
 	r.Suspects = suspectsToReport(t, now)
+	r.Limits = limitsToReport(t, now)
 	for id, demand := range t.Demands.All() {
 		if demand.Own > 0 {
 			r.Demands = append(r.Demands, gateway.DemandReport{Service: id, Demand: demand.Own})
--- a/roster/peers_test.go
+++ b/roster/peers_test.go
@@ -209,3 +209,63 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(data) <= maxDatagram, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
 }
+
+// exchange lets two VMs send their reports to each other once, if any are due.
+func exchange(a, b *gateway.Tables, now cs.Instant) {
+	reportA, reportB := reportOf(a, now), reportOf(b, now)
+	if reportB != nil {
+		runSystem(a, now.Add(3), roster.Peers, gateway.PeerReported{Address: "b:1", Report: *reportB})
+	}
+	if reportA != nil {
+		runSystem(b, now.Add(3), roster.Peers, gateway.PeerReported{Address: "a:1", Report: *reportA})
+	}
+}
+
+// Guards against a VM that holds a limit for ever, since it was cut off when the other VMs learned that it had ended, and
+// against its old knowledge bringing the limit back at the others.
+func TestVMThatReturnsLearnsThatLimitHasEnded(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	now := startTime
+	runSystem(a, now, roster.Limits, gateway.RunnerLimitRead{Runner: "r", Named: true, Limit: 2.5})
+	for range 10 {
+		now = now.Add(200)
+		exchange(a, b, now)
+	}
+	c.Assert(b.Runners.Get("r").Limit.Named, qt.IsTrue)
+	now = now.Add(10 * cs.Second) // b is cut off meanwhile
+	runSystem(a, now, roster.Limits, gateway.RunnerLimitRead{Runner: "r"})
+	now = now.Add(20 * cs.Second)
+	for range 15 { // contact_ms
+		now = now.Add(200)
+		exchange(a, b, now)
+	}
+	c.Assert(a.Runners.Get("r").Limit.Named, qt.IsFalse)
+	c.Assert(b.Runners.Get("r").Limit.Named, qt.IsFalse)
+}
+
+// Guards against VMs on both sides of a network partition that each use the whole limit of a runner that both reach.
+func TestLimitIsSharedAcrossNetworkPartition(t *testing.T) {
+	c := qt.New(t)
+	rates := 0.0
+	for _, live := range []int{5, 15} {
+		vm := newTables("a")
+		for i := range 19 {
+			id := cs.VMID(fmt.Sprintf("vm%d", i))
+			runSystem(vm, startTime, roster.Peers, gateway.PeerReported{Address: "p:1", Report: gateway.Report{From: id, Seq: 1}})
+		}
+		runSystem(vm, startTime, roster.Limits, gateway.RunnerLimitRead{Runner: "r", Named: true, Limit: 4})
+		now := startTime
+		for seq := range uint64(20) { // 4 s, in which only some VMs are heard
+			now = now.Add(200)
+			for i := range live - 1 {
+				id := cs.VMID(fmt.Sprintf("vm%d", i))
+				runSystem(vm, now, roster.Peers, gateway.PeerReported{Address: "p:1", Report: gateway.Report{From: id, Seq: seq + 2}})
+			}
+			runSystem(vm, now, roster.Peers)
+			runSystem(vm, now, roster.Limits)
+		}
+		rates += float64(vm.Runners.Get("r").Limit.Bucket.Rate)
+	}
+	c.Assert(rates <= 4.01 && rates >= 3.99, qt.IsTrue, qt.Commentf("%.2f requests a second on both sides", rates))
+}
