--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -175,8 +175,8 @@
 	return known
 }
 
-// Merge adds what a peer reported of a suspect to what this VM knows of it.
-func (t *Tables) Merge(r SuspectReport, now cs.Instant) {
+// MergeSuspect adds what a peer reported of a suspect to what this VM knows of it.
+func (t *Tables) MergeSuspect(r SuspectReport, now cs.Instant) {
 	if r.Key.Kind == SuspectPart && r.Begun {
 		t.mergeBegun(cs.PromptPart(r.Key.Hash), now.Add(-r.BegunAge), now)
 	}
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -103,7 +103,7 @@
 		}
 	}
 	for _, s := range r.Suspects {
-		t.Merge(s, now)
+		t.MergeSuspect(s, now)
 	}
 	for _, l := range r.Limits {
 		t.MergeLimit(p, l, now, out)
--- a/roster/peers_test.go
+++ b/roster/peers_test.go
@@ -201,7 +201,7 @@
 			vm.RecordCrash(gateway.ContentKey(cs.ContentHash(1<<62+i)), crash)
 		}
 		acquitted := gateway.SuspectReport{Key: gateway.PartKey(cs.PromptPart(1<<60 + i)), Crashes: []gateway.CrashReport{{ID: 1}}}
-		vm.Merge(acquitted, startTime)
+		vm.MergeSuspect(acquitted, startTime)
 	}
 	report := reportOf(vm, startTime.Add(200))
 	c.Assert(len(report.Suspects) > 20, qt.IsTrue)
