Start no items from an old view of the job log

Cause: Schedule did not look at the age of the view by which it takes a job for open. Change: while the view is older than 2 s, no item is started, unless most VMs cannot read the store, when no job can be ended either. In TestItemIsOwedByNextOwnerAfterRunnersCrashed the next owner now reads the log before it takes over, as it does in a fleet; its checks are the same.

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -40,6 +40,9 @@
 	// membershipTimeout is the age of the last confirmed membership renewal above which this VM starts no
 	// items: another VM may own its partitions by then.
 	membershipTimeout = 2 * cs.Second
+	// maxLogAge is the age of this VM's view of the job log above which it starts no items: their jobs may have been
+	// ended. An item may reach a runner until 3 s after the end of its job was acknowledged.
+	maxLogAge = 2 * cs.Second
 )
 
 // dueTime returns when a job's results are due: its acceptance plus the completion target of its route.
@@ -67,6 +70,9 @@
 	if now.Sub(t.Partitions.RenewedAt) > membershipTimeout && !t.StoreUnavailable() {
 		return // another VM may own the partitions by now
 	}
+	if log := t.Feeds[gateway.FeedJobs]; log.AsOf != 0 && log.Age(now) > maxLogAge && !t.StoreUnavailable() {
+		return // jobs that this VM takes for open may have been ended
+	}
 	if next := t.Partitions.StartedAt.Add(roundInterval); now < next {
 		out.WakeAt(next)
 		return
--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -826,6 +826,7 @@
 	for _, r := range a.reports {
 		b.inbox = append(b.inbox, gateway.PeerReported{Report: r, Address: "a"})
 	}
+	b.readLog(l, calm) // a VM that owns partitions follows the log
 	now := awaitRun(b, 1, calm, cs.Minute)
 	c.Assert(len(b.started), qt.Equals, 1, qt.Commentf("not started within a minute after the burst"))
 	c.Assert(now.Sub(calm) <= 1500, qt.IsTrue, qt.Commentf("started %v after the burst", now.Sub(calm)))
