Tell the part that crashes runners from one that was always beside it

Two parts that were in flight at the same crashes are refused only together, so that the sound one is served when it comes alone. But the bad one was served alone as well: a part that was in flight at most of its crashes explained it, however many it went on to cause. Now a suspect explains another one only if it was in flight at the last of its crashes too, so that one crash without it tells which is the cause.

TestCauseIsToldFromPartThatWasAlwaysBesideIt failed before (36 requests with the part reach runners later than 3 s after the fifth crash, three are allowed). The other tests of the quarantine pass.

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -204,6 +204,26 @@
 	}
 }
 
+// Guards against requests that reach runners with the part that is the cause, since until then all requests that crashed
+// runners had another part too, which might as well have been it.
+func TestCauseIsToldFromPartThatWasAlwaysBesideIt(t *testing.T) {
+	for seed := range uint64(3) {
+		d := deadlyDay{
+			vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, laterPart, deadlyPart}, deadlyPerSecond: 2.4, seed: seed,
+			stopDeadlyAt: 8 * cs.Second,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at >= 8*cs.Second && f.rand.Float64() < 2.4*float64(simStep)/1000 {
+					f.send(f.anyVM(), firstPart, deadlyPart)
+				}
+			},
+		}
+		c := qt.New(t)
+		f := d.play()
+		late := lateRequests(f, func(simDispatch) bool { return false })
+		c.Check(len(late) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d requests reached runners too late", len(late)))
+	}
+}
+
 // Guards against a part that stays quarantined after its cause is gone, and against finding that out at the cost of many
 // runners: at most three requests with the part may reach runners while it goes on.
 func TestQuarantineEndsWhenCauseIsGone(t *testing.T) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -97,30 +97,31 @@
 	return 0, false
 }
 
-// explainedWithout reports whether a quarantined part that is not among the given ones was in flight at most crashes of
-// a part. Not at all of them, since a VM may not know all crashes of each part.
+// explainedWithout reports whether a quarantined part that is not among the given ones explains the crashes of a part.
 func (t *Tables) explainedWithout(parts []cs.PromptPart, p cs.PromptPart) bool {
-	crashes := t.partCrashes(p)
+	suspect := t.Suspects.Get(PartKey(p))
+	if suspect == nil {
+		return false // the row has given way since the part was quarantined
+	}
 	return slices.ContainsFunc(t.Quarantine.Parts, func(other cs.PromptPart) bool {
-		if slices.Contains(parts, other) {
-			return false
-		}
-		common := 0
-		for _, c := range t.partCrashes(other) {
-			if _, ok := findCrash(crashes, c.ID); ok {
-				common++
-			}
-		}
-		return 2*common > len(crashes)
+		cause := t.Suspects.Get(PartKey(other))
+		return !slices.Contains(parts, other) && cause != nil && cause.explains(suspect)
 	})
 }
 
-// partCrashes returns the known crashes of a part.
-func (t *Tables) partCrashes(p cs.PromptPart) []Crash {
-	if s := t.Suspects.Get(PartKey(p)); s != nil {
-		return s.Crashes
+// explains reports whether a suspect was in flight at most crashes of another one, and at the last. Not at all of them,
+// since a VM may not know all crashes of each.
+func (s *Suspect) explains(other *Suspect) bool {
+	if other.LastCrashAt.Sub(s.LastCrashAt) > transitTolerance {
+		return false
+	}
+	common := 0
+	for _, c := range s.Crashes {
+		if _, ok := findCrash(other.Crashes, c.ID); ok {
+			common++
+		}
 	}
-	return nil // the row has given way since the part was quarantined
+	return 2*common > len(other.Crashes)
 }
 
 // quarantineTime returns how long after its last crash a part is quarantined without exception.
