Wait for runners that name no limit and are only ejected for a moment

While all usable runners of a service named limits, requests that these do not allow before their deadlines were refused at once, also when other runners, which name none, were ejected for some hundred ms after a failure: callers were told to come back instead of being served then. Such a runner now counts, so that requests wait as before. TestRequestsWaitForUnlimitedRunnerThatIsEjected failed before (requests refused at once).

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -116,8 +116,9 @@
 }
 
 // startQuota returns how many items this VM may start in a round: the free slots in proportion to its
-// share of the slot demand of all VMs, and those of the runners whose limits allow this VM a request. A fractional remainder is rounded up at random with that
-// probability, so that VMs that see the same few slots do not all take them.
+// share of the slot demand of all VMs, and one for each runner whose limit allows this VM a request. A
+// fractional remainder is rounded up at random with that probability, so that VMs that see the same few
+// slots do not all take them.
 func startQuota(t *gateway.Tables, now cs.Instant) int {
 	free, ownSlots, totalDemand := 0, 0, t.Partitions.BatchDemand
 	for _, r := range t.Runners.All() {
--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -621,3 +621,25 @@
 	c.Assert(refusals, qt.HasLen, 0)
 	c.Assert(dispatches[0].Runner, qt.Equals, cs.RunnerID("a2"))
 }
+
+// Guards against refusing requests by the limits of some runners while others, which name none, are only ejected for a
+// moment.
+func TestRequestsWaitForUnlimitedRunnerThatIsEjected(t *testing.T) {
+	c := qt.New(t)
+	vm := newTestVM()
+	vm.addRunner("a1", "a")
+	vm.addRunner("a2", "a").EjectedUntil = vm.now.Add(400)
+	vm.tick(gateway.RunnerLimitRead{Runner: "a1", Named: true, Limit: 0.5})
+	var events []gateway.Event
+	for id := range gateway.ForwardID(6) {
+		arrived := vm.arrival(id, idempotentRoute).(gateway.ForwardArrived)
+		arrived.Forward.Deadline = vm.now.Add(2 * cs.Second)
+		events = append(events, arrived)
+	}
+	_, refusals := vm.tick(events...)
+	c.Assert(refusals, qt.HasLen, 0)
+	vm.now = vm.now.Add(400)
+	dispatches, refusals := vm.tick()
+	c.Assert(refusals, qt.HasLen, 0)
+	c.Assert(len(dispatches) >= 1, qt.IsTrue)
+}
--- a/forward/shed.go
+++ b/forward/shed.go
@@ -75,8 +75,10 @@
 
 // serviceCapacity is what the reachable runners of a service can take.
 type serviceCapacity struct {
-	// slots are those of the usable runners that name no limit.
-	slots cs.Slots
+	// unlimited means that a runner names no limit, whether or not it can be used at present, and slots are
+	// those of the usable ones.
+	unlimited bool
+	slots     cs.Slots
 	// limitRate is the sum of the limits that runners name, and ownRate that of those to which this VM may
 	// send.
 	limitRate, ownRate cs.PerSecond
@@ -104,7 +106,7 @@
 	if serviceTimeMs == 0 {
 		serviceTimeMs = initialServiceTimeMs
 	}
-	if capacity.slots == 0 && capacity.ownRate > 0 {
+	if !capacity.unlimited && capacity.ownRate > 0 {
 		estimate.limitRate = capacity.ownRate
 		estimate.estimatedWaitMs = float64(max(capacity.nextAt.Sub(now), 0)) + float64(max(demand.Own-1, 0))*1000/float64(capacity.ownRate)
 		return estimate
@@ -128,6 +130,7 @@
 		} else {
 			estimate.servable = true
 		}
+		capacity.unlimited = capacity.unlimited || !r.Limit.Named
 		switch {
 		case !r.Usable(now):
 		case !r.Limit.Named:
