--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -93,6 +93,8 @@
 
 	// observeReport is called with each report, if it is set.
 	observeReport func(gateway.Report)
+	// observeSend is called with each report and its receivers, if it is set.
+	observeSend func(gateway.SendReport)
 
 	crashes    []cs.Instant
 	dispatches []simDispatch
@@ -211,21 +213,28 @@
 			f.refusals = append(f.refusals, simRefusal{at: f.now, vm: v.tables.Self.ID, parts: v.requests[a.ID], refuse: a, waited: f.now.Sub(v.arrived[a.ID])})
 			delete(v.requests, a.ID)
 		case gateway.SendReport:
-			f.report(v, a.Report)
+			f.report(v, a)
 		default:
 		}
 	}
 }
 
-// report delivers a report to all other VMs that the sender can reach.
-func (f *simFleet) report(from *simVM, r gateway.Report) {
+// report delivers a report to the VMs to which it is addressed, as far as the sender can reach them.
+func (f *simFleet) report(from *simVM, a gateway.SendReport) {
 	if f.observeReport != nil {
-		f.observeReport(r)
+		f.observeReport(a.Report)
+	}
+	if f.observeSend != nil {
+		f.observeSend(a)
+	}
+	e := gateway.PeerReported{Address: from.tables.Self.Address, Report: a.Report}
+	to := make(map[cs.Address]bool, len(a.To))
+	for _, address := range a.To {
+		to[address] = true
 	}
-	e := gateway.PeerReported{Address: from.tables.Self.Address, Report: r}
 	f.at(simStep, func() {
 		for _, v := range f.vms {
-			if v != from && !v.stopped && f.now >= v.cutUntil && f.now >= from.cutUntil {
+			if to[v.tables.Self.Address] && v != from && !v.stopped && f.now >= v.cutUntil && f.now >= from.cutUntil {
 				v.inbox = append(v.inbox, e)
 			}
 		}
