Log what a VM does with its processor time

Every 10 s a line tells ticks, datagrams with reports, requests to the store and bytes of its responses, and processor time.

--- /dev/null
+++ b/entry/activity.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	cs "github.com/crocusstile/crocusstile"
+)
+
+// activityPeriod is the interval of the log line on the process's activity.
+const activityPeriod = 10 * cs.Second
+
+// activity is what the process has done since its start.
+type activity struct {
+	ticks                        int64
+	reportsSent, reportsReceived int64
+	storeCalls                   int64
+	storeReceived                cs.Bytes
+	processorTime                cs.Span
+}
+
+// logActivity logs every activityPeriod what the process has done since the last time, until ctx ends. It tells which
+// part of the work takes the processor time.
+func (v *VM) logActivity(ctx context.Context) error {
+	t := time.NewTicker(activityPeriod.Std())
+	defer t.Stop()
+	last := v.readActivity()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			now := v.readActivity()
+			logDifference(v.log.Info(), last, now)
+			last = now
+		}
+	}
+}
+
+// readActivity reads the counters of the components.
+func (v *VM) readActivity() activity {
+	a := activity{ticks: v.loop.Ticks(), processorTime: processorTime()}
+	a.reportsSent, a.reportsReceived = v.gossip.Traffic()
+	a.storeCalls, a.storeReceived = v.store.Traffic()
+	return a
+}
+
+// logDifference logs the activity between two readings.
+func logDifference(e *zerolog.Event, from, to activity) {
+	e.Int64("ticks", to.ticks-from.ticks).
+		Int64("reportsSent", to.reportsSent-from.reportsSent).
+		Int64("reportsReceived", to.reportsReceived-from.reportsReceived).
+		Int64("storeCalls", to.storeCalls-from.storeCalls).
+		Int64("storeBytes", int64(to.storeReceived-from.storeReceived)).
+		Int64("processorMs", int64(to.processorTime-from.processorTime)).
+		Msg("activity")
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() cs.Span {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0 // fails only for an invalid argument
+	}
+	used := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return cs.Span(used.Milliseconds())
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -162,7 +162,7 @@
 	var g run.Group
 	for _, f := range []func(context.Context) error{
 		v.loop.Run, v.feeds.RunCatalog, v.feeds.RunRunners, v.feeds.RunVMs, v.feeds.RunJobs, v.feeds.RunMembership,
-		v.noteLogger.run, v.watchSettings,
+		v.noteLogger.run, v.logActivity, v.watchSettings,
 	} {
 		g.Add(func() error { return f(v.ctx) }, func(error) { v.cancel() })
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -35,8 +36,13 @@
 	cfg      Config
 	conn     *net.UDPConn
 	resolved map[cs.Address]*net.UDPAddr // used only by the goroutine that calls Send
+	// sent and received count datagrams.
+	sent, received atomic.Int64
 }
 
+// Traffic returns the numbers of datagrams sent and received since the start.
+func (g *Gossip) Traffic() (sent, received int64) { return g.sent.Load(), g.received.Load() }
+
 // New opens the UDP socket for reports; Run must be called to receive them.
 func New(c Config) (*Gossip, error) {
 	addr, err := net.ResolveUDPAddr("udp4", string(c.Listen))
@@ -61,6 +67,7 @@
 		g.cfg.Log.Error().Err(err).Int("bytes", len(data)).Msg("load report cannot be encoded or is too large")
 		return
 	}
+	g.sent.Add(int64(len(a.To)))
 	for _, to := range a.To {
 		addr := g.resolved[to]
 		if addr == nil {
@@ -86,6 +93,7 @@
 			g.cfg.Log.Warn().Err(err).Msg("receiving load reports failed")
 			continue
 		}
+		g.received.Add(1)
 		var r gateway.Report
 		if err := cbor.Unmarshal(buffer[:n], &r); err != nil {
 			g.cfg.Log.Warn().Err(err).Str("from", from.String()).Msg("load report cannot be decoded")
