--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -70,3 +70,23 @@
 
 	c.Assert(isUsable(a, back.Add(contactTime)), qt.IsFalse)
 }
+
+// Guards against a single failed read, while the store is up, that keeps a runner in use for longer than it may get
+// requests after its registration was removed.
+func TestRunnerIsNotUsedAfterSingleFailedRead(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	readRunners(a, startTime)
+	readRunners(b, startTime)
+	failed := startTime.Add(7700 * cs.Millisecond)
+	failRead(a, failed)
+	readRunners(a, failed.Add(160*cs.Millisecond))
+
+	left := failed.Add(300 * cs.Millisecond)
+	readRunners(b, left, gateway.RunnerChange{ID: "r"})
+	readRunners(a, left, gateway.RunnerChange{ID: "r"})
+	exchangeUntil(a, b, left, left.Add(drainTime))
+
+	c.Assert(isUsable(b, left.Add(drainTime)), qt.IsFalse)
+	c.Assert(isUsable(a, left.Add(drainTime)), qt.IsFalse)
+}
