--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -90,3 +90,20 @@
 	c.Assert(isUsable(b, left.Add(drainTime)), qt.IsFalse)
 	c.Assert(isUsable(a, left.Add(drainTime)), qt.IsFalse)
 }
+
+// Guards against a VM that still sends requests to a draining runner when drain_ms has passed, since its own read of
+// the registrations is late, although a peer that reports to it has read that the runner leaves.
+func TestPeersTellOfRunnerThatLeaves(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	readRunners(a, startTime)
+	readRunners(b, startTime)
+	spec := b.Runners.Get("r").Spec
+	spec.Leaving = true
+	left := startTime.Add(cs.Second)
+	readRunners(b, left, gateway.RunnerChange{ID: "r", Runner: &spec})
+	exchangeUntil(a, b, left, left.Add(drainTime))
+
+	c.Assert(isUsable(b, left.Add(drainTime)), qt.IsFalse)
+	c.Assert(isUsable(a, left.Add(drainTime)), qt.IsFalse)
+}
