--- a/gateway/note.go
+++ b/gateway/note.go
@@ -51,6 +51,8 @@
 	NoteRunnerAdded
 	// NoteRunnerLeaving: a runner is draining and gets no new work.
 	NoteRunnerLeaving
+	// NoteRunnerMissing: the registration of a runner was found missing; the runner may stay in use for a time.
+	NoteRunnerMissing
 	// NoteRunnerRemoved: a runner without a registration was removed from the table.
 	NoteRunnerRemoved
 	// NoteRunnerAvoided: a runner was ejected for a time after a failure.
@@ -110,7 +112,8 @@
 	// Age is the age of the data on which the decision was based, such as the list of runners.
 	Age cs.Span
 	// Duration is the time since the request arrived or the run started; for NoteRunnerAvoided, the length of
-	// the ejection, and for NoteTickDelayed, the delay.
+	// the ejection, for NoteTickDelayed, the delay, and for NoteFeedRegained, the time that the
+	// successful read took.
 	Duration cs.Span
 	Outcome  string
 	Reason   string
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerRemovedrunnerAvoidedrunnerDoubtedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubtedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 295, 310, 326, 347, 363, 381, 390, 398, 406, 418, 430, 442, 453}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 295, 308, 323, 339, 360, 376, 394, 403, 411, 419, 431, 443, 455, 466}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnerremovedrunneravoidedrunnerdoubtedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubtedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -44,25 +44,26 @@
 	_ = x[NoteStateAdopted-(17)]
 	_ = x[NoteRunnerAdded-(18)]
 	_ = x[NoteRunnerLeaving-(19)]
-	_ = x[NoteRunnerRemoved-(20)]
-	_ = x[NoteRunnerAvoided-(21)]
-	_ = x[NoteRunnerDoubted-(22)]
-	_ = x[NoteRunnerLimited-(23)]
-	_ = x[NoteRunnerUnlimited-(24)]
-	_ = x[NoteContentSuspected-(25)]
-	_ = x[NotePromptPartQuarantined-(26)]
-	_ = x[NotePromptPartProbed-(27)]
-	_ = x[NotePromptPartReleased-(28)]
-	_ = x[NotePeerFound-(29)]
-	_ = x[NotePeerLost-(30)]
-	_ = x[NoteFeedLost-(31)]
-	_ = x[NoteFeedRegained-(32)]
-	_ = x[NotePartsChanged-(33)]
-	_ = x[NoteDrainChanged-(34)]
-	_ = x[NoteTickDelayed-(35)]
+	_ = x[NoteRunnerMissing-(20)]
+	_ = x[NoteRunnerRemoved-(21)]
+	_ = x[NoteRunnerAvoided-(22)]
+	_ = x[NoteRunnerDoubted-(23)]
+	_ = x[NoteRunnerLimited-(24)]
+	_ = x[NoteRunnerUnlimited-(25)]
+	_ = x[NoteContentSuspected-(26)]
+	_ = x[NotePromptPartQuarantined-(27)]
+	_ = x[NotePromptPartProbed-(28)]
+	_ = x[NotePromptPartReleased-(29)]
+	_ = x[NotePeerFound-(30)]
+	_ = x[NotePeerLost-(31)]
+	_ = x[NoteFeedLost-(32)]
+	_ = x[NoteFeedRegained-(33)]
+	_ = x[NotePartsChanged-(34)]
+	_ = x[NoteDrainChanged-(35)]
+	_ = x[NoteTickDelayed-(36)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -85,22 +86,23 @@
 	_NoteKindName[207:219]: NoteStateAdopted,
 	_NoteKindName[219:230]: NoteRunnerAdded,
 	_NoteKindName[230:243]: NoteRunnerLeaving,
-	_NoteKindName[243:256]: NoteRunnerRemoved,
-	_NoteKindName[256:269]: NoteRunnerAvoided,
-	_NoteKindName[269:282]: NoteRunnerDoubted,
-	_NoteKindName[282:295]: NoteRunnerLimited,
-	_NoteKindName[295:310]: NoteRunnerUnlimited,
-	_NoteKindName[310:326]: NoteContentSuspected,
-	_NoteKindName[326:347]: NotePromptPartQuarantined,
-	_NoteKindName[347:363]: NotePromptPartProbed,
-	_NoteKindName[363:381]: NotePromptPartReleased,
-	_NoteKindName[381:390]: NotePeerFound,
-	_NoteKindName[390:398]: NotePeerLost,
-	_NoteKindName[398:406]: NoteFeedLost,
-	_NoteKindName[406:418]: NoteFeedRegained,
-	_NoteKindName[418:430]: NotePartsChanged,
-	_NoteKindName[430:442]: NoteDrainChanged,
-	_NoteKindName[442:453]: NoteTickDelayed,
+	_NoteKindName[243:256]: NoteRunnerMissing,
+	_NoteKindName[256:269]: NoteRunnerRemoved,
+	_NoteKindName[269:282]: NoteRunnerAvoided,
+	_NoteKindName[282:295]: NoteRunnerDoubted,
+	_NoteKindName[295:308]: NoteRunnerLimited,
+	_NoteKindName[308:323]: NoteRunnerUnlimited,
+	_NoteKindName[323:339]: NoteContentSuspected,
+	_NoteKindName[339:360]: NotePromptPartQuarantined,
+	_NoteKindName[360:376]: NotePromptPartProbed,
+	_NoteKindName[376:394]: NotePromptPartReleased,
+	_NoteKindName[394:403]: NotePeerFound,
+	_NoteKindName[403:411]: NotePeerLost,
+	_NoteKindName[411:419]: NoteFeedLost,
+	_NoteKindName[419:431]: NoteFeedRegained,
+	_NoteKindName[431:443]: NotePartsChanged,
+	_NoteKindName[443:455]: NoteDrainChanged,
+	_NoteKindName[455:466]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -124,22 +126,23 @@
 	_NoteKindLowerName[207:219]: NoteStateAdopted,
 	_NoteKindLowerName[219:230]: NoteRunnerAdded,
 	_NoteKindLowerName[230:243]: NoteRunnerLeaving,
-	_NoteKindLowerName[243:256]: NoteRunnerRemoved,
-	_NoteKindLowerName[256:269]: NoteRunnerAvoided,
-	_NoteKindLowerName[269:282]: NoteRunnerDoubted,
-	_NoteKindLowerName[282:295]: NoteRunnerLimited,
-	_NoteKindLowerName[295:310]: NoteRunnerUnlimited,
-	_NoteKindLowerName[310:326]: NoteContentSuspected,
-	_NoteKindLowerName[326:347]: NotePromptPartQuarantined,
-	_NoteKindLowerName[347:363]: NotePromptPartProbed,
-	_NoteKindLowerName[363:381]: NotePromptPartReleased,
-	_NoteKindLowerName[381:390]: NotePeerFound,
-	_NoteKindLowerName[390:398]: NotePeerLost,
-	_NoteKindLowerName[398:406]: NoteFeedLost,
-	_NoteKindLowerName[406:418]: NoteFeedRegained,
-	_NoteKindLowerName[418:430]: NotePartsChanged,
-	_NoteKindLowerName[430:442]: NoteDrainChanged,
-	_NoteKindLowerName[442:453]: NoteTickDelayed,
+	_NoteKindLowerName[243:256]: NoteRunnerMissing,
+	_NoteKindLowerName[256:269]: NoteRunnerRemoved,
+	_NoteKindLowerName[269:282]: NoteRunnerAvoided,
+	_NoteKindLowerName[282:295]: NoteRunnerDoubted,
+	_NoteKindLowerName[295:308]: NoteRunnerLimited,
+	_NoteKindLowerName[308:323]: NoteRunnerUnlimited,
+	_NoteKindLowerName[323:339]: NoteContentSuspected,
+	_NoteKindLowerName[339:360]: NotePromptPartQuarantined,
+	_NoteKindLowerName[360:376]: NotePromptPartProbed,
+	_NoteKindLowerName[376:394]: NotePromptPartReleased,
+	_NoteKindLowerName[394:403]: NotePeerFound,
+	_NoteKindLowerName[403:411]: NotePeerLost,
+	_NoteKindLowerName[411:419]: NoteFeedLost,
+	_NoteKindLowerName[419:431]: NoteFeedRegained,
+	_NoteKindLowerName[431:443]: NotePartsChanged,
+	_NoteKindLowerName[443:455]: NoteDrainChanged,
+	_NoteKindLowerName[455:466]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -167,18 +170,19 @@
 	_NoteKindName[256:269],
 	_NoteKindName[269:282],
 	_NoteKindName[282:295],
-	_NoteKindName[295:310],
-	_NoteKindName[310:326],
-	_NoteKindName[326:347],
-	_NoteKindName[347:363],
-	_NoteKindName[363:381],
-	_NoteKindName[381:390],
-	_NoteKindName[390:398],
-	_NoteKindName[398:406],
-	_NoteKindName[406:418],
-	_NoteKindName[418:430],
-	_NoteKindName[430:442],
-	_NoteKindName[442:453],
+	_NoteKindName[295:308],
+	_NoteKindName[308:323],
+	_NoteKindName[323:339],
+	_NoteKindName[339:360],
+	_NoteKindName[360:376],
+	_NoteKindName[376:394],
+	_NoteKindName[394:403],
+	_NoteKindName[403:411],
+	_NoteKindName[411:419],
+	_NoteKindName[419:431],
+	_NoteKindName[431:443],
+	_NoteKindName[443:455],
+	_NoteKindName[455:466],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/roster/feeds.go
+++ b/roster/feeds.go
@@ -13,7 +13,11 @@
 		case gateway.FeedRead:
 			f := t.Feeds[e.Feed]
 			if f.FailingSince != 0 {
-				out.Note(gateway.Note{Kind: gateway.NoteFeedRegained, Feed: e.Feed.String(), Age: now.Sub(f.FailingSince)})
+				n := gateway.Note{Kind: gateway.NoteFeedRegained, Feed: e.Feed.String(), Age: now.Sub(f.FailingSince)}
+				if e.Loaded {
+					n.Duration = now.Sub(e.AsOf)
+				}
+				out.Note(n)
 				f.FailingSince, f.RecoveredAt = 0, now
 			}
 			f.Loaded = f.Loaded || e.Loaded
--- a/roster/runners.go
+++ b/roster/runners.go
@@ -17,11 +17,11 @@
 			continue
 		}
 		if read.Snapshot {
-			markUnlisted(t, now, read.Changes)
+			markUnlisted(t, now, read.Changes, out)
 		}
 		for _, c := range read.Changes {
 			if c.Runner == nil {
-				markRemoved(t, now, c.ID)
+				markRemoved(t, now, c.ID, out)
 				continue
 			}
 			upsertRunner(t, *c.Runner, out)
@@ -62,7 +62,7 @@
 }
 
 // markUnlisted marks the runners that a complete read of the registrations does not list.
-func markUnlisted(t *gateway.Tables, now cs.Instant, listed []gateway.RunnerChange) {
+func markUnlisted(t *gateway.Tables, now cs.Instant, listed []gateway.RunnerChange, out *gateway.Actions) {
 	present := make(map[cs.RunnerID]bool, len(listed))
 	for _, c := range listed {
 		present[c.ID] = c.Runner != nil
@@ -70,14 +70,16 @@
 	for id, r := range t.Runners.All() {
 		if !present[id] && r.MissingSince == 0 {
 			r.MissingSince = now
+			out.Note(gateway.Note{Kind: gateway.NoteRunnerMissing, Runner: id, Reason: "not listed"})
 		}
 	}
 }
 
 // markRemoved marks a runner whose registration was removed.
-func markRemoved(t *gateway.Tables, now cs.Instant, id cs.RunnerID) {
+func markRemoved(t *gateway.Tables, now cs.Instant, id cs.RunnerID, out *gateway.Actions) {
 	if r := t.Runners.Get(id); r != nil && r.MissingSince == 0 {
 		r.MissingSince = now
+		out.Note(gateway.Note{Kind: gateway.NoteRunnerMissing, Runner: id, Reason: "registration removed"})
 	}
 }
 
