--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -68,6 +68,7 @@
 	readRunners(a, firstRead, gateway.RunnerChange{ID: "r"})
 	exchangeUntil(a, b, firstRead, back.Add(contactTime))
 
+	c.Assert(a.Peers.Get("b"), qt.IsNotNil)
 	c.Assert(isUsable(a, back.Add(contactTime)), qt.IsFalse)
 }
 
@@ -104,6 +105,7 @@
 	readRunners(b, left, gateway.RunnerChange{ID: "r", Runner: &spec})
 	exchangeUntil(a, b, left, left.Add(drainTime))
 
+	c.Assert(a.Peers.Get("b"), qt.IsNotNil)
 	c.Assert(isUsable(b, left.Add(drainTime)), qt.IsFalse)
 	c.Assert(isUsable(a, left.Add(drainTime)), qt.IsFalse)
 }
