Check that runners stay in use after an outage of the store

Passes on the current code: the registration grace is there for registrations that expire while the store is away, and no test held it. In a trial in which a runner with a missing registration gets no requests at all, it fails, while the other tests of package roster that concern the grace pass.

--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -109,3 +109,23 @@
 	c.Assert(isUsable(b, left.Add(drainTime)), qt.IsFalse)
 	c.Assert(isUsable(a, left.Add(drainTime)), qt.IsFalse)
 }
+
+// Guards against VMs that drop live runners after an outage of the store, whose registrations expired meanwhile and are
+// written again within about two seconds of its return.
+func TestRunnersStayInUseAfterOutageOfStore(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	readRunners(a, startTime)
+	readRunners(b, startTime)
+	failed := startTime.Add(2 * cs.Second)
+	failRead(a, failed)
+	failRead(b, failed)
+	back := failed.Add(6 * cs.Second)
+	exchangeUntil(a, b, failed, back)
+	readRunners(a, back, gateway.RunnerChange{ID: "r"})
+	readRunners(b, back, gateway.RunnerChange{ID: "r"})
+	exchangeUntil(a, b, back, back.Add(1900*cs.Millisecond))
+
+	c.Assert(isUsable(a, back.Add(1900*cs.Millisecond)), qt.IsTrue)
+	c.Assert(isUsable(b, back.Add(1900*cs.Millisecond)), qt.IsTrue)
+}
