--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -68,5 +68,64 @@
 	readRunners(a, firstRead, gateway.RunnerChange{ID: "r"})
 	exchangeUntil(a, b, firstRead, back.Add(contactTime))
 
+	c.Assert(a.Peers.Get("b"), qt.IsNotNil)
 	c.Assert(isUsable(a, back.Add(contactTime)), qt.IsFalse)
 }
+
+// Guards against a single failed read, while the store is up, that keeps a runner in use for longer than it may get
+// requests after its registration was removed.
+func TestRunnerIsNotUsedAfterSingleFailedRead(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	readRunners(a, startTime)
+	readRunners(b, startTime)
+	failed := startTime.Add(7700 * cs.Millisecond)
+	failRead(a, failed)
+	readRunners(a, failed.Add(160*cs.Millisecond))
+
+	left := failed.Add(300 * cs.Millisecond)
+	readRunners(b, left, gateway.RunnerChange{ID: "r"})
+	readRunners(a, left, gateway.RunnerChange{ID: "r"})
+	exchangeUntil(a, b, left, left.Add(drainTime))
+
+	c.Assert(isUsable(b, left.Add(drainTime)), qt.IsFalse)
+	c.Assert(isUsable(a, left.Add(drainTime)), qt.IsFalse)
+}
+
+// Guards against a VM that still sends requests to a draining runner when drain_ms has passed, since its own read of
+// the registrations is late, although a peer that reports to it has read that the runner leaves.
+func TestPeersTellOfRunnerThatLeaves(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	readRunners(a, startTime)
+	readRunners(b, startTime)
+	spec := b.Runners.Get("r").Spec
+	spec.Leaving = true
+	left := startTime.Add(cs.Second)
+	readRunners(b, left, gateway.RunnerChange{ID: "r", Runner: &spec})
+	exchangeUntil(a, b, left, left.Add(drainTime))
+
+	c.Assert(a.Peers.Get("b"), qt.IsNotNil)
+	c.Assert(isUsable(b, left.Add(drainTime)), qt.IsFalse)
+	c.Assert(isUsable(a, left.Add(drainTime)), qt.IsFalse)
+}
+
+// Guards against VMs that drop live runners after an outage of the store, whose registrations expired meanwhile and are
+// written again within about two seconds of its return.
+func TestRunnersStayInUseAfterOutageOfStore(t *testing.T) {
+	c := qt.New(t)
+	a, b := newTables("a"), newTables("b")
+	readRunners(a, startTime)
+	readRunners(b, startTime)
+	failed := startTime.Add(2 * cs.Second)
+	failRead(a, failed)
+	failRead(b, failed)
+	back := failed.Add(6 * cs.Second)
+	exchangeUntil(a, b, failed, back)
+	readRunners(a, back, gateway.RunnerChange{ID: "r"})
+	readRunners(b, back, gateway.RunnerChange{ID: "r"})
+	exchangeUntil(a, b, back, back.Add(1900*cs.Millisecond))
+
+	c.Assert(isUsable(a, back.Add(1900*cs.Millisecond)), qt.IsTrue)
+	c.Assert(isUsable(b, back.Add(1900*cs.Millisecond)), qt.IsTrue)
+}
