Decide by all VMs whether a missing registration has expired in an outage of the store

Cause: a registration that is missing is kept for 2.5 s after a failure of this VM's own reads, since registrations of live runners expire in an outage of the store. A VM that alone was cut off, or lost one read, took that for an outage and waited, although its peers had read the store throughout. Ruled out for this failure: silent connections (no feed was lost from 7.9 to 13.2 s, and the first read brought the removal), an older choice of the request (attempt 1, sent after 4 ms).

Reports tell since when their sender has been able to read the registrations and up to which instant it has read them. If at least half of the VMs that report have read them for the length of the grace, and read them after this VM's reads began to fail, there was no outage, and a missing registration is that of a runner that has left. A peer that has not noticed an outage yet is no evidence, since its last read is older.

--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -15,6 +15,8 @@
 	Loads []RunnerLoad
 	// StoreUnreadable means that the peer cannot read the store.
 	StoreUnreadable bool
+	// Registrations tells how the peer reads the registrations of runners.
+	Registrations PeerReads
 	// BatchDemand is the peer's demand for batch slots: the items that it could start now. Items that will be
 	// late anyway count for less.
 	BatchDemand int
@@ -24,6 +26,16 @@
 	SentTo map[cs.RunnerID]uint32
 }
 
+// PeerReads tells since when a peer has been able to read a topic without a failure, and up to which instant it is known to have
+// read it. Both are 0 if it cannot read it.
+type PeerReads struct{ Since, AsOf cs.Instant }
+
+// ReadsReport is PeerReads in a report, as ages.
+type ReadsReport struct {
+	_           struct{} `cbor:",toarray"`
+	Since, AsOf cs.Span
+}
+
 // RunnerLoad is the number of requests that one VM has in flight on a runner.
 type RunnerLoad struct {
 	Runner cs.RunnerID `cbor:"r"`
@@ -43,6 +55,8 @@
 	Leaving bool `cbor:"x,omitempty"`
 	// StoreUnreadable means that the sender cannot read the store.
 	StoreUnreadable bool `cbor:"u,omitempty"`
+	// Registrations tells how the sender reads the registrations of runners; nil if it cannot read them.
+	Registrations *ReadsReport `cbor:"g,omitempty"`
 	// BatchDemand is the sender's demand for batch slots (see Peer).
 	BatchDemand int `cbor:"q,omitempty"`
 	// Demands is the sender's demand for the free capacity of services.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -128,6 +128,10 @@
 	AsOf cs.Instant
 	// FailingSince is when the current series of failed reads began, or 0 if the last read succeeded.
 	FailingSince cs.Instant
+	// FailedAt is when the last series of failed reads began, whether or not it has ended, or 0.
+	FailedAt cs.Instant
+	// ReadableSince is when the current series of successful reads began, or 0.
+	ReadableSince cs.Instant
 	// RecoveredAt is when the last series of failed reads ended, or 0.
 	RecoveredAt cs.Instant
 }
--- a/roster/feeds.go
+++ b/roster/feeds.go
@@ -20,12 +20,16 @@
 				out.Note(n)
 				f.FailingSince, f.RecoveredAt = 0, now
 			}
+			if f.ReadableSince == 0 {
+				f.ReadableSince = now
+			}
 			f.Loaded = f.Loaded || e.Loaded
 			f.AsOf = max(f.AsOf, e.AsOf)
 		case gateway.FeedFailed:
 			f := t.Feeds[e.Feed]
+			f.ReadableSince = 0
 			if f.FailingSince == 0 {
-				f.FailingSince = now
+				f.FailingSince, f.FailedAt = now, now
 				out.Note(gateway.Note{Kind: gateway.NoteFeedLost, Feed: e.Feed.String(), Reason: e.Error, Age: f.Age(now)})
 			}
 		default:
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -108,7 +108,10 @@
 	for _, l := range r.Limits {
 		t.MergeLimit(p, l, now, out)
 	}
-	p.StoreUnreadable, p.BatchDemand = r.StoreUnreadable, r.BatchDemand
+	p.StoreUnreadable, p.BatchDemand, p.Registrations = r.StoreUnreadable, r.BatchDemand, gateway.PeerReads{}
+	if reads := r.Registrations; reads != nil {
+		p.Registrations = gateway.PeerReads{Since: now.Add(-reads.Since), AsOf: now.Add(-reads.AsOf)}
+	}
 	changed := !slices.Equal(p.Loads, r.Loads) || !slices.Equal(p.Demands, r.Demands)
 	p.Loads, p.Demands = r.Loads, r.Demands
 	return changed
@@ -196,6 +199,9 @@
 	}
 	r.Suspects = suspectsToReport(t, now)
 	r.Limits = limitsToReport(t, now)
+	if feed := t.Feeds[gateway.FeedRunners]; feed.ReadableSince != 0 {
+		r.Registrations = &gateway.ReadsReport{Since: now.Sub(feed.ReadableSince), AsOf: feed.Age(now)}
+	}
 	for id, demand := range t.Demands.All() {
 		if demand.Own > 0 {
 			r.Demands = append(r.Demands, gateway.DemandReport{Service: id, Demand: demand.Own})
--- a/roster/runners.go
+++ b/roster/runners.go
@@ -7,9 +7,8 @@
 
 // Runners applies changes of the runner registrations read from the store.
 //
-// A runner whose registration was removed is deleted, unless the registration expired while the
-// store was unavailable. A live runner registers again soon after the store is back, and stays in
-// use until then.
+// A runner whose registration was removed is deleted, unless the registration may have expired while the store was
+// unavailable. A live runner registers again soon after the store is back, and stays in use until then.
 func Runners(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	for _, e := range t.Events {
 		read, ok := e.(gateway.RunnersRead)
@@ -83,23 +82,19 @@
 	}
 }
 
-// removeMissing deletes the marked runners. It waits while the store is unavailable, and afterwards
-// for the registration grace period.
+// removeMissing deletes the marked runners, once it is certain that they have left.
 func removeMissing(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
-	feed := t.Feeds[gateway.FeedRunners]
 	var services []cs.ServiceID
+	settled, asked := false, false
 	t.Runners.DeleteFunc(func(id cs.RunnerID, r *gateway.Runner) bool {
 		if r.MissingSince == 0 {
 			return false
 		}
-		if feed.FailingSince != 0 {
-			return false
+		if !asked {
+			settled, asked = t.RegistrationsSettled(now, out), true
 		}
-		if feed.RecoveredAt != 0 {
-			if until := feed.RecoveredAt.Add(t.Config.RegistrationGrace); now < until {
-				out.WakeAt(until)
-				return false
-			}
+		if !settled {
+			return false
 		}
 		out.Note(gateway.Note{Kind: gateway.NoteRunnerRemoved, Runner: id, Age: now.Sub(r.MissingSince)})
 		services = append(services, r.Spec.Service)
