Let VMs tell each other which runners leave, and order what they know by the offset of its record

And what a read returned was taken for newer than what was known, so that a stale read, as the store may serve after it has dropped its history, made a draining runner usable again.

A departure is a row of a table of its own: the offset of the newest record that says draining or was removed, or the runner's own word. A registration counts if its offset is not older than what is known of the runner, from whichever VM. A runner whose registration is missing, but may be back, is picked only when all others are full, by requests and items.

TestVMLearnsFromPeersThatRunnerLeaves, TestStaleRegistrationDoesNotBringRunnerBack and TestRunnerWithoutRegistrationIsPickedLast hold the parts. TestForeignRegistrationsAreSkipped checks the offset, too.

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -262,29 +262,31 @@
 
 // pickRunner picks a random runner of a route's services, weighted by its free batch slots, or returns nil
 // if none has any. It prefers runners that name a limit, since an item occupies a slot for longer than an
-// online request and counts as one request as well.
+// online request and counts as one request as well, and takes one whose registration is missing only if there is no other.
 func pickRunner(t *gateway.Tables, route *cs.Route, now cs.Instant) *gateway.Runner {
-	var picked, pickedLimited *gateway.Runner
-	sum, limited := 0, 0
+	var picked, pickedLimited, pickedMissing *gateway.Runner
+	sum, limited, missing := 0, 0, 0
 	for _, r := range t.Runners.All() {
 		slots := batchSlots(t, r, now)
 		if slots == 0 || !routeUsesService(route, r.Spec.Service) {
 			continue
 		}
-		if r.Limit.Named {
+		switch {
+		case r.MissingSince != 0:
+			if missing += slots; t.Rand.IntN(missing) < slots {
+				pickedMissing = r
+			}
+		case r.Limit.Named:
 			if limited++; t.Rand.IntN(limited) == 0 {
 				pickedLimited = r
 			}
-			continue
-		}
-		if sum += slots; t.Rand.IntN(sum) < slots {
-			picked = r
+		default:
+			if sum += slots; t.Rand.IntN(sum) < slots {
+				picked = r
+			}
 		}
 	}
-	if pickedLimited != nil {
-		return pickedLimited
-	}
-	return picked
+	return cmp.Or(pickedLimited, picked, pickedMissing)
 }
 
 func routeUsesService(route *cs.Route, service cs.ServiceID) bool {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -52,7 +52,7 @@
 		return false
 	}
 	for id, r := range t.Runners.All() {
-		if r.Spec.Service == f.Service && !r.Spec.Leaving && r.MayEverSend() && !mayHaveRunOn(f, id) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
+		if r.Spec.Service == f.Service && !r.Leaving() && r.MayEverSend() && !mayHaveRunOn(f, id) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
 			return false
 		}
 	}
@@ -73,6 +73,9 @@
 	// limitedPenalty is added for a runner that names a limit, so that it is picked when half of the
 	// slots of the others are occupied: the requests that it takes are few.
 	limitedPenalty = 0.5
+	// missingPenalty is added for a runner whose registration is missing, so that it is picked only when all others
+	// are full: it may have left.
+	missingPenalty = 3.0
 	// fullPenalty is added for a runner without a free slot: a request sent there waits until a
 	// running request ends or a batch item is stopped.
 	fullPenalty = 1.0
@@ -92,6 +95,9 @@
 	if r.Spec.DataCentre != t.Self.DataCentre {
 		total += remotePenalty
 	}
+	if r.MissingSince != 0 {
+		total += missingPenalty
+	}
 	if r.Limit.Named && now.Sub(r.Limit.AsOf) < limitRefreshInterval {
 		total += limitedPenalty
 	}
--- a/forward/shed.go
+++ b/forward/shed.go
@@ -122,7 +122,7 @@
 func capacityOf(t *gateway.Tables, id cs.ServiceID, now cs.Instant, estimate *waitEstimate) serviceCapacity {
 	var capacity serviceCapacity
 	for _, r := range t.Runners.All() {
-		if r.Spec.Service != id || r.Spec.Leaving || t.Reach(r.Spec.DataCentre, now) == gateway.ReachCut {
+		if r.Spec.Service != id || r.Leaving() || t.Reach(r.Spec.DataCentre, now) == gateway.ReachCut {
 			continue
 		}
 		if !r.MayEverSend() {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -22,7 +22,7 @@
 // longer in the table (nil) or that is draining, since a draining runner closes its connections without a
 // crash.
 func (t *Tables) RecordPossibleCrash(r *Runner, p PossibleCrash) {
-	if r == nil || r.Spec.Leaving {
+	if r == nil || r.Leaving() {
 		return
 	}
 	p.Runner, p.Incarnation, p.DataCentre = r.Spec.ID, r.Spec.Incarnation, r.Spec.DataCentre
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -21,7 +21,9 @@
 	RunnersRead struct {
 		// Snapshot means that the changes are a snapshot: runners that are not listed are not registered.
 		Snapshot bool
-		Changes  []RunnerChange
+		// End is the offset of the topic at which the snapshot was begun; later records are read as changes.
+		End     cs.Offset
+		Changes []RunnerChange
 	}
 	// VMsRead brings changes of the registrations of entry VMs.
 	VMsRead struct {
@@ -67,6 +69,7 @@
 // RunnerChange is the new registration of a runner. Runner is nil if the registration was removed.
 type RunnerChange struct {
 	ID     cs.RunnerID
+	Offset cs.Offset
 	Runner *cs.Runner
 }
 
@@ -168,6 +171,12 @@
 		Named bool
 		Limit cs.PerSecond
 	}
+	// RunnerAnnouncedLeaving reports that a runner said in a response that it is leaving.
+	RunnerAnnouncedLeaving struct {
+		Runner cs.RunnerID
+		// Incarnation is that of the runner to which the request was sent.
+		Incarnation cs.Incarnation
+	}
 	// PeerReported brings a report and the address from which it was sent.
 	PeerReported struct {
 		Address cs.Address
@@ -184,26 +193,27 @@
 	DrainRequested struct{}
 )
 
-func (CatalogRead) isEvent()        {}
-func (RunnersRead) isEvent()        {}
-func (VMsRead) isEvent()            {}
-func (JobsRead) isEvent()           {}
-func (FeedRead) isEvent()           {}
-func (FeedFailed) isEvent()         {}
-func (PartitionsAssigned) isEvent() {}
-func (JobsAppended) isEvent()       {}
-func (ForwardArrived) isEvent()     {}
-func (ForwardStarted) isEvent()     {}
-func (ForwardEnded) isEvent()       {}
-func (CallerDisconnected) isEvent() {}
-func (JobSubmitted) isEvent()       {}
-func (JobEndRequested) isEvent()    {}
-func (ResultsRequested) isEvent()   {}
-func (ItemBodyRequested) isEvent()  {}
-func (QueryCancelled) isEvent()     {}
-func (ItemRunEnded) isEvent()       {}
-func (RunnerLimitRead) isEvent()    {}
-func (PeerReported) isEvent()       {}
-func (PeerStateRead) isEvent()      {}
-func (PeerStateRequested) isEvent() {}
-func (DrainRequested) isEvent()     {}
+func (CatalogRead) isEvent()            {}
+func (RunnersRead) isEvent()            {}
+func (VMsRead) isEvent()                {}
+func (JobsRead) isEvent()               {}
+func (FeedRead) isEvent()               {}
+func (FeedFailed) isEvent()             {}
+func (PartitionsAssigned) isEvent()     {}
+func (JobsAppended) isEvent()           {}
+func (ForwardArrived) isEvent()         {}
+func (ForwardStarted) isEvent()         {}
+func (ForwardEnded) isEvent()           {}
+func (CallerDisconnected) isEvent()     {}
+func (JobSubmitted) isEvent()           {}
+func (JobEndRequested) isEvent()        {}
+func (ResultsRequested) isEvent()       {}
+func (ItemBodyRequested) isEvent()      {}
+func (QueryCancelled) isEvent()         {}
+func (ItemRunEnded) isEvent()           {}
+func (RunnerLimitRead) isEvent()        {}
+func (RunnerAnnouncedLeaving) isEvent() {}
+func (PeerReported) isEvent()           {}
+func (PeerStateRead) isEvent()          {}
+func (PeerStateRequested) isEvent()     {}
+func (DrainRequested) isEvent()         {}
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -51,7 +51,8 @@
 	NoteRunnerAdded
 	// NoteRunnerLeaving: a runner is draining and gets no new work.
 	NoteRunnerLeaving
-	// NoteRunnerMissing: the registration of a runner was found missing; the runner may stay in use for a time.
+	// NoteRunnerMissing: the registration of a runner is missing. The runner is removed unless it may have expired in an
+	// outage of the store.
 	NoteRunnerMissing
 	// NoteRunnerRemoved: a runner without a registration was removed from the table.
 	NoteRunnerRemoved
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -69,6 +69,8 @@
 	Limits []LimitReport `cbor:"m,omitempty"`
 	// Suspects lists what the sender suspects of crashing runners.
 	Suspects []SuspectReport `cbor:"p,omitempty"`
+	// Departures lists the runners that are leaving or have left.
+	Departures []DepartureReport `cbor:"e,omitempty"`
 }
 
 // LimitReport is the limit of a runner as a VM knows it.
@@ -159,6 +161,8 @@
 	Sent []RunnerLoad
 	// AllSuspectsAt is when a report last listed old suspects too, and AllLimitsAt when one listed old limits.
 	AllSuspectsAt, AllLimitsAt cs.Instant
+	// AllDeparturesAt is when a report last listed old departures too.
+	AllDeparturesAt cs.Instant
 }
 
 // liveVMRank returns how many of the peers that report and are not leaving come before this VM in the order of a key. The
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -5,8 +5,13 @@
 // Runner is a back end with its load and its health as this VM sees them.
 type Runner struct {
 	Spec cs.Runner
-	// MissingSince is when the runner's registration in the store was found missing, or 0. The runner is
-	// removed later, since registrations also expire while the store is down.
+	// Revision is the offset of the newest record of the runner's registration that this VM has applied, or cs.NoOffset
+	// for a runner that a peer has told of.
+	Revision cs.Offset
+	// Announced means that the runner has said in a response that it is leaving.
+	Announced bool
+	// MissingSince is when the runner's registration in the store was found missing, or 0. The runner may be
+	// removed later, since registrations also expire while the store is down (see Tables.RegistrationsSettled).
 	MissingSince cs.Instant
 	// Online and Batch count the requests that this VM has in flight on the runner.
 	Online, Batch cs.Slots
@@ -29,6 +34,9 @@
 	RefusedAt, PeerRefusedAt cs.Instant
 }
 
+// Leaving reports whether the runner is draining, as its registration or a response of its own says. It gets no new work.
+func (r *Runner) Leaving() bool { return r.Spec.Leaving || r.Announced }
+
 // Load returns the requests in flight on the runner: those of this VM and those that peers last reported.
 func (r *Runner) Load() cs.Slots { return r.Online + r.Batch + r.PeerOnline + r.PeerBatch }
 
@@ -51,7 +59,7 @@
 // Usable reports whether a new online request may be sent to the runner: it is not draining, not ejected at
 // present, and if it is on probation, this VM has no online request in flight there.
 func (r *Runner) Usable(now cs.Instant) bool {
-	return !r.Spec.Leaving && now >= r.EjectedUntil && now >= r.PeerEjectedUntil && (r.Online == 0 || !r.OnProbation(now))
+	return !r.Leaving() && now >= r.EjectedUntil && now >= r.PeerEjectedUntil && (r.Online == 0 || !r.OnProbation(now))
 }
 
 // ResetFailures clears the recorded failures and ejections of a runner, for example after a response, so that
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -23,6 +23,8 @@
 	// Catalog is the newest version known, or nil.
 	Catalog *cs.Catalog
 	Runners *fleet.Table[cs.RunnerID, Runner]
+	// Departures holds the runners that are leaving or have left, and those that were removed lately.
+	Departures *fleet.Table[cs.RunnerID, Departure]
 	// EmptiedAt holds, for each service whose last runner was removed, when that was.
 	EmptiedAt *fleet.Table[cs.ServiceID, cs.Instant]
 	Peers     *fleet.Table[cs.VMID, Peer]
@@ -61,6 +63,7 @@
 	return &Tables{
 		Config: c, Self: self, Started: now, Pace: defaultPace, JobLog: JobLog{Epoch: 1}, Rand: rand.New(rand.NewPCG(seed, 1)),
 		Runners:        fleet.NewTable[cs.RunnerID, Runner](),
+		Departures:     fleet.NewTable[cs.RunnerID, Departure](),
 		EmptiedAt:      fleet.NewTable[cs.ServiceID, cs.Instant](),
 		Peers:          fleet.NewTable[cs.VMID, Peer](),
 		DataCentres:    fleet.NewTable[cs.DataCentreID, DataCentreState](),
--- a/roster/bootstrap.go
+++ b/roster/bootstrap.go
@@ -20,7 +20,7 @@
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case gateway.PeerStateRead:
-			adoptPeerState(t, e, out)
+			adoptPeerState(t, now, e, out)
 		case gateway.PeerStateRequested:
 			out.Add(gateway.AnswerPeerState{Query: e.Query, State: localState(t)})
 		default:
@@ -70,7 +70,7 @@
 
 // adoptPeerState applies a peer's state, except for parts that were read from the store in the
 // meantime.
-func adoptPeerState(t *gateway.Tables, e gateway.PeerStateRead, out *gateway.Actions) {
+func adoptPeerState(t *gateway.Tables, now cs.Instant, e gateway.PeerStateRead, out *gateway.Actions) {
 	catalog := e.State.Catalog
 	if catalog == nil || len(e.State.Runners) == 0 {
 		return // the peer has not read the store yet either
@@ -87,6 +87,6 @@
 		Kind: gateway.NoteStateAdopted, Peer: e.Peer, Version: catalog.Version, Count: len(e.State.Runners),
 	})
 	for _, r := range e.State.Runners {
-		upsertRunner(t, r, out)
+		applyRegistration(t, r, cs.NoOffset, now, out)
 	}
 }
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -108,6 +108,7 @@
 	for _, l := range r.Limits {
 		t.MergeLimit(p, l, now, out)
 	}
+	applyDepartures(t, now, r, out)
 	p.StoreUnreadable, p.BatchDemand, p.Registrations = r.StoreUnreadable, r.BatchDemand, gateway.PeerReads{}
 	if reads := r.Registrations; reads != nil {
 		p.Registrations = gateway.PeerReads{Since: now.Add(-reads.Since), AsOf: now.Add(-reads.AsOf)}
@@ -175,7 +176,7 @@
 	minInterval := t.MinReportInterval()
 	idleInterval := max(idleReportInterval, minInterval)
 	due := gossip.SentAt.Add(idleInterval)
-	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) {
+	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) || hasDepartureNews(t) {
 		due = gossip.SentAt.Add(minInterval)
 	}
 	if now < due {
@@ -199,6 +200,7 @@
 	}
 	r.Suspects = suspectsToReport(t, now)
 	r.Limits = limitsToReport(t, now)
+	r.Departures = departuresToReport(t, now)
 	if feed := t.Feeds[gateway.FeedRunners]; feed.ReadableSince != 0 {
 		r.Registrations = &gateway.ReadsReport{Since: now.Sub(feed.ReadableSince), AsOf: feed.Age(now)}
 	}
