--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -241,7 +241,7 @@
 	w.Phase, w.Runner, w.Started = gateway.ItemRunning, r.Spec.ID, now
 	w.Attempt++
 	out.Add(gateway.RunItem{
-		Key: k, Attempt: w.Attempt, Runner: r.Spec.ID, Address: r.Spec.Address, Host: j.Spec.Host, Item: item, LastEvent: w.LastEvent,
+		Key: k, Attempt: w.Attempt, Runner: r.Spec.ID, Incarnation: r.Spec.Incarnation, Address: r.Spec.Address, Host: j.Spec.Host, Item: item, LastEvent: w.LastEvent,
 		EventTimeout: itemIdleTimeout, MaxOutput: remainingOutput(t, w),
 	})
 	out.Note(gateway.Note{
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -181,7 +181,7 @@
 	f.Attempt++
 	firstByte, betweenEvents := idleTimeouts(f, load < r.Spec.Slots)
 	out.Add(gateway.Dispatch{
-		ID: f.ID, Attempt: f.Attempt, Runner: r.Spec.ID, Address: r.Spec.Address, LastEvent: f.LastEvent,
+		ID: f.ID, Attempt: f.Attempt, Runner: r.Spec.ID, Incarnation: r.Spec.Incarnation, Address: r.Spec.Address, LastEvent: f.LastEvent,
 		NewConnection: !f.Route.Repeatable(), FirstByteTimeout: firstByte, EventTimeout: betweenEvents,
 	})
 	out.Note(gateway.Note{
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -20,8 +20,9 @@
 
 // Destination says to which runner a request is sent, and with which options.
 type Destination struct {
-	Runner  cs.RunnerID
-	Address cs.Address
+	Runner      cs.RunnerID
+	Incarnation cs.Incarnation
+	Address     cs.Address
 	// TimeLeft is the time until the caller's deadline; 0 sets no limit.
 	TimeLeft cs.Span
 	// LastEvent is the ID of the event after which a stream resumes; 0 starts it from the
--- a/forward/session.go
+++ b/forward/session.go
@@ -88,7 +88,7 @@
 	ctx, idleTimer := WithIdleTimeout(ctx, a.FirstByteTimeout)
 	defer idleTimer.Stop()
 	response, err := s.traffic.cfg.Runners.Dispatch(ctx, s.request, Destination{
-		Runner: a.Runner, Address: a.Address, TimeLeft: timeLeft, LastEvent: a.LastEvent, NewConnection: a.NewConnection,
+		Runner: a.Runner, Incarnation: a.Incarnation, Address: a.Address, TimeLeft: timeLeft, LastEvent: a.LastEvent, NewConnection: a.NewConnection,
 	})
 	if err != nil {
 		return s.failure(ctx, err)
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -21,7 +21,9 @@
 		ID      ForwardID
 		Attempt cs.Attempt
 		Runner  cs.RunnerID
-		Address cs.Address
+		// Incarnation is that of the runner to which this VM believes to send.
+		Incarnation cs.Incarnation
+		Address     cs.Address
 		// LastEvent is the event after which a stream is resumed, or 0 to start from its beginning.
 		LastEvent cs.EventID
 		// NewConnection requires a new connection. A reused one may be closed by the runner just as the
@@ -50,9 +52,11 @@
 		Key     ItemKey
 		Attempt cs.Attempt
 		Runner  cs.RunnerID
-		Address cs.Address
-		Host    string
-		Item    Item
+		// Incarnation is that of the runner to which this VM believes to send.
+		Incarnation cs.Incarnation
+		Address     cs.Address
+		Host        string
+		Item        Item
 		// LastEvent is the event after which the output is resumed, or 0 to start from its beginning.
 		LastEvent cs.EventID
 		// EventTimeout is the time limit for each event; 0 means no limit. A run that exceeds it is
