Relay reports between groups of VMs

Up to 32 VMs nothing changes. More VMs form groups; a VM reports to its group, and one VM of the group relays the reports of all to each VM outside, with their ages. Reports count by incarnation and number whichever way they come, so that no load is counted twice. The sums of the peers' loads follow each change instead of being computed anew.

TestReportRateIsBounded stays as it is; its peers fall silent, so that it now holds the bound for a VM that hears no other.

--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -63,3 +64,61 @@
 		})
 	}
 }
+
+// countVMsKnowing returns how many VMs that run count batch load of another VM on a runner.
+func countVMsKnowing(f *simFleet, of cs.VMID, runner cs.RunnerID, batch cs.Slots) int {
+	known := 0
+	for _, v := range f.vms {
+		p := v.tables.Peers.Get(of)
+		if !v.stopped && p != nil && slices.ContainsFunc(p.Loads, func(l gateway.RunnerLoad) bool { return l.Runner == runner && l.Batch == batch }) {
+			known++
+		}
+	}
+	return known
+}
+
+// Guards against loads that some VMs do not learn, or learn too late to choose runners by them, since not all VMs report to
+// each other. A request spends about 400 ms at a runner.
+func TestLoadReachesAllVMs(t *testing.T) {
+	const maxAge = 400 * cs.Millisecond
+	for _, vms := range []int{21, 33, 121} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			c := qt.New(t)
+			f := newBusyFleet(1, vms)
+			for i, v := range f.vms[:8] {
+				batch := cs.Slots(2 + i)
+				v.tables.Runners.Get("r0").Batch = batch
+				playRequests(f, maxAge)
+				c.Check(countVMsKnowing(f, v.tables.Self.ID, "r0", batch), qt.Equals, vms-1)
+			}
+		})
+	}
+}
+
+// Guards against VMs that take others for dead, and no longer count their loads, since a VM that relayed the reports has
+// died.
+func TestReportsAreRelayedWhenVMsDie(t *testing.T) {
+	c := qt.New(t)
+	f := newBusyFleet(1, 121)
+	for _, v := range f.vms[:12] {
+		v.stopped = true
+	}
+	lost := 0
+	for range 200 {
+		playRequests(f, 4*simStep)
+		for _, v := range f.vms[12:] {
+			for _, other := range f.vms[12:] {
+				if p := v.tables.Peers.Get(other.tables.Self.ID); p != nil && p.LastReportAt == 0 {
+					lost++
+				}
+			}
+		}
+	}
+	c.Check(lost, qt.Equals, 0)
+	for _, v := range f.vms[12:20] {
+		v.tables.Runners.Get("r0").Batch = 3
+		playRequests(f, cs.Second)
+		c.Check(countVMsKnowing(f, v.tables.Self.ID, "r0", 3), qt.Equals, len(f.vms)-12-1)
+		v.tables.Runners.Get("r0").Batch = 0
+	}
+}
--- a/forward/capacity.go
+++ b/forward/capacity.go
@@ -18,12 +18,12 @@
 	if demand == nil || demand.Peers == 0 {
 		return true
 	}
-	if nextRound := demand.AllocatedAt.Add(t.MinReportInterval()); now < nextRound {
+	if nextRound := demand.AllocatedAt.Add(t.SpreadTime()); now < nextRound {
 		out.WakeAt(nextRound)
 		return demand.Allowance > 0
 	}
 	demand.AllocatedAt, demand.Allowance = now, fairShare(t, freeCapacity(t, id, now), demand.Own, demand.Peers)
-	out.WakeAt(now.Add(t.MinReportInterval()))
+	out.WakeAt(now.Add(t.SpreadTime()))
 	return demand.Allowance > 0
 }
 
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -9,6 +9,11 @@
 	LastReportAt cs.Instant
 	// HeardAt is when the last report arrived, or 0 if there was none.
 	HeardAt cs.Instant
+	// DirectReportAt is when the last report arrived that no other VM relayed, or 0 if there was none.
+	DirectReportAt cs.Instant
+	// Last is the last report that no other VM relayed, without suspects and relayed reports. It is only kept for VMs of
+	// this VM's group, to which this VM relays it.
+	Last Report
 	// Seq is the sequence number of the last report, by which datagrams that arrive out of order are
 	// discarded.
 	Seq   uint64
@@ -55,6 +60,8 @@
 	Limits []LimitReport `cbor:"m,omitempty"`
 	// Suspects lists what the sender suspects of crashing runners.
 	Suspects []SuspectReport `cbor:"p,omitempty"`
+	// Relayed lists the latest reports of VMs of the sender's group.
+	Relayed []RelayedReport `cbor:"y,omitempty"`
 }
 
 // LimitReport is the limit of a runner as a VM knows it.
@@ -121,21 +128,6 @@
 	return 2*unable > reporting
 }
 
-const (
-	// minReportInterval is the minimum time between two reports of a VM. A request spends about ten times as
-	// long at a runner, so that VMs choose runners by nearly current loads of their peers.
-	minReportInterval = 25 * cs.Millisecond
-	// fullRatePeers is the largest number of peers for which minReportInterval applies. With more peers the
-	// interval grows in proportion, so that a VM sends and receives at most 800 datagrams a second.
-	fullRatePeers = 20
-)
-
-// MinReportInterval returns the minimum time between two reports of a VM. A peer reports a change of its load
-// within this time, so that the loads known of peers are at most about this old unless a datagram was lost.
-func (t *Tables) MinReportInterval() cs.Span {
-	return minReportInterval * cs.Span(max(t.Peers.Len(), fullRatePeers)) / fullRatePeers
-}
-
 // GossipState describes the last report that this VM has sent; the time of the next one follows from it.
 type GossipState struct {
 	// Seq is the sequence number of the last report.
@@ -143,6 +135,11 @@
 	SentAt cs.Instant
 	// Sent is the load in the last report. A load that differs from it is reported sooner.
 	Sent []RunnerLoad
+	// RelayedAt is when this VM last relayed the reports of its group, and RelayDue when it does so again.
+	RelayedAt, RelayDue cs.Instant
+	Routes              ReportRoutes
+	// CheckedAt is when the peers were last checked for a timeout.
+	CheckedAt cs.Instant
 	// AllSuspectsAt is when a report last listed old suspects too, and AllLimitsAt when one listed old limits.
 	AllSuspectsAt, AllLimitsAt cs.Instant
 }
--- a/roster/bootstrap.go
+++ b/roster/bootstrap.go
@@ -89,4 +89,5 @@
 	for _, r := range e.State.Runners {
 		upsertRunner(t, r, out)
 	}
+	sumPeerLoads(t)
 }
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -4,44 +4,54 @@
 	"slices"
 
 	cs "github.com/crocusstile/crocusstile"
-	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
 // Timing of the reports between VMs.
 const (
-	// idleReportInterval is the time between two reports while the load does not change.
-	idleReportInterval = 200 * cs.Millisecond
 	// peerTimeout is the time without a report after which a peer's load no longer counts. It
 	// covers the loss of several datagrams.
 	peerTimeout = 1600 * cs.Millisecond
 	// peerEjectionTime is how long a runner that a peer has ejected is not picked, counted from
 	// the last report that says so.
 	peerEjectionTime = 500 * cs.Millisecond
+	// peerCheckInterval is the time between two checks for peers that no longer report.
+	peerCheckInterval = 50 * cs.Millisecond
 )
 
 // Peers applies the list of VMs from the store and the reports received from peers.
 func Peers(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
-	changed := false
+	runnersChanged := false
 	for _, e := range t.Events {
 		switch e := e.(type) {
+		case gateway.RunnersRead:
+			runnersChanged = true
 		case gateway.VMsRead:
 			applyVMs(t, e)
 		case gateway.PeerReported:
-			changed = applyReport(t, now, e, out) || changed
+			receiveReport(t, now, e, out)
 		default:
 		}
 	}
+	if now.Sub(t.Gossip.CheckedAt) >= peerCheckInterval {
+		t.Gossip.CheckedAt = now
+		expirePeers(t, now, out)
+	}
+	if runnersChanged {
+		sumPeerLoads(t)
+	}
+}
+
+// expirePeers discards the loads of the peers that no longer report.
+func expirePeers(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	for id, p := range t.Peers.All() {
 		if p.LastReportAt != 0 && now.Sub(p.LastReportAt) > peerTimeout {
 			out.Note(gateway.Note{Kind: gateway.NotePeerLost, Peer: id, Age: now.Sub(p.LastReportAt)})
-			p.LastReportAt, p.Loads, p.Demands, p.BatchDemand, changed = 0, nil, nil, 0, true
+			setPeerLoad(t, p, nil, nil)
+			p.LastReportAt, p.BatchDemand = 0, 0
 			t.LiveChanges++
 		}
 	}
-	if changed {
-		sumPeerLoads(t)
-	}
 }
 
 // applyVMs adds, updates and removes peers according to the list of VMs. A peer that is missing
@@ -67,18 +77,41 @@
 	}
 }
 
-// applyReport applies a peer's report and returns whether the peer's load or demand changed.
-func applyReport(t *gateway.Tables, now cs.Instant, e gateway.PeerReported, out *gateway.Actions) bool {
+// receiveReport applies a report and those that its sender relays.
+func receiveReport(t *gateway.Tables, now cs.Instant, e gateway.PeerReported, out *gateway.Actions) {
 	r := e.Report
 	if r.From == t.Self.ID {
-		return false
+		return
 	}
+	recordDataCentreReport(t, now, r.DataCentre)
+	if p := applyReport(t, now, gateway.RelayedReport{Address: e.Address, Report: r}, out); p != nil {
+		recordDirectReport(t, now, p, r)
+	}
+	for _, relayed := range r.Relayed {
+		if relayed.Report.From != t.Self.ID {
+			applyReport(t, now, relayed, out)
+		}
+	}
+}
+
+// recordDirectReport records that a report was not relayed.
+func recordDirectReport(t *gateway.Tables, now cs.Instant, p *gateway.Peer, r gateway.Report) {
+	p.DirectReportAt = now
+	if t.InOwnGroup(r.From) {
+		r.Suspects, r.Relayed = nil, nil
+		p.Last = r
+	}
+}
+
+// applyReport applies a report, unless it is out of date, and returns the peer that it is of, or nil.
+func applyReport(t *gateway.Tables, now cs.Instant, e gateway.RelayedReport, out *gateway.Actions) *gateway.Peer {
+	r, receivedAt := e.Report, now.Add(-e.Age)
 	p := t.Peers.Get(r.From)
 	if p == nil {
 		p = t.Peers.Insert(r.From, gateway.Peer{VM: cs.VM{ID: r.From, Address: e.Address}})
 	}
 	if r.Incarnation < p.VM.Incarnation || r.Incarnation == p.VM.Incarnation && r.Seq <= p.Seq {
-		return false // a newer report has already arrived
+		return nil // a newer report has already arrived
 	}
 	if p.LastReportAt == 0 {
 		out.Note(gateway.Note{Kind: gateway.NotePeerFound, Peer: r.From})
@@ -90,28 +123,27 @@
 		p.SentTo = nil
 	}
 	p.VM.Incarnation, p.VM.DataCentre, p.VM.Address, p.VM.Leaving = r.Incarnation, r.DataCentre, e.Address, r.Leaving
-	p.LastReportAt, p.HeardAt, p.Seq = now, now, r.Seq
-	recordDataCentreReport(t, now, r.DataCentre)
+	p.LastReportAt, p.HeardAt, p.Seq = receivedAt, receivedAt, r.Seq
 	for _, id := range r.Ejected {
 		if runner := t.Runners.Get(id); runner != nil {
-			runner.PeerEjectedUntil = now.Add(peerEjectionTime)
+			runner.PeerEjectedUntil = max(runner.PeerEjectedUntil, receivedAt.Add(peerEjectionTime))
 		}
 	}
 	for _, refusing := range r.Refusing {
 		if runner := t.Runners.Get(refusing.Runner); runner != nil {
-			runner.PeerRefusedAt = max(runner.PeerRefusedAt, now.Add(-refusing.Age))
+			runner.PeerRefusedAt = max(runner.PeerRefusedAt, receivedAt.Add(-refusing.Age))
 		}
 	}
 	for _, s := range r.Suspects {
 		t.MergeSuspect(s, now)
 	}
 	for _, l := range r.Limits {
+		l.Age += e.Age
 		t.MergeLimit(p, l, now, out)
 	}
 	p.StoreUnreadable, p.BatchDemand = r.StoreUnreadable, r.BatchDemand
-	changed := !slices.Equal(p.Loads, r.Loads) || !slices.Equal(p.Demands, r.Demands)
-	p.Loads, p.Demands = r.Loads, r.Demands
-	return changed
+	setPeerLoad(t, p, r.Loads, r.Demands)
+	return p
 }
 
 // recordDataCentreReport records that a VM of a data centre has reported. If the data centre was
@@ -133,8 +165,21 @@
 	}
 }
 
-// sumPeerLoads recomputes the peers' load on each runner and their demand for each service from the
-// latest report of each peer.
+// setPeerLoad replaces the load and the demand of a peer and updates the sums of the loads and demands of all peers.
+func setPeerLoad(t *gateway.Tables, p *gateway.Peer, loads []gateway.RunnerLoad, demands []gateway.DemandReport) {
+	if !slices.Equal(p.Loads, loads) {
+		addPeerLoad(t, p.Loads, -1)
+		addPeerLoad(t, loads, 1)
+	}
+	if !slices.Equal(p.Demands, demands) {
+		addPeerDemand(t, p.Demands, -1)
+		addPeerDemand(t, demands, 1)
+	}
+	p.Loads, p.Demands = loads, demands
+}
+
+// sumPeerLoads recomputes the sums of the peers' loads on each runner and demands for each service, after
+// runners have been inserted or replaced.
 func sumPeerLoads(t *gateway.Tables) {
 	for _, r := range t.Runners.All() {
 		r.PeerOnline, r.PeerBatch = 0, 0
@@ -143,79 +188,28 @@
 		demand.Peers = 0
 	}
 	for _, p := range t.Peers.All() {
-		addPeerDemand(t, p)
-		for _, l := range p.Loads {
-			if r := t.Runners.Get(l.Runner); r != nil {
-				r.PeerOnline += l.Online
-				r.PeerBatch += l.Batch
-			}
-		}
-	}
-}
-
-// addPeerDemand adds a peer's demand for the free capacity of each service.
-func addPeerDemand(t *gateway.Tables, p *gateway.Peer) {
-	for _, reported := range p.Demands {
-		demand := t.Demands.Get(reported.Service)
-		if demand == nil {
-			demand = t.Demands.Insert(reported.Service, gateway.ServiceDemand{})
-		}
-		demand.Peers += reported.Demand
+		addPeerLoad(t, p.Loads, 1)
+		addPeerDemand(t, p.Demands, 1)
 	}
 }
 
-// Report sends this VM's load to its peers when it has changed, and at a longer interval when it
-// has not.
-func Report(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
-	loads := localLoads(t)
-	gossip := &t.Gossip
-	minInterval := t.MinReportInterval()
-	idleInterval := max(idleReportInterval, minInterval)
-	due := gossip.SentAt.Add(idleInterval)
-	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) {
-		due = gossip.SentAt.Add(minInterval)
-	}
-	if now < due {
-		out.WakeAt(due)
-		return
-	}
-	gossip.Seq++
-	gossip.SentAt, gossip.Sent = now, loads
-	r := gateway.Report{
-		From: t.Self.ID, Incarnation: t.Self.Incarnation, DataCentre: t.Self.DataCentre, Seq: gossip.Seq,
-		Loads: loads, Leaving: t.Drain.Phase != fleet.DrainNone, StoreUnreadable: t.StoreUnreadable(),
-		BatchDemand: t.Partitions.BatchDemand,
-	}
-	for id, runner := range t.Runners.All() {
-		if runner.Failures > 0 && now < runner.EjectedUntil {
-			r.Ejected = append(r.Ejected, id)
-		}
-		if age := now.Sub(runner.RefusedAt); age <= gateway.SuspectNewsPeriod {
-			r.Refusing = append(r.Refusing, gateway.RefusingRunner{Runner: id, Age: age})
-		}
-	}
-	r.Suspects = suspectsToReport(t, now)
-	r.Limits = limitsToReport(t, now)
-	for id, demand := range t.Demands.All() {
-		if demand.Own > 0 {
-			r.Demands = append(r.Demands, gateway.DemandReport{Service: id, Demand: demand.Own})
+// addPeerLoad adds a load, times a factor, to the sums of the runners.
+func addPeerLoad(t *gateway.Tables, loads []gateway.RunnerLoad, factor cs.Slots) {
+	for _, l := range loads {
+		if r := t.Runners.Get(l.Runner); r != nil {
+			r.PeerOnline += factor * l.Online
+			r.PeerBatch += factor * l.Batch
 		}
 	}
-	var to []cs.Address
-	for _, p := range t.Peers.All() {
-		to = append(to, p.VM.Address)
-	}
-	out.Add(gateway.SendReport{To: to, Report: r})
-	out.WakeAt(now.Add(idleInterval))
 }
 
-// localLoads returns the number of this VM's requests in flight on each runner that has any.
-func localLoads(t *gateway.Tables) []gateway.RunnerLoad {
-	var loads []gateway.RunnerLoad
-	for id, r := range t.Runners.All() {
-		if r.Online+r.Batch > 0 {
-			loads = append(loads, gateway.RunnerLoad{Runner: id, Online: r.Online, Batch: r.Batch})
+// addPeerDemand adds a demand, times a factor, to the sums of the services.
+func addPeerDemand(t *gateway.Tables, demands []gateway.DemandReport, factor int) {
+	for _, reported := range demands {
+		demand := t.Demands.Get(reported.Service)
+		if demand == nil {
+			demand = t.Demands.Insert(reported.Service, gateway.ServiceDemand{})
 		}
+		demand.Peers += factor * reported.Demand
 	}
-	return loads
 }
--- /dev/null
+++ b/roster/report.go
@@ -0,0 +1,114 @@
+package roster
+
+import (
+	"slices"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
+	"github.com/crocusstile/crocusstile/gateway"
+)
+
+// maxRelayedLoads bounds the loads of the relayed reports of one datagram, so that it holds a few thousand bytes.
+const maxRelayedLoads = 100
+
+// Report sends this VM's load to the VMs of its group when it has changed, and at a longer interval when it has not, and
+// relays the reports of the group to other VMs.
+func Report(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+	gossip := &t.Gossip
+	loads := localLoads(t)
+	idleInterval := max(gateway.MaxReportInterval, t.ReportInterval())
+	due := gossip.SentAt.Add(idleInterval)
+	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) {
+		due = gossip.SentAt.Add(t.ReportInterval())
+	}
+	relayInterval := t.RelayInterval()
+	reports, relays := now >= due, relayInterval > 0 && now >= gossip.RelayDue
+	if reports || relays {
+		gossip.Seq++
+		r := newReport(t, now, loads)
+		routes := t.UpdateRoutes(now)
+		if reports {
+			sendReport(t, r, routes.Group, out)
+			gossip.SentAt, gossip.Sent = now, loads
+			due = now.Add(idleInterval)
+		}
+		if relays {
+			if len(routes.Remote) > 0 {
+				sendReport(t, r, routes.Remote, out)
+			}
+			relayReports(t, now, r, routes.Relay, out)
+			gossip.RelayedAt, gossip.RelayDue = now, now.Add(routes.Interval(relayInterval))
+		}
+	}
+	out.WakeAt(due)
+	if relayInterval > 0 {
+		out.WakeAt(gossip.RelayDue)
+	}
+}
+
+// sendReport sends a report to peers.
+func sendReport(t *gateway.Tables, r gateway.Report, to []cs.VMID, out *gateway.Actions) {
+	addresses := make([]cs.Address, 0, len(to))
+	for _, id := range to {
+		if p := t.Peers.Get(id); p != nil {
+			addresses = append(addresses, p.VM.Address)
+		}
+	}
+	out.Add(gateway.SendReport{To: addresses, Report: r})
+}
+
+// newReport returns the report of this VM.
+func newReport(t *gateway.Tables, now cs.Instant, loads []gateway.RunnerLoad) gateway.Report {
+	r := gateway.Report{
+		From: t.Self.ID, Incarnation: t.Self.Incarnation, DataCentre: t.Self.DataCentre, Seq: t.Gossip.Seq,
+		Loads: loads, Leaving: t.Drain.Phase != fleet.DrainNone, StoreUnreadable: t.StoreUnreadable(),
+		BatchDemand: t.Partitions.BatchDemand,
+	}
+	for id, runner := range t.Runners.All() {
+		if runner.Failures > 0 && now < runner.EjectedUntil {
+			r.Ejected = append(r.Ejected, id)
+		}
+		if age := now.Sub(runner.RefusedAt); age <= gateway.SuspectNewsPeriod {
+			r.Refusing = append(r.Refusing, gateway.RefusingRunner{Runner: id, Age: age})
+		}
+	}
+	r.Suspects = suspectsToReport(t, now)
+	r.Limits = limitsToReport(t, now)
+	for id, demand := range t.Demands.All() {
+		if demand.Own > 0 {
+			r.Demands = append(r.Demands, gateway.DemandReport{Service: id, Demand: demand.Own})
+		}
+	}
+	return r
+}
+
+// relayReports sends this VM's report, together with those that it has received from its group since the last relay, to
+// VMs outside the group.
+func relayReports(t *gateway.Tables, now cs.Instant, own gateway.Report, to []cs.VMID, out *gateway.Actions) {
+	if len(to) == 0 {
+		return
+	}
+	loads := 0
+	for id, p := range t.Peers.All() {
+		if p.DirectReportAt < t.Gossip.RelayedAt || p.LastReportAt == 0 || !t.InOwnGroup(id) {
+			continue
+		}
+		if loads += len(p.Last.Loads); loads > maxRelayedLoads && len(own.Relayed) > 0 {
+			sendReport(t, own, to, out)
+			own.Relayed, loads = nil, len(p.Last.Loads)
+		}
+		own.Relayed = append(own.Relayed, gateway.RelayedReport{Address: p.VM.Address, Age: now.Sub(p.DirectReportAt), Report: p.Last})
+	}
+	sendReport(t, own, to, out)
+}
+
+// localLoads returns the number of this VM's requests in flight on each runner that has any.
+func localLoads(t *gateway.Tables) []gateway.RunnerLoad {
+	var loads []gateway.RunnerLoad
+	for id, r := range t.Runners.All() {
+		if r.Online+r.Batch > 0 {
+			loads = append(loads, gateway.RunnerLoad{Runner: id, Online: r.Online, Batch: r.Batch})
+		}
+	}
+	return loads
+}
