--- a/roster/bootstrap.go
+++ b/roster/bootstrap.go
@@ -89,4 +89,5 @@
 	for _, r := range e.State.Runners {
 		applyRegistration(t, r, cs.NoOffset, now, out)
 	}
+	sumPeerLoads(t)
 }
--- a/roster/departures.go
+++ b/roster/departures.go
@@ -19,10 +19,10 @@
 )
 
 // applyDepartures applies what a peer reports of runners that are leaving or have left.
-func applyDepartures(t *gateway.Tables, now cs.Instant, r gateway.Report, out *gateway.Actions) {
-	for _, d := range r.Departures {
+func applyDepartures(t *gateway.Tables, now cs.Instant, r gateway.RelayedReport, out *gateway.Actions) {
+	for _, d := range r.Report.Departures {
 		for _, n := range d.Notices() {
-			t.RecordDeparture(d.Runner, n, now.Add(-d.Age), now, gateway.SourcePeer+string(r.From), out)
+			t.RecordDeparture(d.Runner, n, now.Add(-d.Age-r.Age), now, gateway.SourcePeer+string(r.Report.From), out)
 		}
 	}
 }
