--- /dev/null
+++ b/entry/malformed_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/crocusstile/crocusstile/standin"
+)
+
+// malformedRegistrations returns registrations of other writers that name no runner to which requests can be sent. The
+// service of each is "app".
+func malformedRegistrations() map[string]string {
+	const format = `{"service":"app","address":"%s","zone":"a","slots":%s,"state":"ready","born":1%s}`
+	return map[string]string{
+		"nested":                     strings.Repeat("[", 60_000) + strings.Repeat("]", 60_000),
+		"nested field":               fmt.Sprintf(format, "127.0.0.1:9", "8", `,"more":`+strings.Repeat(`{"a":`, 20_000)+"1"+strings.Repeat("}", 20_000)),
+		"number too large to decode": fmt.Sprintf(format, "127.0.0.1:9", "1"+strings.Repeat("0", 400), ""),
+		"largest number of slots":    fmt.Sprintf(format, "127.0.0.1:9", "2147483647", ""),
+		"a million slots":            fmt.Sprintf(format, "127.0.0.1:9", "1000000", ""),
+		"port 0":                     fmt.Sprintf(format, "127.0.0.1:0", "8", ""),
+		"port out of range":          fmt.Sprintf(format, "127.0.0.1:65536", "8", ""),
+		"scoped address":             fmt.Sprintf(format, "[fe80::1%eth0]:80", "8", ""),
+	}
+}
+
+// Guards against VMs that end, stop to follow the registrations, or refuse requests after another writer has left a
+// registration that is deeply nested, or has a number or a port out of range, among those of the runners.
+func TestMalformedRegistrationsDisturbNothing(t *testing.T) {
+	for name, value := range malformedRegistrations() {
+		t.Run(name, func(t *testing.T) {
+			s := newCluster(t)
+			s.store.Put("keyed.servers", "i-first", []byte(value))
+			m := s.start("vm-1")
+			s.checkServed(m, "a", 10)
+			for range 100 { // the other writer goes on
+				s.store.Put("keyed.servers", "i-other", []byte(value))
+			}
+			s.checkServed(m, "b", 10)
+
+			s.store.Put("keyed.servers", s.appRunner.ID, nil)
+			next := standin.NewEndpoint("i-next", 0, 0)
+			s.register(next, "app")
+			s.eventually(func() bool { return strings.Contains(m.logs.String(), `"runner":"i-next"`) })
+			s.checkServed(m, "c", 10)
+			s.Check(next.Runs("c9"), qt.Equals, 1)
+			s.Check(strings.Count(m.logs.String(), `"requestRetried"`), qt.Equals, 0)
+		})
+	}
+}
+
+// checkServed checks that requests for the service "app" are served.
+func (s *cluster) checkServed(m *entryVM, prefix string, n int) {
+	for i := range n {
+		code, body, _ := s.call(m, "POST", "/fetch/x", fmt.Sprintf("%s%d", prefix, i), "record")
+		s.Check(code, qt.Equals, http.StatusOK)
+		s.Check(body, qt.Equals, "record")
+	}
+}
