Take a runner out of use when its registration no longer names one

Which of the two a VM did depended on when it had started, or on whether its feed had lost its history.

The platform's page says that such an entry names no runner to use. It may also be the runner's own, in a state that this version does not know, so that sending on is not safe. Change: it replaces the registration before it in both cases.

--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -60,3 +60,16 @@
 		s.Check(body, qt.Equals, "record")
 	}
 }
+
+// Guards against VMs that go on to use a runner after its registration was replaced by one that names no runner, or that use
+// it no longer once it has written its own again.
+func TestMalformedRegistrationOfRunnerInUse(t *testing.T) {
+	s := newCluster(t)
+	m := s.start("vm-1")
+	s.checkServed(m, "a", 1)
+	s.store.Put("keyed.servers", s.appRunner.ID, []byte(malformedRegistrations()["port out of range"]))
+	s.eventually(func() bool { return strings.Contains(m.logs.String(), `"message":"runnerRemoved"`) })
+	s.register(s.appRunner, "app")
+	s.eventually(func() bool { return strings.Count(m.logs.String(), `"runner":"`+s.appRunner.ID+`","outcome"`) == 2 })
+	s.checkServed(m, "b", 3)
+}
