Reject positions out of range in the keys of the job log

The registrations of runners cannot do that here, a record of the job log could: the position -1 in the key of a result or of the progress of an item passed the decoder, and batchjob indexed the items of the job with it (panic in applyResult and applyProgress). Only VMs write to this topic; none has been seen to write such a key.

Change: a position is an unsigned number below wire.MaxElements, as for the items of a job.

Evidence: before, TestMalformedRecordsOfJobLogDisturbNothing ends with "index out of range [-1]" and TestJobLogRecordWithPositionOutOfRange fails for results and progress. Both pass now, as do the tests of batchjob. Deeply nested CBOR is an error of the decoder for that record (same test, passes before).

--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -8,7 +8,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/crocusstile/crocusstile/gateway"
 	"github.com/crocusstile/crocusstile/standin"
+	"github.com/crocusstile/crocusstile/wire"
 )
 
 // malformedRegistrations returns registrations of other writers that name no runner to which requests can be sent. The
@@ -73,3 +75,32 @@
 	s.eventually(func() bool { return strings.Count(m.logs.String(), `"runner":"`+s.appRunner.ID+`","outcome"`) == 2 })
 	s.checkServed(m, "b", 3)
 }
+
+// Guards against a record of the job log with a position outside of its job, which ends the VMs that read it, and again
+// whenever they start.
+func TestMalformedRecordsOfJobLogDisturbNothing(t *testing.T) {
+	s := newCluster(t)
+	m := s.start("vm-1")
+	code, _, _ := s.call(m, "POST", "/mark/x", "job1", `{"items":[{"id":"i1","path":"/mark/1","body":"","tokens":10}]}`)
+	s.Assert(code, qt.Equals, http.StatusAccepted)
+	id := gateway.AppendID{Writer: 1, Number: 1}
+	changes := []gateway.JobChange{
+		gateway.JobResultAppended{Job: "job1", Index: -1, AppendID: id, Result: gateway.Result{Item: "i1"}},
+		gateway.JobResultAppended{Job: "job1", Index: 1 << 62, AppendID: id, Result: gateway.Result{Item: "i1"}},
+		gateway.ProgressSaved{Job: "job1", Item: "i1", Index: -1, Progress: gateway.Progress{LastEvent: 1}},
+	}
+	records, err := wire.EncodeJobChanges(id, changes, 1<<18)
+	s.Assert(err, qt.IsNil)
+	for _, r := range records {
+		s.store.Put("keyed.jobs", r.Key, r.Value)
+	}
+	for _, key := range []string{"r/job1/0/1-2", "j/job2/0", "e", "", "\xff"} {
+		s.store.Put("keyed.jobs", key, []byte(strings.Repeat("\x81", 10_000))) // nested arrays of one element
+	}
+	for _, vm := range []*entryVM{m, s.start("vm-2")} { // the second one reads a snapshot
+		s.eventually(func() bool {
+			_, results, _ := s.call(vm, "GET", "/lots/job1?after=0", "", "")
+			return strings.Contains(results, `"completed"`)
+		})
+	}
+}
--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -225,12 +225,16 @@
 	return &spec, nil
 }
 
+// parseKey parses a key without an append ID. The number n is the position of an item or chunk, below MaxElements.
 func parseKey(key string) (kind string, job cs.JobID, n int, err error) {
 	kind, rest, ok := strings.Cut(key, "/")
 	i := strings.LastIndexByte(rest, '/')
 	if !ok || i < 0 {
 		return "", "", 0, errors.Newf("malformed job log key %q", key)
 	}
-	n, err = strconv.Atoi(rest[i+1:])
-	return kind, cs.JobID(rest[:i]), n, errors.Wrapf(err, "malformed job log key %q", key)
+	position, err := strconv.ParseUint(rest[i+1:], 10, 32)
+	if err != nil || position >= MaxElements {
+		return "", "", 0, errors.Newf("malformed position in job log key %q", key)
+	}
+	return kind, cs.JobID(rest[:i]), int(position), nil
 }
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -97,6 +97,24 @@
 	}
 }
 
+// Guards against a position outside of a job, which would end each VM that reads the record, whenever it starts.
+func TestJobLogRecordWithPositionOutOfRange(t *testing.T) {
+	c := qt.New(t)
+	records, err := wire.EncodeJobChanges(gateway.AppendID{}, jobChanges, 1<<18)
+	c.Assert(err, qt.IsNil)
+	for _, r := range records {
+		for _, position := range []string{"-1", "-9223372036854775808", "9223372036854775807", "4294967296", "+0", "1e3", ""} {
+			parts := strings.Split(r.Key, "/") // kind, "j", "1", position and, for a result, the append ID
+			parts[3] = position
+			key := strings.Join(parts, "/")
+			var decoder wire.JobDecoder
+			decoded, err := decoder.Decode(key, r.Value)
+			c.Check(err, qt.IsNotNil, qt.Commentf(key))
+			c.Check(decoded.Change, qt.IsNil, qt.Commentf(key))
+		}
+	}
+}
+
 // Guards against an output of an item that is accepted and then does not fit into a record: its append would be
 // rejected again and again.
 func TestLargestOutputFitsIntoRecord(t *testing.T) {
