Decode reports in which a name is not text

A registration under a key that is not UTF-8 made VMs deaf to each other: a VM that had requests on this runner, or had ejected it, named it in its reports, which encode any bytes, while the decoder of the peers rejects a report with a string that is not UTF-8 as a whole. The state that a VM gives a peer that started without the store could not be decoded either.

Change at the depth of the cause: reports and states are decoded whatever the bytes of a string, as records of the job log are, and of a peer's state the runners that are valid are used.

--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -104,3 +105,20 @@
 		})
 	}
 }
+
+// Guards against VMs whose peers can decode none of their reports because they know a runner by an ID that is not text.
+func TestRunnerIDThatIsNotTextSilencesNoVM(t *testing.T) {
+	s := newCluster(t)
+	a, b := s.start("vm-1"), s.start("vm-2")
+	s.store.Put("keyed.servers", "i-\xff\xfe", []byte(`{"service":"app","address":"127.0.0.1:9","zone":"a","slots":8,"state":"ready","born":1}`))
+	s.register(standin.NewEndpoint("i-next", 0, 0), "app")
+	s.eventually(func() bool { return strings.Contains(a.logs.String(), `"runner":"i-next"`) })
+	for i := range 20 {
+		code, _, _ := s.call(a, "POST", "/fetch/x", fmt.Sprintf("a%d", i), "record")
+		s.Check(code, qt.Equals, http.StatusOK)
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.eventually(func() bool { return strings.Contains(b.logs.String(), `"peerFound"`) })
+	s.Check(strings.Count(b.logs.String(), "load report cannot be decoded"), qt.Equals, 0)
+	s.Check(b.logs.String(), qt.Not(qt.Contains), `"peerLost"`)
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -21,6 +21,20 @@
 // maxReportBytes bounds the encoded size of a report.
 const maxReportBytes = 16 << 10
 
+// decoder accepts strings that are not valid UTF-8, as encoders do: one ID with such a string must not make all else that a
+// VM reports undecodable.
+var decoder = newDecoder()
+
+// newDecoder returns the decoding mode of reports and states. It panics on inconsistent options, which would be a
+// programming error independent of any input.
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // Config holds the address and the dependencies of a Gossip.
 type Config struct {
 	// Listen is the local UDP address from which reports are sent and on which they are received.
@@ -87,7 +101,7 @@
 			continue
 		}
 		var r gateway.Report
-		if err := cbor.Unmarshal(buffer[:n], &r); err != nil {
+		if err := decoder.Unmarshal(buffer[:n], &r); err != nil {
 			g.cfg.Log.Warn().Err(err).Str("from", from.String()).Msg("load report cannot be decoded")
 			continue
 		}
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -41,12 +42,15 @@
 	return cbor.Marshal(out)
 }
 
+// decodeState decodes the state of a peer, without registrations that a peer of an older version took for those of runners.
 func decodeState(data []byte) (gateway.PeerState, error) {
 	var in wireState
-	if err := cbor.Unmarshal(data, &in); err != nil {
+	if err := decoder.Unmarshal(data, &in); err != nil {
 		return gateway.PeerState{}, err
 	}
-	s := gateway.PeerState{Runners: in.Runners}
+	s := gateway.PeerState{
+		Runners: slices.DeleteFunc(in.Runners, func(r cs.Runner) bool { return r.Validate() != nil }),
+	}
 	if len(in.Routes) > 0 {
 		s.Catalog = cs.NewCatalog(in.Version, in.Routes, in.Groups, in.Limits)
 	}
