Reject reports with counts out of range, and bound the log lines about them

No datagram ends a VM or its reception: nesting, lengths and numbers that the types cannot hold are errors of the decoder for one datagram (TestMalformedReportsDisturbNothing, part of which passes before). Counts that the types can hold were taken as they are: negative ones, and ones of which two overflow the sum of 32 bits of a runner's load. Each undecodable datagram wrote a line, and so did each report to a peer whose registered address is not one of IPv4 (100 of 100).

Change: Report.Validate bounds loads, demands and limits; lines about reports that cannot be decoded are sampled, 20 in 20 s; an address that cannot be resolved is logged once.

Evidence: TestMalformedReportsDisturbNothing (a load of -1 is posted) and TestReportsToMalformedAddressAreLoggedOnce (100 lines, limit 1) fail before and pass now; the tests of roster, forward, batchjob and entry pass.

--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -1,6 +1,12 @@
 package gateway
 
-import cs "github.com/crocusstile/crocusstile"
+import (
+	"math"
+
+	"github.com/cockroachdb/errors"
+
+	cs "github.com/crocusstile/crocusstile"
+)
 
 // Peer is another entry VM, with the contents of its last report.
 type Peer struct {
@@ -57,6 +63,41 @@
 	Suspects []SuspectReport `cbor:"p,omitempty"`
 }
 
+// Bounds of the counts in a report. Anyone can send a datagram to the address for reports.
+const (
+	// maxReportedLoad bounds the requests of a VM in flight on a runner, which are at most a few more than its slots. Sums
+	// over the largest deployment stay within 32 bits.
+	maxReportedLoad = 2 * cs.MaxSlots
+	// maxReportedDemand bounds a demand, which is at most the number of a VM's waiting items or requests.
+	maxReportedDemand = 1 << 24
+)
+
+// Validate returns an error unless a VM can have sent the report.
+func (r *Report) Validate() error {
+	if r.From == "" {
+		return errors.New("report without a sender")
+	}
+	for _, l := range r.Loads {
+		if l.Online < 0 || l.Batch < 0 || l.Online > maxReportedLoad || l.Batch > maxReportedLoad {
+			return errors.Newf("load out of range: %d and %d requests", l.Online, l.Batch)
+		}
+	}
+	if r.BatchDemand < 0 || r.BatchDemand > maxReportedDemand {
+		return errors.Newf("demand for batch slots out of range: %d", r.BatchDemand)
+	}
+	for _, d := range r.Demands {
+		if d.Demand < 0 || d.Demand > maxReportedDemand {
+			return errors.Newf("demand out of range: %d", d.Demand)
+		}
+	}
+	for _, l := range r.Limits {
+		if !(l.Rate >= 0) || math.IsInf(float64(l.Rate), 0) {
+			return errors.Newf("limit out of range: %g a second", l.Rate)
+		}
+	}
+	return nil
+}
+
 // LimitReport is the limit of a runner as a VM knows it.
 type LimitReport struct {
 	_      struct{} `cbor:",toarray"`
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -18,8 +18,14 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// maxReportBytes bounds the encoded size of a report.
-const maxReportBytes = 16 << 10
+const (
+	// maxReportBytes bounds the encoded size of a report.
+	maxReportBytes = 16 << 10
+	// malformedLines is the largest number of log lines about reports that cannot be decoded in each malformedPeriod.
+	// Anyone can send a datagram.
+	malformedLines  = 20
+	malformedPeriod = 20 * cs.Second
+)
 
 // decoder accepts strings that are not valid UTF-8, as encoders do: one ID with such a string must not make all else that a
 // VM reports undecodable.
@@ -46,9 +52,13 @@
 
 // Gossip sends load reports to peers and posts those that it receives to the control loop.
 type Gossip struct {
-	cfg      Config
-	conn     *net.UDPConn
-	resolved map[cs.Address]*net.UDPAddr // used only by the goroutine that calls Send
+	cfg  Config
+	conn *net.UDPConn
+	// resolved holds the addresses of peers, nil for one that cannot be resolved. It is used only by the goroutine that
+	// calls Send.
+	resolved map[cs.Address]*net.UDPAddr
+	// malformed logs reports that cannot be decoded, within a rate limit.
+	malformed zerolog.Logger
 }
 
 // New opens the UDP socket for reports; Run must be called to receive them.
@@ -61,7 +71,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gossip{cfg: c, conn: conn, resolved: make(map[cs.Address]*net.UDPAddr)}, nil
+	return &Gossip{
+		cfg: c, conn: conn, resolved: make(map[cs.Address]*net.UDPAddr),
+		malformed: c.Log.Sample(&zerolog.BurstSampler{Burst: malformedLines, Period: malformedPeriod.Std()}),
+	}, nil
 }
 
 // Close closes the socket, which ends Run.
@@ -76,18 +89,26 @@
 		return
 	}
 	for _, to := range a.To {
-		addr := g.resolved[to]
-		if addr == nil {
-			if addr, err = net.ResolveUDPAddr("udp4", string(to)); err != nil {
-				g.cfg.Log.Error().Err(err).Str("address", string(to)).Msg("cannot resolve the address of a peer")
-				continue
-			}
-			g.resolved[to] = addr
+		if addr := g.resolve(to); addr != nil {
+			_, _ = g.conn.WriteToUDP(data, addr) // the next report replaces a lost one
 		}
-		_, _ = g.conn.WriteToUDP(data, addr) // the next report replaces a lost one
 	}
 }
 
+// resolve returns the address of a peer, or nil if reports cannot be sent there.
+func (g *Gossip) resolve(a cs.Address) *net.UDPAddr {
+	if addr, known := g.resolved[a]; known {
+		return addr
+	}
+	addr, err := net.ResolveUDPAddr("udp4", string(a))
+	if err != nil {
+		addr = nil
+		g.cfg.Log.Error().Err(err).Str("address", string(a)).Msg("cannot resolve the address of a peer")
+	}
+	g.resolved[a] = addr
+	return addr
+}
+
 // Run receives reports and posts them to the control loop until Close is called or ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
 	buffer := make([]byte, maxReportBytes)
@@ -100,9 +121,9 @@
 			g.cfg.Log.Warn().Err(err).Msg("receiving load reports failed")
 			continue
 		}
-		var r gateway.Report
-		if err := decoder.Unmarshal(buffer[:n], &r); err != nil {
-			g.cfg.Log.Warn().Err(err).Str("from", from.String()).Msg("load report cannot be decoded")
+		r, err := decodeReport(buffer[:n])
+		if err != nil {
+			g.malformed.Warn().Err(err).Str("from", from.String()).Msg("load report cannot be decoded")
 			continue
 		}
 		e := gateway.PeerReported{Address: cs.Address(from.String()), Report: r}
@@ -111,3 +132,12 @@
 		}
 	}
 }
+
+// decodeReport decodes a report and returns an error for one that no VM can have sent.
+func decodeReport(data []byte) (gateway.Report, error) {
+	var r gateway.Report
+	if err := decoder.Unmarshal(data, &r); err != nil {
+		return gateway.Report{}, err
+	}
+	return r, r.Validate()
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	cs "github.com/crocusstile/crocusstile"
@@ -15,11 +19,29 @@
 	"github.com/crocusstile/crocusstile/gossip"
 )
 
-// receiver is a Gossip that receives reports.
+// receiver is a Gossip that receives reports, with its log.
 type receiver struct {
 	*gossip.Gossip
 	address cs.Address
 	reports chan gateway.Report
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write keeps a line of the log.
+func (r *receiver) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, string(p))
+	return len(p), nil
+}
+
+// loggedLines returns the number of lines in the log.
+func (r *receiver) loggedLines() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.lines)
 }
 
 func newReceiver(c *qt.C) *receiver {
@@ -27,7 +49,7 @@
 	c.Assert(err, qt.IsNil)
 	r := &receiver{address: cs.Address(conn.LocalAddr().String()), reports: make(chan gateway.Report, 1000)}
 	c.Assert(conn.Close(), qt.IsNil)
-	r.Gossip, err = gossip.New(gossip.Config{Listen: r.address, Log: zerolog.Nop(), Post: func(_ context.Context, e gateway.Event) error {
+	r.Gossip, err = gossip.New(gossip.Config{Listen: r.address, Log: zerolog.New(r), Post: func(_ context.Context, e gateway.Event) error {
 		r.reports <- e.(gateway.PeerReported).Report
 		return nil
 	}})
@@ -62,6 +84,58 @@
 	c.Check(r.receive(c), qt.DeepEquals, sent)
 }
 
+// Guards against datagrams of other senders that end a VM or keep it from receiving reports, and against a log that grows with
+// each of them.
+func TestMalformedReportsDisturbNothing(t *testing.T) {
+	c := qt.New(t)
+	r := newReceiver(c)
+	conn, err := net.Dial("udp4", string(r.address))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	datagrams := []string{
+		"", "\xff", strings.Repeat("\x81", 10_000), strings.Repeat("\xa1\x61a", 4_000), "\x9b\xff\xff\xff\xff\xff\xff\xff\xff",
+		"\xbb\x7f\xff\xff\xff\xff\xff\xff\xff", "\x7b\x7f\xff\xff\xff\xff\xff\xff\xff", `{"f":"vm"}`,
+	}
+	for _, load := range []map[string]any{
+		{"r": "i-1", "o": -1}, {"r": "i-1", "b": -1}, {"r": "i-1", "o": 1 << 31}, {"r": "i-1", "o": 1<<31 - 1}, {"r": "i-1", "b": 1<<31 - 1},
+	} {
+		datagrams = append(datagrams, encode(c, map[string]any{"f": "vm", "i": 1, "n": 1, "l": []any{load}}))
+	}
+	for _, report := range []map[string]any{
+		{"f": "vm", "i": 1, "n": 1, "q": -1},
+		{"f": "vm", "i": 1, "n": 1, "q": 1 << 62},
+		{"f": "vm", "i": -1, "n": 1},
+		{"f": "vm", "i": 1.5, "n": 1},
+		{"f": "vm", "i": 1, "n": 1, "k": []any{map[string]any{"s": "s", "n": -1}}},
+		{"f": "vm", "i": 1, "n": 1, "k": []any{map[string]any{"s": "s", "n": 1 << 62}}},
+		{"f": "", "i": 1, "n": 1},
+	} {
+		datagrams = append(datagrams, encode(c, report))
+	}
+	for i := range 20 {
+		for _, d := range datagrams {
+			_, err := fmt.Fprint(conn, d)
+			c.Assert(err, qt.IsNil)
+		}
+		sent := gateway.Report{From: "vm", Incarnation: 1, Seq: uint64(i + 1)}
+		r.Send(gateway.SendReport{To: []cs.Address{r.address}, Report: sent})
+		c.Assert(r.receive(c), qt.DeepEquals, sent)
+	}
+	c.Check(r.loggedLines() > 0, qt.IsTrue)
+	c.Check(r.loggedLines() <= 25, qt.IsTrue, qt.Commentf("%d lines", r.loggedLines()))
+}
+
+// Guards against a log that grows with each report because the registered address of a peer cannot be sent to.
+func TestReportsToMalformedAddressAreLoggedOnce(t *testing.T) {
+	c := qt.New(t)
+	r := newReceiver(c)
+	for i := range 100 {
+		r.Send(gateway.SendReport{To: []cs.Address{"[::1]:80", r.address}, Report: gateway.Report{From: "vm", Seq: uint64(i + 1)}})
+		c.Assert(r.receive(c).Seq, qt.Equals, uint64(i+1))
+	}
+	c.Check(r.loggedLines(), qt.Equals, 1)
+}
+
 // Guards against a VM that learns of no runners when it starts without the store, or of some to which nothing can be sent,
 // because its peer took a malformed registration for that of a runner.
 func TestMalformedRunnerInStateOfPeer(t *testing.T) {
@@ -90,3 +164,9 @@
 	c.Assert(exchange.Request(c.Context(), gateway.RequestPeerState{Address: cs.Address(server.Listener.Addr().String())}), qt.IsNil)
 	c.Check((<-events).(gateway.PeerStateRead).State.Runners, qt.DeepEquals, []cs.Runner{valid})
 }
+
+func encode(c *qt.C, report map[string]any) string {
+	data, err := cbor.Marshal(report)
+	c.Assert(err, qt.IsNil)
+	return string(data)
+}
