Send a request again to a runner that has seen it on a new connection

Cause: a request or item that a runner refused may go to the same runner again, with the same Request-Id and on the connection that was kept after the refusal. A faulty runner that writes the refusal there once more is believed, since its ID is that of the request, while the runner runs the request.

Ruled out: non-idempotent requests, which have had a connection for each send all along; other VMs, whose connections are their own; broken streams and stopped runs, whose connections are closed.

Change: requests and items list the runners that they were sent to, and a further send to one of them opens a new connection (Dispatch.NewConnection, RunItem.NewConnection).

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -240,9 +240,13 @@
 	w := &j.ItemWork[k.Index]
 	w.Phase, w.Runner, w.Started = gateway.ItemRunning, r.Spec.ID, now
 	w.Attempt++
+	sentBefore := slices.Contains(w.SentTo, r.Spec.ID)
+	if !sentBefore {
+		w.SentTo = append(w.SentTo, r.Spec.ID)
+	}
 	out.Add(gateway.RunItem{
 		Key: k, Attempt: w.Attempt, Runner: r.Spec.ID, Address: r.Spec.Address, Host: j.Spec.Host, Item: item, LastEvent: w.LastEvent,
-		EventTimeout: itemIdleTimeout, MaxOutput: remainingOutput(t, w),
+		NewConnection: sentBefore, EventTimeout: itemIdleTimeout, MaxOutput: remainingOutput(t, w),
 	})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteItemStarted, Job: k.Job, Item: item.ID, Runner: r.Spec.ID, Attempt: w.Attempt, Load: load,
--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -80,7 +80,7 @@
 	response, err := t.runners.Dispatch(ctx, forward.RunnerRequest{
 		ID: cs.RequestID(a.Item.ID), Method: http.MethodPost, Target: a.Item.Target, Host: a.Host,
 		Header: header, Body: a.Item.Body,
-	}, forward.Destination{Runner: a.Runner, Address: a.Address, LastEvent: a.LastEvent})
+	}, forward.Destination{Runner: a.Runner, Address: a.Address, LastEvent: a.LastEvent, NewConnection: a.NewConnection})
 	if err != nil {
 		ended.Outcome = outcomeOf(ctx, err)
 		return ended
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"slices"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/gateway"
@@ -179,10 +181,14 @@
 	r.TakeToken(now)
 	f.Phase, f.Runner, f.SentAt = gateway.ForwardRunning, r.Spec.ID, now
 	f.Attempt++
+	sentBefore := slices.Contains(f.SentTo, r.Spec.ID)
+	if !sentBefore {
+		f.SentTo = append(f.SentTo, r.Spec.ID)
+	}
 	firstByte, betweenEvents := idleTimeouts(f, load < r.Spec.Slots)
 	out.Add(gateway.Dispatch{
 		ID: f.ID, Attempt: f.Attempt, Runner: r.Spec.ID, Address: r.Spec.Address, LastEvent: f.LastEvent,
-		NewConnection: !f.Route.Repeatable(), FirstByteTimeout: firstByte, EventTimeout: betweenEvents,
+		NewConnection: !f.Route.Repeatable() || sentBefore, FirstByteTimeout: firstByte, EventTimeout: betweenEvents,
 	})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteRequestSent, Request: f.Request, Route: f.Route.Name, Runner: r.Spec.ID, Attempt: f.Attempt,
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -25,7 +25,8 @@
 		// LastEvent is the event after which a stream is resumed, or 0 to start from its beginning.
 		LastEvent cs.EventID
 		// NewConnection requires a new connection. A reused one may be closed by the runner just as the
-		// request is sent, and the request cannot be repeated then, since the runner may have started it.
+		// request is sent, and the request cannot be repeated then, since the runner may have started it. On one
+		// on which the runner has refused the request before, a faulty runner may write that refusal once more.
 		NewConnection bool
 		// FirstByteTimeout is the time limit for the first byte of the response, and EventTimeout the one
 		// between two events of a stream; 0 means no limit. A dispatch that exceeds one is cancelled, and its
@@ -55,6 +56,8 @@
 		Item    Item
 		// LastEvent is the event after which the output is resumed, or 0 to start from its beginning.
 		LastEvent cs.EventID
+		// NewConnection requests a new connection; see Dispatch.
+		NewConnection bool
 		// EventTimeout is the time limit for each event; 0 means no limit. A run that exceeds it is
 		// cancelled, and its outcome is TimedOut.
 		EventTimeout cs.Span
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -37,6 +37,8 @@
 	Runner   cs.RunnerID
 	// SentAt is when the request was last sent.
 	SentAt cs.Instant
+	// SentTo lists the runners that the request was sent to.
+	SentTo []cs.RunnerID
 	// Tried lists the runners that may have run the request in an attempt that failed or was interrupted.
 	Tried []cs.RunnerID
 	// MayHaveRun means that a runner may have started to run the request, so that it is only sent again if
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -89,6 +89,8 @@
 	NotBefore cs.Instant
 	// Attempt counts the runs that this VM has started.
 	Attempt cs.Attempt
+	// SentTo lists the runners that this VM has sent the item to.
+	SentTo []cs.RunnerID
 	// Failed counts the runs to which the runner responded with an internal error (status 500).
 	Failed cs.Attempt
 	Progress
