--- a/entry/answers_test.go
+++ b/entry/answers_test.go
@@ -241,6 +241,34 @@
 	}
 }
 
+// A runner that writes an earlier refusal once more on a kept connection must not make a VM tell a caller that a
+// request has not run which a runner has run, or pass on the response to another request.
+func TestReplayedRefusalIsNotBelieved(t *testing.T) {
+	for name, refusal := range refusals {
+		t.Run(name, func(t *testing.T) {
+			s, m, runner := startScripted(t, 1, replayRefusals(refusal))
+			var callers sync.WaitGroup
+			for caller := range 8 {
+				callers.Go(func() {
+					for i := range 5 {
+						for _, path := range []string{"/fetch/x", "/once/x"} {
+							id := fmt.Sprintf("r%d-%d%s", caller, i, path[1:2])
+							a := s.exchange(m, path, id)
+							runs := runner.runsOf(id)
+							s.Check(runs > 0 && promisesNotRun(a.status), qt.IsFalse, qt.Commentf("%s: status %d after %d runs", id, a.status, runs))
+							s.Check(path == "/once/x" && runs > 1, qt.IsFalse, qt.Commentf("%s: %d runs", id, runs))
+							if a.status == http.StatusOK {
+								s.Check(a, qt.Equals, answer{http.StatusOK, "ok " + id, true})
+							}
+						}
+					}
+				})
+			}
+			callers.Wait()
+		})
+	}
+}
+
 // A request that a runner has refused must be sent there again on a connection on which it cannot write the refusal
 // once more: it runs once, and its caller gets the response.
 func TestRequestRunsOnceAfterRefusal(t *testing.T) {
--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -14,12 +14,12 @@
 // A runner that responds without end must cost its requests and items one attempt: they must go on at other runners
 // and be answered in full.
 func TestEndlessRunnerCostsOneAttempt(t *testing.T) {
-	streamHead := "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + standin.RequestID + "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
 	for name, respond := range map[string]func(int) string{
 		"no response": standin.Repeat("", strings.Repeat("x", 4<<10)),
 		"head":        standin.Repeat("HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 4<<10)),
-		"error":       standin.Repeat("HTTP/1.1 500 X\r\n\r\n", strings.Repeat("x", 4<<10)),
-		"blank lines": standin.Repeat(streamHead, strings.Repeat("\n", 4<<10)),
+		"error":       standin.Repeat("HTTP/1.1 500 X\r\nRequest-Id: "+standin.RequestID+"\r\n\r\n", strings.Repeat("x", 4<<10)),
+		"blank lines": standin.Repeat(head, strings.Repeat("\n", 4<<10)),
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newCluster(t)
--- a/standin/endless.go
+++ b/standin/endless.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -38,6 +39,9 @@
 	return r, nil
 }
 
+// RequestID stands for the ID of the request in the parts of a response of an EndlessRunner.
+const RequestID = "{request id}"
+
 // Repeat returns a response for NewEndlessRunner: a beginning, followed by the same part without end.
 func Repeat(beginning, part string) func(n int) string {
 	return func(n int) string {
@@ -94,7 +98,8 @@
 	in := bufio.NewReader(conn)
 	if request, err := http.ReadRequest(in); err == nil {
 		_, _ = io.Copy(io.Discard, request.Body) // a peer that has closed is detected below
-		r.handlers.Go(func() { r.send(conn) })
+		id := request.Header.Get("Request-Id")
+		r.handlers.Go(func() { r.send(conn, id) })
 	}
 	_, _ = io.Copy(io.Discard, in) // returns when the peer has closed the connection
 	r.mu.Lock()
@@ -103,13 +108,13 @@
 	_ = conn.Close() // ends send
 }
 
-func (r *EndlessRunner) send(conn net.Conn) {
+func (r *EndlessRunner) send(conn net.Conn, id string) {
 	if tcp, ok := conn.(*net.TCPConn); ok && tcp.SetWriteBuffer(endlessSendBuffer) != nil {
 		return
 	}
 	total := 0
 	for n := 0; ; n++ {
-		part := r.respond(n)
+		part := strings.ReplaceAll(r.respond(n), RequestID, id)
 		if part == "" {
 			return
 		}
