Pass on a resumed stream only from the event that its caller wants

Cause: a session followed the events that it passed on itself, and took any first event for the beginning. A runner that starts from the first event, or from a later one, was passed on as it came, also when the run that was sent first broke before its first event.

Change: a session begins with the event that its caller names, and each event must follow the one before. Streams begin with event 1, as the output of items does.

--- a/entry/answers_test.go
+++ b/entry/answers_test.go
@@ -136,17 +136,17 @@
 
 // exchange sends a request on a connection of its own and reads the response to its end.
 func (s *cluster) exchange(m *entryVM, path, id string) answer {
-	conn := s.open(m, path, id, "HTTP/1.1")
+	conn := s.open(m, path, id, "HTTP/1.1", "")
 	defer func() { _ = conn.Close() }()
 	return readAnswer(conn)
 }
 
-// open sends a request on a new connection.
-func (s *cluster) open(m *entryVM, path, id, version string) *net.TCPConn {
+// open sends a request on a new connection, with a further header line unless it is empty.
+func (s *cluster) open(m *entryVM, path, id, version, header string) *net.TCPConn {
 	conn, err := net.Dial("tcp4", m.callersAddr)
 	s.Assert(err, qt.IsNil)
 	s.Assert(conn.SetDeadline(time.Now().Add(8*time.Second)), qt.IsNil)
-	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 6\r\n\r\nprompt", path, version, id)
+	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 6\r\n%s\r\nprompt", path, version, id, header)
 	s.Assert(err, qt.IsNil)
 	return conn.(*net.TCPConn)
 }
--- a/forward/session.go
+++ b/forward/session.go
@@ -18,7 +18,8 @@
 	forward gateway.Forward
 	caller  Caller
 	// headSent means that the caller has received the status and headers of a response.
-	headSent  bool
+	headSent bool
+	// lastEvent is the last event that the caller has: received from here, or named as such in its request.
 	lastEvent cs.EventID
 	// heldError is a complete response with an error status, which is sent to the caller if no
 	// further attempt follows.
@@ -173,7 +174,7 @@
 		}
 		if e.ID != 0 {
 			idleTimer.Restart(a.EventTimeout) // events without an id are no output
-			if s.lastEvent != 0 && e.ID != s.lastEvent+1 {
+			if e.ID != s.lastEvent+1 {
 				return s.failure(ctx, errors.Newf("event %d received directly after event %d, events are missing", e.ID, s.lastEvent))
 			}
 		}
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -86,7 +86,7 @@
 		delete(t.sessions, f.ID)
 		t.mu.Unlock()
 	}()
-	s := &session{traffic: t, request: request, forward: f, caller: w}
+	s := &session{traffic: t, request: request, forward: f, caller: w, lastEvent: f.LastEvent}
 	if err := t.cfg.Post(ctx, gateway.ForwardArrived{Forward: f}); err != nil {
 		return EndCallerDisconnected{}
 	}
