Apply reports that arrive together in one tick

Where VMs form groups, received reports now wait up to a quarter of the interval of reports for others.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,7 +109,9 @@
 	})
 	v.batchjob = batchjob.NewTraffic(v.runners, post)
 	var err error
-	if v.gossip, err = gossip.New(gossip.Config{Listen: v.self.Address, Post: post, Log: v.log}); err != nil {
+	if v.gossip, err = gossip.New(gossip.Config{
+		Listen: v.self.Address, Post: post, Pause: func() cs.Span { return v.loop.View().ReceivePause }, Log: v.log,
+	}); err != nil {
 		return errors.Wrap(err, "listen for peer reports")
 	}
 	v.stateExchange = gossip.NewStateExchange(post)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -85,6 +85,15 @@
 // SpreadTime returns the time within which a change at a VM is reported to all others unless a datagram is lost.
 func (t *Tables) SpreadTime() cs.Span { return t.ReportInterval() + t.RelayInterval() }
 
+// receivePause returns how long received reports may wait for others. It is a fraction of the age that they have anyway;
+// among VMs that all report to each other they do not wait.
+func (t *Tables) receivePause() cs.Span {
+	if !t.grouped() {
+		return 0
+	}
+	return t.ReportInterval() / 4
+}
+
 // ReportRoutes are the VMs to which this VM sends.
 type ReportRoutes struct {
 	// Group are the other VMs of this VM's group, which get each report.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -17,6 +17,8 @@
 	Ready bool
 	// Leaving means that this VM is draining and asks callers to close their connections.
 	Leaving bool
+	// ReceivePause is how long received reports may wait for others, so that one tick applies them all.
+	ReceivePause cs.Span
 }
 
 // NewView returns a snapshot of the tables for traffic goroutines.
@@ -25,5 +27,6 @@
 	loaded := t.Catalog != nil && t.RunnersLoaded()
 	return View{
 		Catalog: t.Catalog, CatalogAsOf: t.Feeds[FeedCatalog].AsOf, Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
+		ReceivePause: t.receivePause(),
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -9,7 +9,10 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -22,13 +25,18 @@
 // maxReportBytes bounds the encoded size of a report.
 const maxReportBytes = 16 << 10
 
+// maxReportsAtOnce bounds the reports that are posted together.
+const maxReportsAtOnce = 256
+
 // Config holds the address and the dependencies of a Gossip.
 type Config struct {
 	// Listen is the local UDP address from which reports are sent and on which they are received.
 	Listen cs.Address
 	// Post delivers the received reports to the control loop.
 	Post gateway.Post
-	Log  zerolog.Logger
+	// Pause returns how long a received report may wait for others.
+	Pause func() cs.Span
+	Log   zerolog.Logger
 }
 
 // Gossip sends load reports to peers and posts those that it receives to the control loop.
@@ -81,11 +89,16 @@
 	}
 }
 
-// Run receives reports and posts them to the control loop until Close is called or ctx ends.
+// Run receives reports and posts them to the control loop until Close is called or ctx ends. Reports that arrive within a
+// pause are posted together, so that they wake the loop once.
 func (g *Gossip) Run(ctx context.Context) error {
+	raw, err := g.conn.SyscallConn()
+	if err != nil {
+		return err
+	}
 	buffer := make([]byte, maxReportBytes)
 	for {
-		n, from, err := g.conn.ReadFromUDP(buffer)
+		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -93,15 +106,49 @@
 			g.cfg.Log.Warn().Err(err).Msg("receiving load reports failed")
 			continue
 		}
-		g.received.Add(1)
-		var r gateway.Report
-		if err := cbor.Unmarshal(buffer[:n], &r); err != nil {
-			g.cfg.Log.Warn().Err(err).Str("from", from.String()).Msg("load report cannot be decoded")
-			continue
+		events := g.decode(nil, buffer[:n], from)
+		if pause := g.cfg.Pause(); pause > 0 {
+			time.Sleep(pause.Std())
+			events = g.receiveWaiting(raw, buffer, events)
 		}
-		e := gateway.PeerReported{Address: cs.Address(from.String()), Report: r}
-		if err := g.cfg.Post(ctx, e); err != nil {
-			return err
+		for _, e := range events {
+			if err := g.cfg.Post(ctx, e); err != nil {
+				return err
+			}
 		}
 	}
 }
+
+// receiveWaiting appends the reports that have arrived already.
+func (g *Gossip) receiveWaiting(raw syscall.RawConn, buffer []byte, events []gateway.PeerReported) []gateway.PeerReported {
+	for len(events) < maxReportsAtOnce {
+		var (
+			n    int
+			from syscall.Sockaddr
+			err  error
+		)
+		readErr := raw.Read(func(fd uintptr) bool {
+			n, from, err = syscall.Recvfrom(int(fd), buffer, 0)
+			return true // does not wait for a datagram
+		})
+		if readErr != nil || err != nil {
+			break
+		}
+		if sender, ok := from.(*syscall.SockaddrInet4); ok {
+			events = g.decode(events, buffer[:n], netip.AddrPortFrom(netip.AddrFrom4(sender.Addr), uint16(sender.Port)))
+		}
+	}
+	return events
+}
+
+// decode appends the report of a datagram, if it can be decoded.
+func (g *Gossip) decode(events []gateway.PeerReported, data []byte, from netip.AddrPort) []gateway.PeerReported {
+	g.received.Add(1)
+	var r gateway.Report
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		g.cfg.Log.Warn().Err(err).Stringer("from", from).Msg("load report cannot be decoded")
+		return events
+	}
+	address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+	return append(events, gateway.PeerReported{Address: cs.Address(address), Report: r})
+}
