--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -9,7 +9,10 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -42,13 +45,18 @@
 	return mode
 }
 
+// maxReportsAtOnce bounds the reports that are posted together.
+const maxReportsAtOnce = 256
+
 // Config holds the address and the dependencies of a Gossip.
 type Config struct {
 	// Listen is the local UDP address from which reports are sent and on which they are received.
 	Listen cs.Address
 	// Post delivers the received reports to the control loop.
 	Post gateway.Post
-	Log  zerolog.Logger
+	// Pause returns how long a received report may wait for others.
+	Pause func() cs.Span
+	Log   zerolog.Logger
 }
 
 // Gossip sends load reports to peers and posts those that it receives to the control loop.
@@ -116,11 +124,16 @@
 	return addr
 }
 
-// Run receives reports and posts them to the control loop until Close is called or ctx ends.
+// Run receives reports and posts them to the control loop until Close is called or ctx ends. Reports that arrive within a
+// pause are posted together, so that they wake the loop once.
 func (g *Gossip) Run(ctx context.Context) error {
+	raw, err := g.conn.SyscallConn()
+	if err != nil {
+		return err
+	}
 	buffer := make([]byte, maxReportBytes)
 	for {
-		n, from, err := g.conn.ReadFromUDP(buffer)
+		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -128,15 +141,15 @@
 			g.cfg.Log.Warn().Err(err).Msg("receiving load reports failed")
 			continue
 		}
-		g.received.Add(1)
-		r, err := decodeReport(buffer[:n])
-		if err != nil {
-			g.malformed.Warn().Err(err).Str("from", from.String()).Msg("load report cannot be decoded")
-			continue
+		events := g.decode(nil, buffer[:n], from)
+		if pause := g.cfg.Pause(); pause > 0 {
+			time.Sleep(pause.Std())
+			events = g.receiveWaiting(raw, buffer, events)
 		}
-		e := gateway.PeerReported{Address: cs.Address(from.String()), Report: r}
-		if err := g.cfg.Post(ctx, e); err != nil {
-			return err
+		for _, e := range events {
+			if err := g.cfg.Post(ctx, e); err != nil {
+				return err
+			}
 		}
 	}
 }
@@ -149,3 +162,37 @@
 	}
 	return r, r.Validate()
 }
+
+// receiveWaiting appends the reports that have arrived already.
+func (g *Gossip) receiveWaiting(raw syscall.RawConn, buffer []byte, events []gateway.PeerReported) []gateway.PeerReported {
+	for len(events) < maxReportsAtOnce {
+		var (
+			n    int
+			from syscall.Sockaddr
+			err  error
+		)
+		readErr := raw.Read(func(fd uintptr) bool {
+			n, from, err = syscall.Recvfrom(int(fd), buffer, 0)
+			return true // does not wait for a datagram
+		})
+		if readErr != nil || err != nil {
+			break
+		}
+		if sender, ok := from.(*syscall.SockaddrInet4); ok {
+			events = g.decode(events, buffer[:n], netip.AddrPortFrom(netip.AddrFrom4(sender.Addr), uint16(sender.Port)))
+		}
+	}
+	return events
+}
+
+// decode appends the report of a datagram, if it can be decoded.
+func (g *Gossip) decode(events []gateway.PeerReported, data []byte, from netip.AddrPort) []gateway.PeerReported {
+	g.received.Add(1)
+	r, err := decodeReport(data)
+	if err != nil {
+		g.malformed.Warn().Err(err).Stringer("from", from).Msg("load report cannot be decoded")
+		return events
+	}
+	address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+	return append(events, gateway.PeerReported{Address: cs.Address(address), Report: r})
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -44,12 +44,18 @@
 	return len(r.lines)
 }
 
-func newReceiver(c *qt.C) *receiver {
+// freeAddress returns a local address at which nothing listens.
+func freeAddress(c *qt.C) cs.Address {
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	r := &receiver{address: cs.Address(conn.LocalAddr().String()), reports: make(chan gateway.Report, 1000)}
-	c.Assert(conn.Close(), qt.IsNil)
-	r.Gossip, err = gossip.New(gossip.Config{Listen: r.address, Log: zerolog.New(r), Post: func(_ context.Context, e gateway.Event) error {
+	defer func() { c.Assert(conn.Close(), qt.IsNil) }()
+	return cs.Address(conn.LocalAddr().String())
+}
+
+func newReceiver(c *qt.C) *receiver {
+	r := &receiver{address: freeAddress(c), reports: make(chan gateway.Report, 1000)}
+	var err error
+	r.Gossip, err = gossip.New(gossip.Config{Listen: r.address, Log: zerolog.New(r), Pause: func() cs.Span { return 0 }, Post: func(_ context.Context, e gateway.Event) error {
 		r.reports <- e.(gateway.PeerReported).Report
 		return nil
 	}})
