Leave malformed registrations out of the former daemon's list

The client of package registry decoded the list as a whole. One registration that was deeply nested, or had a number or a field of another type, made every read fail, so that the VMs of crocusstiled followed the list no longer for as long as it stayed there. Ports out of range and or -1 slots were passed on; nothing ends the process.

Change: if the list cannot be decoded as a whole, its registrations are decoded one at a time, and those that cannot be decoded are left out, as those of an unknown kind are. Slots and addresses are checked with the bounds of the other program. The list is split token by token, since encoding/json limits the nesting of a whole value to 10,000.

Evidence: all subtests of TestMalformedRegistrationIsLeftOutOfList fail before and pass now; TestIncompleteListIsFailure and TestResponseWithoutListIsFailure show that a list that ends early is still a failure.

--- a/registry/list.go
+++ b/registry/list.go
@@ -1,11 +1,13 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -98,17 +100,112 @@
 	if resp.StatusCode != http.StatusOK {
 		return fleet.ListRead{}, errors.Newf("list: %s", resp.Status)
 	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return fleet.ListRead{}, err
+	}
+	registrations, err := decodeList(body)
+	if err != nil {
+		return fleet.ListRead{}, errors.Wrap(err, "list")
+	}
+	l.last, l.etag = newListRead(registrations), resp.Header.Get("ETag")
+	return l.last, nil
+}
+
+// decodeList decodes the list. Another writer may have left registrations there that cannot be decoded; they are left out.
+func decodeList(data []byte) ([]registration, error) {
 	var body struct {
 		VMs []registration `json:"vms"`
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&body); err != nil {
-		return fleet.ListRead{}, err
+	if err := json.Unmarshal(data, &body); err != nil {
+		if body.VMs, err = decodeEach(data); err != nil {
+			return nil, err
+		}
 	}
 	if body.VMs == nil {
-		return fleet.ListRead{}, errors.New("list: response has no field \"vms\"") // unlike an empty list
+		return nil, errors.New("response has no field \"vms\"") // unlike an empty list
 	}
-	l.last, l.etag = newListRead(body.VMs), resp.Header.Get("ETag")
-	return l.last, nil
+	return slices.DeleteFunc(body.VMs, func(r registration) bool { return !r.valid() }), nil
+}
+
+// decodeEach decodes the registrations of the list that can be decoded. It takes four times as long as decoding the whole list
+// and reads token by token, since the decoder limits the nesting of a whole value.
+func decodeEach(data []byte) ([]registration, error) {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber() // which takes numbers of any size
+	if err := expect(d, '{'); err != nil {
+		return nil, err
+	}
+	var registrations []registration
+	for d.More() {
+		field, err := d.Token()
+		if err != nil {
+			return nil, err
+		}
+		if field != "vms" {
+			err = skipValue(d)
+		} else {
+			registrations, err = decodeRegistrations(d, data)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return registrations, expect(d, '}')
+}
+
+// decodeRegistrations decodes the registrations of an array that can be decoded. The data is what the decoder reads.
+func decodeRegistrations(d *json.Decoder, data []byte) ([]registration, error) {
+	if err := expect(d, '['); err != nil {
+		return nil, err
+	}
+	registrations := []registration{}
+	for d.More() {
+		start := d.InputOffset()
+		if err := skipValue(d); err != nil {
+			return nil, err
+		}
+		value := bytes.TrimLeft(data[start:d.InputOffset()], ", \t\r\n") // the separator from the one before
+		var r registration
+		if json.Unmarshal(value, &r) == nil {
+			registrations = append(registrations, r)
+		}
+	}
+	return registrations, expect(d, ']')
+}
+
+// expect reads a delimiter.
+func expect(d *json.Decoder, delim json.Delim) error {
+	token, err := d.Token()
+	if err == nil && token != delim {
+		err = errors.Newf("%v in place of %v", token, delim)
+	}
+	return err
+}
+
+// skipValue reads one value, of any depth.
+func skipValue(d *json.Decoder) error {
+	for depth := 0; ; {
+		token, err := d.Token()
+		if err != nil {
+			return err
+		}
+		switch token {
+		case json.Delim('['), json.Delim('{'):
+			depth++
+		case json.Delim(']'), json.Delim('}'):
+			depth--
+		}
+		if depth == 0 {
+			return nil
+		}
+	}
+}
+
+// valid reports whether the numbers and the address of a registration are in range. A registration without an address or
+// slots is valid, since links and load reports give them as well.
+func (r *registration) valid() bool {
+	return r.Slots >= 0 && r.Slots <= cs.MaxSlots && (r.Address == "" || r.Address.Validate() == nil)
 }
 
 // newListRead separates the registrations into VMs and runners and ignores those of an unknown kind.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -307,6 +308,60 @@
 	})
 }
 
+// Guards against VMs that follow the list no longer, or end, after another writer has left one registration there that is deeply
+// nested or has a number or a port out of range.
+func TestMalformedRegistrationIsLeftOutOfList(t *testing.T) {
+	const valid = `{"id":"r","kind":"runner","address":"10.0.0.1:80","slots":4,"more":[{"a":"]"},1e999]}`
+	for name, malformed := range map[string]string{
+		"nested":               strings.Repeat("[", 60_000) + strings.Repeat("]", 60_000),
+		"nested field":         `{"id":"x","kind":"runner","more":` + strings.Repeat(`{"a":`, 60_000) + "1" + strings.Repeat("}", 60_000) + "}",
+		"number of 400 digits": `{"id":"x","kind":"runner","slots":1` + strings.Repeat("0", 400) + "}",
+		"exponent":             `{"id":"x","kind":"runner","slots":1e999}`,
+		"slots of 32 bits":     `{"id":"x","kind":"runner","slots":2147483647}`,
+		"negative slots":       `{"id":"x","kind":"runner","slots":-1}`,
+		"incarnation":          `{"id":"x","kind":"entry","incarnation":18446744073709551616}`,
+		"port 0":               `{"id":"x","kind":"entry","address":"10.0.0.1:0"}`,
+		"port out of range":    `{"id":"x","kind":"runner","address":"10.0.0.1:65536"}`,
+		"field of other type":  `{"id":7,"kind":"runner"}`,
+		"no registration":      `"x"`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = fmt.Fprintf(w, `{"version":[1,{"vms":2}], "vms" : [ %s , %s,%s ], "next":null}`, malformed, valid, malformed)
+			})
+			b := newEventRecorder()
+			list := registry.NewList(registry.ListConfig{Address: addr, Poll: cs.Millisecond, Post: b.post})
+			go func() { _ = list.Run(t.Context()) }()
+			events := b.waitFor(t, "two reads", func(e []fleet.Event) bool { return len(e) >= 2 })
+			for _, e := range events[:2] {
+				qt.Check(t, e, qt.DeepEquals, fleet.Event(fleet.ListRead{
+					Runners: []cs.Runner{{ID: "r", Kind: cs.KindEngine, Address: "10.0.0.1:80", Slots: 4}},
+				}))
+			}
+		})
+	}
+}
+
+// A response that is no list, or not all of it, must be a failure, wherever it ends.
+func TestIncompleteListIsFailure(t *testing.T) {
+	const whole = `{"more":{"a":[1]},"vms":[{"id":"r","kind":"runner"},{"id":"v","kind":"entry"}],"next":1}`
+	responses := []string{`[]`, `null`, `{"vms":null}`, `{"vms":{"id":"r"}}`, `{"vms":[]`, `{"vms":[}]}`, `{"a":{"vms":[]}}`}
+	for n := range len(whole) {
+		responses = append(responses, whole[:n])
+	}
+	var next atomic.Int64
+	addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, responses[int(next.Add(1)-1)%len(responses)])
+	})
+	b := newEventRecorder()
+	list := registry.NewList(registry.ListConfig{Address: addr, Poll: 1, Post: b.post})
+	go func() { _ = list.Run(t.Context()) }()
+	events := b.waitFor(t, "all responses", func(e []fleet.Event) bool { return len(e) >= len(responses) })
+	for i, e := range events[:len(responses)] {
+		qt.Check(t, fmt.Sprintf("%T", e), qt.Equals, "fleet.ListReadFailed", qt.Commentf(responses[i]))
+	}
+}
+
 // An unchanged list must be transferred only once, and a changed list must not be missed.
 func TestUnchangedListIsNotTransferred(t *testing.T) {
 	var (
