Let VMs send to a runner that names a huge limit

A Server-Limit of 1e19 or more is a valid rate, but the number of VMs that may send was computed as an integer of it, which overflows: no VM could send to the runner, and requests were refused when all runners of a service named such a limit.

Change: the number of senders that a limit adds is bounded by 2^20.

Evidence: TestHugeLimitDoesNotKeepRequestsFromRunner fails before for 1e19 and 1e300 (refused) and passes now; the tests of forward and roster pass.

--- a/forward/dispatch_test.go
+++ b/forward/dispatch_test.go
@@ -643,3 +643,17 @@
 	c.Assert(refusals, qt.HasLen, 0)
 	c.Assert(len(dispatches) >= 1, qt.IsTrue)
 }
+
+// Guards against refusing all requests of a service whose runner names a limit that no integer can hold.
+func TestHugeLimitDoesNotKeepRequestsFromRunner(t *testing.T) {
+	for _, limit := range []cs.PerSecond{1e4, 1e19, 1e300} {
+		c := qt.New(t)
+		vm := newTestVM()
+		vm.addRunner("r", "a")
+		vm.tick(gateway.RunnerLimitRead{Runner: "r", Named: true, Limit: limit})
+		vm.now = vm.now.Add(2 * cs.Second) // the bucket fills, and the senders are determined again
+		dispatches, refusals := vm.tick(vm.arrival(1, idempotentRoute))
+		c.Check(dispatches, qt.HasLen, 1, qt.Commentf("limit %g", limit))
+		c.Check(refusals, qt.HasLen, 0, qt.Commentf("limit %g", limit))
+	}
+}
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -43,6 +43,8 @@
 	minLimitRate = 0.1
 	// extraSenders is the number of VMs that may send to a runner whatever its limit. See limitSenders.
 	extraSenders = 3
+	// maxSendersByLimit bounds the senders that a limit adds. It exceeds the number of VMs of any deployment.
+	maxSendersByLimit = 1 << 20
 	// partitionTime is how long a VM that is not heard counts as cut off and sending on. Later it counts as gone.
 	partitionTime = 30 * cs.Second
 	// assignInterval is the time after which the senders are determined again although no live VM has changed.
@@ -52,7 +54,9 @@
 // limitSenders returns the number of VMs that may send to a runner. The users' platform allows five requests, and half of
 // the limit, beyond the limit in a few seconds. Between two reports each sender may take the same token, so that one
 // sender for each request a second, and extraSenders, leave room for VMs that disagree for a moment on who sends.
-func limitSenders(limit cs.PerSecond) int { return extraSenders + int(limit) }
+func limitSenders(limit cs.PerSecond) int {
+	return extraSenders + int(min(limit, maxSendersByLimit))
+}
 
 // settle brings the number of tokens up to a time, or to when the bucket was full.
 func (b *LimitBucket) settle(now cs.Instant) {
