Show by tests where the news of a runner that leaves is still wrong or late

In the former daemon: a load report that is older than a rejection, and a list that is read on one connection.

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -111,3 +111,15 @@
 		})
 	}
 }
+
+// TestRunnerThatRejectedWorkAsLeavingIsNotUsed guards against sending new work to a runner that has rejected work since it is
+// leaving, after a load report that the runner made before.
+func TestRunnerThatRejectedWorkAsLeavingIsNotUsed(t *testing.T) {
+	tb := newTables(1)
+	var out fleet.Actions
+	r := tb.Runners.Get("r0")
+	observeRejected(tb, r, fleet.RunRejected{Leaving: true}, testStart, &out)
+	qt.Assert(t, Usable(r, testStart), qt.IsFalse)
+	observeReport(tb, fleet.LoadReceived{Runner: "r0", Report: cs.LoadReport{At: testStart - 200}}, testStart+100)
+	qt.Check(t, Usable(r, testStart+100), qt.IsFalse)
+}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -343,3 +343,41 @@
 	b.waitFor(t, "the changed list", hasReads("vm-1", 3))
 	qt.Check(t, fullReads.Load(), qt.Equals, int64(2))
 }
+
+// Guards against new work for a runner later than 3 s after the list says that it is leaving because one read of the list was
+// sent on a connection that has stopped responding, while the list responds at once on any other. VMs of other data centres
+// learn it only from the list.
+func TestRunnerThatLeavesIsListedDespiteSilentConnection(t *testing.T) {
+	const bound = 3 * time.Second
+	var reads atomic.Int64
+	left := make(chan time.Time, 1)
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch reads.Add(1) {
+		case 1:
+			_, _ = io.WriteString(w, `{"vms":[{"id":"r","kind":"runner","state":"active","slots":4}]}`)
+			left <- time.Now()
+		case 2:
+			<-r.Context().Done()
+		default:
+			_, _ = io.WriteString(w, `{"vms":[{"id":"r","kind":"runner","state":"leaving","slots":4}]}`)
+		}
+	})
+	b := newEventRecorder()
+	list := registry.NewList(registry.ListConfig{Address: addr, Poll: cs.Second, Post: b.post})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- list.Run(ctx) }()
+	acknowledged := <-left
+	b.waitFor(t, "the runner that leaves", func(events []fleet.Event) bool {
+		for _, e := range events {
+			if read, ok := e.(fleet.ListRead); ok && read.Runners[0].Leaving {
+				return true
+			}
+		}
+		return false
+	})
+	took := time.Since(acknowledged)
+	cancel()
+	qt.Check(t, <-ended, qt.ErrorIs, context.Canceled)
+	qt.Check(t, took < bound, qt.IsTrue, qt.Commentf("took %s", took))
+}
