Take no brief failure to read the registrations for an outage of the store

A failed read restarted the 2.5 s in which a missing registration is taken for expired, and a VM whose read failed was no witness for that time.

A failure counts as an outage only if the registrations were unread for 2 s or longer, counted from the last instant that was read: a registration expires when three renewals are missing.

--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -133,9 +133,10 @@
 	FailingSince cs.Instant
 	// FailedAt is when the last series of failed reads began, whether or not it has ended, or 0.
 	FailedAt cs.Instant
-	// ReadableSince is when the current series of successful reads began, or 0.
-	ReadableSince cs.Instant
-	// RecoveredAt is when the last series of failed reads ended, or 0.
+	// ReadableSince is when the current series of successful reads began, or 0 while reads fail. A series goes on after a
+	// failure that was too short for a registration to expire. ReadableBefore is its value before the last failure.
+	ReadableSince, ReadableBefore cs.Instant
+	// RecoveredAt is when the last series of failed reads ended in which a registration may have expired, or 0.
 	RecoveredAt cs.Instant
 }
 
--- a/roster/feeds.go
+++ b/roster/feeds.go
@@ -5,6 +5,10 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
+// minLapse is the shortest time without access to the store after which a registration may expire: a runner renews its own
+// about once a second, and it expires when three renewals are missing, the first of them up to an interval after the last one.
+const minLapse = 2 * cs.Second
+
 // Feeds records which feeds of the store are readable and logs when one starts to fail and when it
 // recovers.
 func Feeds(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
@@ -18,7 +22,8 @@
 					n.Duration = now.Sub(e.AsOf)
 				}
 				out.Note(n)
-				f.FailingSince, f.RecoveredAt = 0, now
+				f.FailingSince = 0
+				recordRecovery(f, now)
 			}
 			if f.ReadableSince == 0 {
 				f.ReadableSince = now
@@ -27,12 +32,22 @@
 			f.AsOf = max(f.AsOf, e.AsOf)
 		case gateway.FeedFailed:
 			f := t.Feeds[e.Feed]
-			f.ReadableSince = 0
 			if f.FailingSince == 0 {
 				f.FailingSince, f.FailedAt = now, now
+				f.ReadableBefore, f.ReadableSince = f.ReadableSince, 0
 				out.Note(gateway.Note{Kind: gateway.NoteFeedLost, Feed: e.Feed.String(), Reason: e.Error, Age: f.Age(now)})
 			}
 		default:
 		}
 	}
 }
+
+// recordRecovery records that reads of a feed succeed again. A failure that was too short for a registration to expire does
+// not end the series of successful reads.
+func recordRecovery(f *gateway.FeedState, now cs.Instant) {
+	if f.ReadableBefore != 0 && f.Age(now) < minLapse {
+		f.ReadableSince = f.ReadableBefore
+		return
+	}
+	f.RecoveredAt = now
+}
