Keep what a runner said of its leave when an entry of an earlier incarnation is read

An entry under the id of a runner that does not name its incarnation, or names an earlier one, as from another writer or from the state of a peer that lags behind, deleted the departure that the runner had announced in a response. The runner's next registration made it usable again, although it holds until the runner starts again, whatever is read (DRAIN).

Only a later incarnation ends an announced leave, by the order that the notices already have.

--- a/gateway/departure.go
+++ b/gateway/departure.go
@@ -93,7 +93,7 @@
 			out.Note(Note{Kind: NoteRunnerMissing, Runner: id, Reason: source, Offset: n.Offset, Age: now.Sub(at), Load: r.Load()})
 		}
 	case Announced:
-		r.Announced = r.Announced || r.Spec.Incarnation == n.Incarnation
+		r.Announced = true
 	}
 	if r.Leaving() && !wasLeaving {
 		out.Note(Note{Kind: NoteRunnerLeaving, Runner: id, Reason: source, Age: now.Sub(at), Load: r.Load()})
@@ -161,7 +161,7 @@
 		out.Note(Note{Kind: NoteRunnerAdded, Runner: spec.ID, Outcome: string(spec.Address), Reason: string(spec.Service)})
 	}
 	r.Revision, r.MissingSince = offset, 0
-	r.Announced = d != nil && d.Announced && d.Incarnation == spec.Incarnation
+	r.Announced = d != nil && d.Announced && spec.Incarnation <= d.Incarnation
 	if spec.Leaving && offset != cs.NoOffset {
 		t.RecordDeparture(spec.ID, Draining{offset}, now, now, SourceRegistration, out)
 	}
--- a/roster/outage_test.go
+++ b/roster/outage_test.go
@@ -179,6 +179,7 @@
 	foreign := someRunner
 	foreign.Incarnation = 0
 	readChange(now.Add(100), registered(foreign, 20), a)
+	c.Assert(isUsable(a, now.Add(100)), qt.IsFalse)
 	readChange(now.Add(200), registered(someRunner, 21), a)
 	c.Assert(isUsable(a, now.Add(200)), qt.IsFalse)
 }
