Let a VM without the store remove a runner only while peers report its removal

After an outage of the store in which registrations expired, a VM that reached its peers but not yet the store heard from them that the registrations were missing, and not that the runners had registered again: reports list departures only. When the peers had read the store for 2.5 s, the vote on the outage was settled, and the VM dropped live runners, all of them if all had expired, and refused every request until its own next read. No caller has seen it.

A VM that cannot read the registrations removes a runner only if a peer that has read them for at least the grace has reported the removal in the last 2 s. Peers forget a departure when the runner registers again.

--- a/gateway/departure.go
+++ b/gateway/departure.go
@@ -8,6 +8,9 @@
 	// means that the record is the removal of the registration; otherwise it says that the runner is draining.
 	Offset  cs.Offset
 	Removed bool
+	// ConfirmedAt is when a peer last reported the removal which had been able to read the registrations for so long that it
+	// would have seen the runner register again, or 0.
+	ConfirmedAt cs.Instant
 	// Announced means that the runner itself has said so in a response, in its incarnation Incarnation.
 	Announced   bool
 	Incarnation cs.Incarnation
@@ -100,6 +103,28 @@
 	}
 }
 
+// removalConfirmedFor is how long a removal counts as confirmed after a report. Peers that can read the registrations report
+// it once a second, until the runner registers again.
+const removalConfirmedFor = 2 * cs.Second
+
+// ConfirmRemoval records that a peer which can read the registrations reports that one is removed. It does nothing if this VM
+// knows a newer registration.
+func (t *Tables) ConfirmRemoval(id cs.RunnerID, now cs.Instant) {
+	if d := t.Departures.Get(id); d != nil && d.Removed {
+		d.ConfirmedAt = now
+	}
+}
+
+// RemovalKnown reports whether this VM knows as of now that a registration is removed, by its own reads or from peers. If it
+// cannot read the registrations, it would not learn that the runner has registered again.
+func (t *Tables) RemovalKnown(id cs.RunnerID, now cs.Instant) bool {
+	if t.Feeds[FeedRunners].FailingSince == 0 {
+		return true
+	}
+	d := t.Departures.Get(id)
+	return d != nil && d.ConfirmedAt != 0 && now.Sub(d.ConfirmedAt) <= removalConfirmedFor
+}
+
 // isNewerThan reports whether the runner has registered, or started, after a notice of its departure.
 func (r *Runner) isNewerThan(n DepartureNotice) bool {
 	switch n := n.(type) {
@@ -128,7 +153,7 @@
 		if n.Offset < d.Offset || n.Offset == d.Offset && d.Removed {
 			return false
 		}
-		d.Offset, d.Removed = n.Offset, true
+		d.Offset, d.Removed, d.ConfirmedAt = n.Offset, true, 0
 	case Announced:
 		if d.Announced && n.Incarnation <= d.Incarnation {
 			return false
--- a/roster/departures.go
+++ b/roster/departures.go
@@ -20,10 +20,14 @@
 
 // applyDepartures applies what a peer reports of runners that are leaving or have left.
 func applyDepartures(t *gateway.Tables, now cs.Instant, r gateway.Report, out *gateway.Actions) {
+	canRead := r.Registrations != nil && r.Registrations.Since >= t.Config.RegistrationGrace
 	for _, d := range r.Departures {
 		for _, n := range d.Notices() {
 			t.RecordDeparture(d.Runner, n, now.Add(-d.Age), now, gateway.SourcePeer+string(r.From), out)
 		}
+		if d.Removed && canRead {
+			t.ConfirmRemoval(d.Runner, now)
+		}
 	}
 }
 
--- a/roster/runners.go
+++ b/roster/runners.go
@@ -70,7 +70,7 @@
 		if !asked {
 			settled, asked = t.RegistrationsSettled(now, out), true
 		}
-		if !settled {
+		if !settled || !t.RemovalKnown(id, now) {
 			return false
 		}
 		out.Note(gateway.Note{Kind: gateway.NoteRunnerRemoved, Runner: id, Age: now.Sub(r.MissingSince)})
