Keep the runners of a data centre when a network partition heals

When a data centre with its runners was cut off from the store and from the other VMs, the registrations of its runners expired, and its VMs served on with them. At the end of the partition the VMs outside, which had read the store throughout, outvoted the VMs inside, so that these dropped all runners of their data centre, up to 2 s before they had registered again. Before they kept them for the grace. No caller has seen it.

A missing registration is settled by the vote only if one of the VMs that could read the store is in the data centre of the runner, unless no VM there reports. VMs that lose their own links alone are outvoted as before, since others in the data centre have read the store. If all VMs of a data centre lose their links and its runners do not, their runners that left meanwhile stay in use, picked last, for the grace.

--- a/roster/outage_test.go
+++ b/roster/outage_test.go
@@ -233,3 +233,23 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(len(data) <= maxDatagram, qt.IsTrue, qt.Commentf("%d bytes with departures, loads and suspects", len(data)))
 }
+
+// Guards against a VM that reaches its peers but not the store keeping a runner that has left in use, although all peers read
+// the removal of its registration.
+func TestRunnerThatLeftIsRemovedAtVMWithoutStore(t *testing.T) {
+	c := qt.New(t)
+	vms := newReaders(someRunner, "a", "b", "c", "d")
+	withStore := someVMs(vms, "b", "c", "d")
+	now := startTime.Add(3 * cs.Second)
+	readNothingNew(now, someVMs(vms, "a", "b", "c", "d")...)
+	exchangeAll(vms, now)
+	loseStore(now.Add(200), vms["a"])
+	for until := now.Add(4 * cs.Second); now < until; now = now.Add(200) {
+		readNothingNew(now, withStore...)
+		exchangeAll(vms, now)
+	}
+	readChange(now, gateway.RunnerChange{ID: "r", Offset: 20}, withStore...)
+	exchangeAll(vms, now.Add(100))
+	tickMembership(vms["a"], now.Add(110))
+	c.Assert(vms["a"].Runners.Len(), qt.Equals, 0)
+}
--- a/roster/runners.go
+++ b/roster/runners.go
@@ -62,15 +62,16 @@
 // removeMissing deletes the runners whose registration is missing, once it is certain that they have left.
 func removeMissing(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	var services []cs.ServiceID
-	settled, asked := false, false
+	settled := make(map[cs.DataCentreID]bool)
 	t.Runners.DeleteFunc(func(id cs.RunnerID, r *gateway.Runner) bool {
 		if r.MissingSince == 0 {
 			return false
 		}
-		if !asked {
-			settled, asked = t.RegistrationsSettled(now, out), true
+		dc := r.Spec.DataCentre
+		if _, asked := settled[dc]; !asked {
+			settled[dc] = t.RegistrationsSettled(dc, now, out)
 		}
-		if !settled || !t.RemovalKnown(id, now) {
+		if !settled[dc] || !t.RemovalKnown(id, now) {
 			return false
 		}
 		out.Note(gateway.Note{Kind: gateway.NoteRunnerRemoved, Runner: id, Age: now.Sub(r.MissingSince)})
