--- a/roster/outage_test.go
+++ b/roster/outage_test.go
@@ -155,7 +155,9 @@
 	readNothingNew(now, a, b)
 	exchangeAll(vms, now)
 	loseStore(now.Add(200), b) // a is frozen
+	a.DueAt = now.Add(200)
 	now = now.Add(8 * cs.Second)
+	runSystem(a, now, roster.Delay)
 	for range 2 { // the reports of the first round tell of the state before the reads
 		readChange(now, gateway.RunnerChange{ID: "r", Offset: 20}, b, a)
 		exchangeAll(vms, now)
