Ignore load reports that are older than the rejection of a runner that is leaving

A runner that rejected work since it is leaving was used again after its next load report, which it had made before: load reports lag, and the newest received replaced what the runner had said since. Each such report cost one more request, later than the 3 s after which a runner that leaves gets no new work.

A load report counts for the leaving flag only if the runner made it after the rejection.

--- a/fleet/runner.go
+++ b/fleet/runner.go
@@ -20,6 +20,8 @@
 	Report    cs.LoadReport
 	ReportAt  cs.Instant
 	ReportLag cs.Span
+	// RejectedAt is when the runner last rejected work since it is leaving, or 0.
+	RejectedAt cs.Instant
 	// ResponseLoad is the load stated in the runner's last response to a run, and ResponseLoadAt when
 	// that was received.
 	ResponseLoad   cs.Load
--- a/limit/observe.go
+++ b/limit/observe.go
@@ -142,7 +142,7 @@
 
 func observeRejected(t *fleet.Tables, r *fleet.Runner, x fleet.RunRejected, now cs.Instant, out *fleet.Actions) {
 	if x.Leaving {
-		r.Report.Leaving = true
+		r.Report.Leaving, r.RejectedAt = true, now
 		return
 	}
 	if x.Invalid {
@@ -162,7 +162,9 @@
 	if lag < 0 || lag > maxReportLag {
 		lag = assumedReportLag // the clocks of runner and VM differ
 	}
+	leaving := r.Report.Leaving && now.Sub(r.RejectedAt) < lag // the report is older than the rejection
 	r.Report, r.ReportAt, r.ReportLag = e.Report, now, lag
+	r.Report.Leaving = r.Report.Leaving || leaving
 	if now.Sub(r.ResponseLoadAt) >= lag {
 		rebaseLoad(r, lag, now)
 	}
