Adopt the registrations of a peer with their offsets

A VM that starts without the store adopts the runners of a peer. The state had no offsets, so that any report of an older removal, from a peer that had not read yet that the runner had registered again, outranked the adopted registration: the VM used none of the live runners whose registrations had expired in an outage until it could read the store. No caller has seen it.

The state carries the offset of each registration; a state without offsets, as from a VM of an earlier version, counts as older than any record, as before.

--- a/gateway/peerstate.go
+++ b/gateway/peerstate.go
@@ -8,6 +8,8 @@
 	// Catalog is nil if the VM does not know one.
 	Catalog *cs.Catalog
 	Runners []cs.Runner
+	// Revisions holds the offsets of the runners' registrations, which order them and what is known of departures.
+	Revisions map[cs.RunnerID]cs.Offset
 }
 
 // StateQueryID is the id of a peer's request for this VM's state, unique within the process.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -6,7 +6,7 @@
 type Runner struct {
 	Spec cs.Runner
 	// Revision is the offset of the newest record of the runner's registration that this VM has applied, or cs.NoOffset
-	// for a runner that a peer has told of.
+	// for a runner of which a peer has told without it.
 	Revision cs.Offset
 	// Announced means that the runner has said in a response that it is leaving.
 	Announced bool
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -31,10 +31,12 @@
 	Groups  map[cs.ServiceID]cs.RunnerGroup `cbor:"g"`
 	Limits  cs.CallerLimits                 `cbor:"l"`
 	Runners []cs.Runner                     `cbor:"u"`
+	// Revisions is missing in the state of a VM of an earlier version.
+	Revisions map[cs.RunnerID]cs.Offset `cbor:"o,omitempty"`
 }
 
 func encodeState(s gateway.PeerState) ([]byte, error) {
-	out := wireState{Runners: s.Runners}
+	out := wireState{Runners: s.Runners, Revisions: s.Revisions}
 	if c := s.Catalog; c != nil {
 		out.Version, out.Routes, out.Groups, out.Limits = c.Version, c.Routes(), c.Groups, c.Limits
 	}
@@ -46,7 +48,7 @@
 	if err := cbor.Unmarshal(data, &in); err != nil {
 		return gateway.PeerState{}, err
 	}
-	s := gateway.PeerState{Runners: in.Runners}
+	s := gateway.PeerState{Runners: in.Runners, Revisions: in.Revisions}
 	if len(in.Routes) > 0 {
 		s.Catalog = cs.NewCatalog(in.Version, in.Routes, in.Groups, in.Limits)
 	}
--- a/roster/bootstrap.go
+++ b/roster/bootstrap.go
@@ -61,9 +61,10 @@
 
 // localState returns the catalog and the runners known to this VM, as the answer to a peer's request.
 func localState(t *gateway.Tables) gateway.PeerState {
-	s := gateway.PeerState{Catalog: t.Catalog}
-	for _, r := range t.Runners.All() {
+	s := gateway.PeerState{Catalog: t.Catalog, Revisions: make(map[cs.RunnerID]cs.Offset)}
+	for id, r := range t.Runners.All() {
 		s.Runners = append(s.Runners, r.Spec)
+		s.Revisions[id] = r.Revision
 	}
 	return s
 }
@@ -87,6 +88,10 @@
 		Kind: gateway.NoteStateAdopted, Peer: e.Peer, Version: catalog.Version, Count: len(e.State.Runners),
 	})
 	for _, r := range e.State.Runners {
-		applyRegistration(t, r, cs.NoOffset, now, out)
+		revision, known := e.State.Revisions[r.ID]
+		if !known {
+			revision = cs.NoOffset
+		}
+		applyRegistration(t, r, revision, now, out)
 	}
 }
