--- a/roster/departures.go
+++ b/roster/departures.go
@@ -20,10 +20,15 @@
 
 // applyDepartures applies what a peer reports of runners that are leaving or have left.
 func applyDepartures(t *gateway.Tables, now cs.Instant, r gateway.RelayedReport, out *gateway.Actions) {
+	reads := r.Report.Registrations
+	canRead := reads != nil && reads.Since >= t.Config.RegistrationGrace
 	for _, d := range r.Report.Departures {
 		for _, n := range d.Notices() {
 			t.RecordDeparture(d.Runner, n, now.Add(-d.Age-r.Age), now, gateway.SourcePeer+string(r.Report.From), out)
 		}
+		if d.Removed && canRead {
+			t.ConfirmRemoval(d.Runner, now)
+		}
 	}
 }
 
