End a run whose stream has an event without an id

Items were listed as completed with the text of the run that had broken off.

Cause: events without an id were passed on as they came, and skipped in the output of items; the end of such a stream counted as the end of the response. A runner that answers a resumed request with status 200 and an error as an event, or writes the head and body of an error into a body that ends with its connection, thus got its error into the stream. A resumed run without any event that ends with its connection, as when the runner crashes, was complete, too.

Ruled out by cases that pass before: errors of status 500, 503 with Not-Executed, 400 and 302, complete, broken off or as a stream of events; 204, 206; a success that is no stream or is not signed; a stream from a later event; bytes that are no response; an error kept from an earlier attempt; the same before the first event is complete, and for streams that must not be resumed.

Change: an event without an id ends the run as interrupted; only comments pass. A run that brings no event and ends with its connection is interrupted also if it resumed. Such events are no lost connection. The output of an item must be a stream.

--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -131,21 +131,24 @@
 	if !response.Signed {
 		return errors.New("successful response without the runner's signature")
 	}
+	if !response.Stream {
+		return errors.New("successful response that is no stream of events")
+	}
 	last := a.LastEvent
 	events := forward.NewEventReader(response.Body, last)
 	for {
 		event, err := events.Read()
 		if errors.Is(err, io.EOF) {
-			if last == 0 {
+			if last == 0 || e.LastEvent == 0 && response.EndsWithConnection {
 				return &forward.InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection}
 			}
 			return nil
 		}
 		if err != nil {
-			return &forward.InterruptedError{Cause: err, Disconnected: true}
+			return &forward.InterruptedError{Cause: err, Disconnected: !errors.Is(err, forward.ErrUnnumberedEvent)}
 		}
 		if event.ID == 0 {
-			continue // an event without an id is no output
+			continue // comments are no output
 		}
 		if event.ID != last+1 {
 			return errors.Newf("event %d received directly after event %d, events are missing", event.ID, last)
--- a/forward/event.go
+++ b/forward/event.go
@@ -14,8 +14,8 @@
 // maxEventBytes limits the size of one event of a stream.
 const maxEventBytes = 64 << 10
 
-// maxBytesBetweenEvents limits the bytes of a stream that bring no new event: blank lines, comments, events
-// without an id and events that were received before.
+// maxBytesBetweenEvents limits the bytes of a stream that bring no new event: blank lines, comments and events that were
+// received before.
 const maxBytesBetweenEvents = 256 << 10
 
 // eventBufferBytes is the size of the buffer through which a stream is read.
@@ -24,15 +24,20 @@
 // errTruncatedEvent means that a stream ended in the middle of an event.
 var errTruncatedEvent = errors.New("stream ended in the middle of an event")
 
+// ErrUnnumberedEvent means that a stream has an event without an id, as no run of a request does.
+var ErrUnnumberedEvent = errors.New("event without an id")
+
 // StreamEvent is one server-sent event of a stream.
 type StreamEvent struct {
 	// Raw is the event as received, with the blank line that ends it. It is valid until the next
 	// Read.
 	Raw []byte
-	// ID is 0 if the event has no id field.
+	// ID is 0 if there are only comments.
 	ID cs.EventID
 	// Data holds the values of the event's data fields, joined by line feeds.
 	Data []byte
+	// hasField means that there is a line that is no comment.
+	hasField bool
 }
 
 // EventReader splits a text/event-stream into events.
@@ -50,15 +55,17 @@
 	return &EventReader{in: bufio.NewReaderSize(r, eventBufferBytes), last: last}
 }
 
-// Read returns the next complete event that has no ID or a higher one than all events before. It returns io.EOF
-// at the end of the stream, or an error if the stream fails, ends in the middle of an event or goes on for too
-// long without a new event.
+// Read returns the next complete event that has a higher ID than all events before, or comments in place of an event.
+// It returns io.EOF at the end of the stream, or an error if the stream fails, ends in the middle of an event, has an
+// event without an id or goes on for too long without a new event.
 func (r *EventReader) Read() (StreamEvent, error) {
 	for {
 		e, err := r.readEvent()
 		switch {
 		case err != nil:
 			return StreamEvent{}, err
+		case e.ID == 0 && e.hasField:
+			return StreamEvent{}, ErrUnnumberedEvent
 		case e.ID == 0:
 			return e, nil
 		case e.ID > r.last:
@@ -117,6 +124,7 @@
 func (e *StreamEvent) setField(line []byte) error {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
+	e.hasField = e.hasField || len(name) > 0
 	switch string(name) {
 	case "id":
 		n, err := strconv.ParseInt(string(value), 10, 64)
--- a/forward/session.go
+++ b/forward/session.go
@@ -163,17 +163,17 @@
 	if !response.Signed {
 		return s.failure(ctx, errors.New("successful response without the runner's signature"))
 	}
-	events := NewEventReader(response.Body, s.lastEvent)
+	events, received := NewEventReader(response.Body, s.lastEvent), false
 	for {
 		e, err := events.Read()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
-			return s.failure(ctx, &InterruptedError{Cause: err, Disconnected: true})
+			return s.failure(ctx, &InterruptedError{Cause: err, Disconnected: !errors.Is(err, ErrUnnumberedEvent)})
 		}
 		if e.ID != 0 {
-			idleTimer.Restart(a.EventTimeout) // events without an id are no output
+			idleTimer.Restart(a.EventTimeout) // comments are no output
 			if e.ID != s.lastEvent+1 {
 				return s.failure(ctx, errors.Newf("event %d received directly after event %d, events are missing", e.ID, s.lastEvent))
 			}
@@ -186,10 +186,10 @@
 			return s.failure(ctx, err)
 		}
 		if e.ID != 0 {
-			s.lastEvent = e.ID
+			s.lastEvent, received = e.ID, true
 		}
 	}
-	if !s.headSent {
+	if s.lastEvent == s.forward.LastEvent || !received && response.EndsWithConnection {
 		return s.failure(ctx, &InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection})
 	}
 	return gateway.OutcomeAnswered{Status: response.Status}
