--- a/entry/answers_test.go
+++ b/entry/answers_test.go
@@ -143,10 +143,15 @@
 
 // open sends a request on a new connection, with a further header line unless it is empty.
 func (s *cluster) open(m *entryVM, path, id, version, header string) *net.TCPConn {
+	return s.dial(m, "POST "+path+" "+version+"\r\nHost: h.example\r\nRequest-Id: "+id+"\r\nDeadline-Ms: 4000\r\nContent-Length: 6\r\n"+header+"\r\nprompt")
+}
+
+// dial opens a connection and sends the bytes of a request.
+func (s *cluster) dial(m *entryVM, request string) *net.TCPConn {
 	conn, err := net.Dial("tcp4", m.callersAddr)
 	s.Assert(err, qt.IsNil)
 	s.Assert(conn.SetDeadline(time.Now().Add(8*time.Second)), qt.IsNil)
-	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 6\r\n%s\r\nprompt", path, version, id, header)
+	_, err = io.WriteString(conn, request)
 	s.Assert(err, qt.IsNil)
 	return conn.(*net.TCPConn)
 }
--- a/entry/resume_test.go
+++ b/entry/resume_test.go
@@ -232,3 +232,40 @@
 		})
 	}
 }
+
+// A response that breaks off must not look complete to a caller whose protocol version has no chunks, or that has sent
+// all that it will send and closed its side of the connection.
+func TestBrokenResponseIsNotComplete(t *testing.T) {
+	s, m, _ := startScripted(t, 1, func(_ *scriptedRunner, conn *scriptedConn, req *http.Request) {
+		if strings.HasPrefix(req.URL.Path, "/quiz/") {
+			breakAfter(conn, req, 1, 2)
+			return
+		}
+		conn.send(signedHead(req.Header.Get("Request-Id")) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		if lastEvent(req) == 0 {
+			conn.send(chunk(eventsFrom(1, 2)))
+		}
+		time.Sleep(2 * time.Second)
+	})
+	for name, version := range map[string]string{"1.0": "HTTP/1.0", "1.1": "HTTP/1.1"} {
+		conn := s.open(m, "/quiz/x", "q"+name, version, "")
+		a := readAnswer(conn)
+		_ = conn.Close()
+		s.Check(a.complete, qt.IsFalse, qt.Commentf("%s: %+v", version, a))
+	}
+	for _, lastEvent := range []string{"", "Last-Event-Id: 2\r\n"} { // with an event before the close, and without
+		conn := s.open(m, "/ask/x", "h"+lastEvent[:min(1, len(lastEvent))], "HTTP/1.1", lastEvent)
+		time.Sleep(200 * time.Millisecond)
+		s.Assert(conn.CloseWrite(), qt.IsNil)
+		a := readAnswer(conn)
+		_ = conn.Close()
+		s.Check(a.complete, qt.IsFalse, qt.Commentf("%q: %+v", lastEvent, a))
+	}
+	code, _, _ := s.call(m, "POST", "/mark/x", "job1", `{"items":[{"id":"i1","path":"/mark/1","body":"","tokens":10}]}`)
+	s.Assert(code, qt.Equals, http.StatusAccepted)
+	conn := s.dial(m, "GET /lots/job1?after=0 HTTP/1.1\r\nHost: h.example\r\nWait-Ms: 5000\r\n\r\n")
+	defer func() { _ = conn.Close() }()
+	time.Sleep(100 * time.Millisecond)
+	s.Assert(conn.CloseWrite(), qt.IsNil)
+	s.Check(readAnswer(conn), qt.Equals, answer{})
+}
