Believe an error response of a runner only if it answers this send

Cause: package engine took the first error response on a pooled connection for the answer to the request sent last: 404, 429, 422, 500 or X-Not-Run, without a look at the ID. A faulty runner that writes an earlier one once more is believed, and its connection, on which the real response follows, stayed in the pool if the error had no body.

Ruled out: non-idempotent calls, which have connections of their own; complete responses, whose events or header carry the ID; items, whose ID is new for each attempt.

Change: a generation carries its ID in X-Request-Id, too, as calls do, and the stand-in for runners returns it. An error response counts if it has that ID, or none on a new connection; otherwise the run is interrupted without a crash and the connection is closed. Further attempts of a request use a new connection, as an earlier refusal with the same ID cannot be written there once more.

--- a/engine/call.go
+++ b/engine/call.go
@@ -15,11 +15,12 @@
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
-// Call calls a plain service at addr; a non-idempotent call uses a new connection.
+// Call calls a plain service at addr. newConnection requires a new connection, as for a call that is not idempotent or
+// that the service may have responded to before.
 //
 // The response is complete only if the result is fleet.RunCompleted: it had the request's id and the
 // announced length. timeout limits the duration of the whole call; 0 means Config.FirstByteTimeout.
-func (c *Client) Call(ctx context.Context, addr cs.Address, id cs.RequestID, call cs.ServiceCall, key cs.IdempotencyKey, nonIdempotent bool, timeout cs.Span) ([]byte, fleet.RunResult) {
+func (c *Client) Call(ctx context.Context, addr cs.Address, id cs.RequestID, call cs.ServiceCall, key cs.IdempotencyKey, newConnection bool, timeout cs.Span) ([]byte, fleet.RunResult) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if timeout <= 0 {
@@ -28,12 +29,12 @@
 	a := &attempt{}
 	timer := time.AfterFunc(timeout.Std(), func() { cancel(errIdleTimeout) })
 	defer timer.Stop()
-	header := http.Header{"X-Request-Id": {string(id)}}
+	header := http.Header{headerRequestID: {string(id)}}
 	if key != "" {
 		header.Set("X-Idempotency-Key", string(key))
 	}
 	client := c.pooled
-	if nonIdempotent {
+	if newConnection {
 		client = c.unpooled
 	}
 	started := c.cfg.Clock.Now()
@@ -44,7 +45,7 @@
 	// Closing a body that has not been read to its end also closes the connection.
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return nil, rejection(resp, false)
+		return nil, c.rejection(ctx, a, resp, id, false)
 	}
 	body, err := c.readResponse(resp, id)
 	if err != nil {
@@ -60,7 +61,7 @@
 
 // readResponse reads a service's response and checks that it is complete and belongs to the request.
 func (c *Client) readResponse(resp *http.Response, id cs.RequestID) ([]byte, error) {
-	if gotID := resp.Header.Get("X-Request-Id"); gotID != string(id) {
+	if gotID := resp.Header.Get(headerRequestID); gotID != string(id) {
 		return nil, protocolError("answer to another request: " + gotID)
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
--- a/engine/client.go
+++ b/engine/client.go
@@ -51,8 +51,9 @@
 // Client sends requests to runners; it is safe for concurrent use.
 type Client struct {
 	cfg Config
-	// pooled reuses connections. unpooled opens a new one for each call; it is used for calls that must
-	// not be retried, since an idle connection may be dead without the client knowing.
+	// pooled reuses connections. unpooled opens a new one for each request; it is used for calls that must
+	// not be retried, since an idle connection may be dead without the client knowing, and for requests that a
+	// runner may have responded to before.
 	pooled, unpooled *http.Client
 }
 
@@ -95,14 +96,37 @@
 
 // attempt is the state of one execution of a request at a runner.
 type attempt struct {
-	sent      atomic.Bool
+	// conn is set once a connection is available, since from then on a byte of the request may have been sent.
+	conn      atomic.Pointer[httptrace.GotConnInfo]
 	forwarded bool
 }
 
-// post sends a request and returns the response. It sets attempt.sent once a connection is available,
-// since from then on a byte of the request may have been sent.
+// sent reports whether a byte of the request may have been sent.
+func (a *attempt) sent() bool { return a.conn.Load() != nil }
+
+// closeConn closes the connection of a response that violates the protocol. A response without a body has returned it
+// to the pool already.
+func (a *attempt) closeConn() {
+	if conn := a.conn.Load(); conn != nil {
+		_ = conn.Conn.Close() // fails only if it is closed already
+	}
+}
+
+// answers reports whether an error response is the runner's answer to the request with an ID. Without the ID it may be an
+// earlier response that a faulty runner wrote once more, unless the connection is a new one.
+func (a *attempt) answers(resp *http.Response, id cs.RequestID) bool {
+	if got := resp.Header.Get(headerRequestID); got != "" {
+		return got == string(id)
+	}
+	return !a.conn.Load().Reused
+}
+
+// headerRequestID carries the ID of a request, and that of the request in the response to it.
+const headerRequestID = "X-Request-Id"
+
+// post sends a request and returns the response.
 func (c *Client) post(ctx context.Context, client *http.Client, a *attempt, url string, body []byte, header http.Header) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.sent.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.conn.Store(&i) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -135,21 +159,29 @@
 	if cause != nil && !errors.Is(cause, errIdleTimeout) {
 		return fleet.RunCancelled{}
 	}
-	interrupted := fleet.RunInterrupted{Sent: a.sent.Load(), Forwarded: a.forwarded, Message: err.Error()}
+	interrupted := fleet.RunInterrupted{Sent: a.sent(), Forwarded: a.forwarded, Message: err.Error()}
 	if cause != nil {
 		interrupted.Message = cause.Error()
 		// Connections stop responding together; later requests must not wait on the idle ones.
 		c.pooled.CloseIdleConnections()
 	}
 	var violation protocolError
-	interrupted.Crashed = interrupted.Sent && cause == nil && !errors.As(err, &violation)
+	violated := errors.As(err, &violation)
+	if violated {
+		a.closeConn()
+	}
+	closedHere := errors.Is(err, net.ErrClosed) // after a violation in the response to another request
+	interrupted.Crashed = interrupted.Sent && cause == nil && !violated && !closedHere
 	return interrupted
 }
 
-// rejection returns the result of an error response. A model engine responds with 404 and 429 only to
+// rejection returns the result of an error response to the request with an ID. A model engine responds with 404 and 429 only to
 // requests that it did not start. A service may do so after executing the call; it sets a header if it
 // did not execute it.
-func rejection(resp *http.Response, engine bool) fleet.RunResult {
+func (c *Client) rejection(ctx context.Context, a *attempt, resp *http.Response, id cs.RequestID, engine bool) fleet.RunResult {
+	if !a.answers(resp, id) {
+		return c.failure(ctx, a, protocolError("error response without the id of the request: "+resp.Status))
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	if err != nil {
 		body = nil
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -27,6 +27,8 @@
 	// ResumeBytes is the size of the events of earlier attempts, which counts towards
 	// Config.MaxResponse.
 	ResumeBytes cs.Bytes
+	// NewConnection requires a new connection, as for a request that the runner may have responded to before.
+	NewConnection bool
 }
 
 // Sink receives the events of a stream, each with its line end; the bytes are valid only during the call.
@@ -79,14 +81,18 @@
 	w := newWatchdog(ctx, cancel, c.cfg.Clock, c.cfg.FirstByteTimeout)
 	defer w.stop()
 	started := c.cfg.Clock.Now()
-	resp, err := c.post(ctx, c.pooled, a, "http://"+string(addr)+"/v1/generate", body, http.Header{})
+	client := c.pooled
+	if g.NewConnection {
+		client = c.unpooled
+	}
+	resp, err := c.post(ctx, client, a, "http://"+string(addr)+"/v1/generate", body, http.Header{headerRequestID: {string(g.ID)}})
 	if err != nil {
 		return c.failure(ctx, a, err)
 	}
 	// Closing a body that has not been read to its end also closes the connection.
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return rejection(resp, true)
+		return c.rejection(ctx, a, resp, g.ID, true)
 	}
 	s := stream{client: c, attempt: a, watchdog: w, sink: sink, generation: g, started: started, lastSeq: g.ResumeTokens, receivedBytes: g.ResumeBytes}
 	s.eventPrefix = append(strconv.AppendQuote([]byte(`data: {"id":`), string(g.ID)), ',')
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -66,6 +67,47 @@
 	}
 }
 
+// TestFurtherAttemptUsesNewConnection guards against a refusal that a runner writes once more on the connection on which
+// it refused the request before.
+func TestFurtherAttemptUsesNewConnection(t *testing.T) {
+	for name, target := range map[string]cs.Target{
+		"generation": cs.Generation{Model: "tutor", Version: "v1", Prompt: "prompt", MaxTokens: 1},
+		"call":       cs.ServiceCall{Service: "records", Method: "m", Body: []byte("{}")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peers := make(chan string, 2)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				peers <- r.RemoteAddr
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				w.Header().Set("X-Not-Run", "true")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			t.Cleanup(s.Close)
+			addr := cs.Address(s.Listener.Addr().String())
+			h := newHarness(t, addr)
+			retry := retryOn(h, addr)
+			h.onEvent = func(e fleet.Event) {
+				if ended, ok := e.(fleet.RequestEnded); ok && ended.Attempt == 2 {
+					h.relay.Finish(fleet.Finish{ID: ended.ID, Refusal: &cs.Refusal{Reason: cs.ReasonOverloaded}})
+					return
+				}
+				retry(e)
+			}
+			req := h.request(1)
+			req.Target = target
+			var err error
+			if name == "call" {
+				_, err = h.relay.Call(t.Context(), req, relay.CallConfig{})
+			} else {
+				_, err = h.relay.Answer(t.Context(), req)
+			}
+			qt.Check(t, err, qt.IsNotNil)
+			first, second := <-peers, <-peers
+			qt.Check(t, first, qt.Not(qt.Equals), second)
+		})
+	}
+}
+
 // TestResumedStreamWithoutRemainingTokensEnds guards against a request that never ends because the
 // first runner failed after the last token, so that the second sends only the end marker.
 func TestResumedStreamWithoutRemainingTokensEnds(t *testing.T) {
--- a/relay/session.go
+++ b/relay/session.go
@@ -176,12 +176,13 @@
 		s.mu.Unlock()
 		g := engine.Generation{
 			ID: s.req.ID, Generation: t, ResumeTokens: tokens, ResumeText: textOf(relayed), ResumeBytes: cs.Bytes(len(relayed)),
+			NewConnection: d.Attempt > 1,
 		}
 		return s.relay.cfg.Engine.Generate(ctx, d.Address, g, func(event []byte, n cs.Tokens, more bool) error {
 			return s.emit(d.Attempt, running, event, n, more)
 		})
 	case cs.ServiceCall:
-		body, result := s.relay.cfg.Engine.Call(ctx, d.Address, s.req.ID, t, s.req.Key, s.req.NonIdempotent, s.timeout)
+		body, result := s.relay.cfg.Engine.Call(ctx, d.Address, s.req.ID, t, s.req.Key, s.req.NonIdempotent || d.Attempt > 1, s.timeout)
 		if _, complete := result.(fleet.RunCompleted); complete {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/standin/generate.go
+++ b/standin/generate.go
@@ -42,6 +42,7 @@
 )
 
 func (r *Runner) handleGenerate(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set(headerRequestID, req.Header.Get(headerRequestID))
 	var body generateBody
 	if !readJSON(w, req, &body) || !r.accept(w, &body) {
 		return
