Test that no error gets into a response that broke off

In the former daemon this cannot happen: each event must have the request's ID and the next number, an error response is not passed on, and a response that is not complete ends with an event that states the error in place of the end marker.

It fails with these mutations: without the checks of events in package engine 7 of its 13 cases, without that of the status 1, with the end marker in place of the error all 13.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -67,6 +67,57 @@
 	}
 }
 
+// TestErrorAfterBrokenStream guards against the error of a second runner in a response that began at a first one and broke
+// off, and against such a response that looks complete.
+func TestErrorAfterBrokenStream(t *testing.T) {
+	const errorText = "no memory left"
+	const head = "X-Request-Id: %[1]s\r\nConnection: close\r\n"
+	for name, response := range map[string]string{
+		"error":                    "HTTP/1.1 500 X\r\n" + head + "Content-Length: 26\r\n\r\n{\"error\":\"no memory left\"}",
+		"error as a stream":        "HTTP/1.1 500 X\r\n" + head + "Content-Type: text/event-stream\r\n\r\ndata: {\"id\":%[1]q,\"n\":3,\"text\":\" no memory left\"}\n\n",
+		"refusal":                  "HTTP/1.1 429 X\r\n" + head + "\r\nno memory left",
+		"redirect":                 "HTTP/1.1 302 X\r\n" + head + "Location: /\r\n\r\nno memory left",
+		"no content":               "HTTP/1.1 204 X\r\n" + head + "\r\n",
+		"success, no stream":       "HTTP/1.1 200 X\r\n" + head + "\r\n{\"error\":\"no memory left\"}\n\n",
+		"error as an event":        "HTTP/1.1 200 X\r\n" + head + "\r\nevent: error\ndata: no memory left\n\n",
+		"error in an event":        "HTTP/1.1 200 X\r\n" + head + "\r\ndata: {\"id\":%[1]q,\"error\":\"no memory left\"}\n\n",
+		"end marker with an error": "HTTP/1.1 200 X\r\n" + head + "\r\ndata: {\"id\":%[1]q,\"error\":\"no memory left\",\"done\":true,\"tokens\":2}\n\n",
+		"head in a stream":         "HTTP/1.1 200 X\r\n" + head + "\r\nHTTP/1.1 500 X\r\n\r\nno memory left\r\n\r\n",
+		"later event":              "HTTP/1.1 200 X\r\n" + head + "\r\ndata: {\"id\":%[1]q,\"n\":4,\"text\":\" no memory left\"}\n\n",
+		"event of another request": "HTTP/1.1 200 X\r\n" + head + "\r\ndata: {\"id\":\"other\",\"n\":3,\"text\":\" no memory left\"}\n\n",
+		"empty":                    "HTTP/1.1 200 X\r\n" + head + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, runner(t, func(r runnerRequest) {
+				r.tokens("a", 1, 2)
+				panic(http.ErrAbortHandler)
+			}))
+			second := runner(t, func(r runnerRequest) {
+				conn, _, err := http.NewResponseController(r.w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = fmt.Fprintf(conn, response, r.ID) // fails only if the attempt is cancelled
+				_ = conn.Close()
+			})
+			retry := retryOn(h, second)
+			h.onEvent = func(e fleet.Event) {
+				if ended, ok := e.(fleet.RequestEnded); ok && ended.Attempt == 2 {
+					_, complete := ended.Result.(fleet.RunCompleted)
+					qt.Check(t, complete, qt.IsFalse)
+					h.relay.Finish(fleet.Finish{ID: ended.ID, Refusal: &cs.Refusal{Reason: cs.ReasonBroken, Ran: cs.RanUnknown, Message: "broken"}})
+					return
+				}
+				retry(e)
+			}
+			got := h.streamResponse(t, 4)
+			qt.Check(t, got, qt.Not(qt.Contains), errorText)
+			qt.Check(t, withoutIDs(got), qt.Equals, "\"n\":1,\"text\":\" a1\"}\n\"n\":2,\"text\":\" a2\"}\n"+
+				"\"error\":{\"name\":\"broken\",\"message\":\"broken\",\"ran\":\"unknown\"}}\n")
+		})
+	}
+}
+
 // TestFurtherAttemptUsesNewConnection guards against a refusal that a runner writes once more on the connection on which
 // it refused the request before.
 func TestFurtherAttemptUsesNewConnection(t *testing.T) {
