Report at most ten departures at a time

With 20 departures, and all that a report may list of suspects, a report of a VM took 1,764 bytes, more than a datagram holds without being divided; it is lost if a part of it is. Of more departures each report lists others, news first.

--- a/roster/departures.go
+++ b/roster/departures.go
@@ -14,8 +14,9 @@
 	// allDeparturesInterval is the time between two reports that list departures that are known for longer, for peers that
 	// have started or were cut off since.
 	allDeparturesInterval = cs.Second
-	// maxReportedDepartures bounds the departures of a report, of which each takes about 30 bytes.
-	maxReportedDepartures = 20
+	// maxReportedDepartures bounds the departures of a report, of which each takes up to 33 bytes, so that a report fits into a
+	// datagram of 1,500 bytes.
+	maxReportedDepartures = 10
 )
 
 // applyDepartures applies what a peer reports of runners that are leaving or have left.
