--- a/roster/outage_test.go
+++ b/roster/outage_test.go
@@ -255,3 +255,27 @@
 	tickMembership(vms["a"], now.Add(110))
 	c.Assert(vms["a"].Runners.Len(), qt.Equals, 0)
 }
+
+// Guards against one VM that could read the store outvoting all others, which could not: in an outage of a part of the store
+// the registrations of live runners expire, too.
+func TestMinorityThatReadsStoreDoesNotSettleOutage(t *testing.T) {
+	c := qt.New(t)
+	vms := newReaders(someRunner, "a", "b", "c", "d")
+	now := startTime.Add(3 * cs.Second)
+	readNothingNew(now, someVMs(vms, "a", "b", "c", "d")...)
+	exchangeAll(vms, now)
+	loseStore(now.Add(200), someVMs(vms, "a", "b", "c")...)
+	for until := now.Add(4 * cs.Second); now < until; now = now.Add(200) {
+		readNothingNew(now, vms["d"])
+		exchangeAll(vms, now)
+	}
+	readChange(now, gateway.RunnerChange{ID: "r", Offset: 20}, vms["d"])
+	for until := now.Add(2 * cs.Second); now < until; now = now.Add(200) {
+		readNothingNew(now, vms["d"])
+		exchangeAll(vms, now)
+	}
+	for _, vm := range someVMs(vms, "a", "b", "c") {
+		tickMembership(vm, now)
+		c.Assert(vm.Runners.Get("r"), qt.IsNotNil)
+	}
+}
