Report news, and all that is known, by one rule

Limits, suspects and departures were each listed for 0.6 s after news and all of them once a second, by constants and times of their own. A full report that was due when a VM only relayed went to the VMs outside its group, and the group got the next one a second later at the earliest. Now one rule holds for the three, and the group and the VMs outside get full reports each in their turn.

--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -36,8 +36,6 @@
 }
 
 const (
-	// limitNewsPeriod is how long each report lists what has changed of a limit. It covers the loss of a datagram.
-	limitNewsPeriod = 600 * cs.Millisecond
 	// minLimitRate is the rate that is used for a lower limit. A runner that gets no request at all could not tell that
 	// its limit has ended.
 	minLimitRate = 0.1
@@ -135,7 +133,7 @@
 	switch {
 	case differs && asOf > r.Limit.AsOf:
 		t.RecordLimit(r, l.Named, l.Rate, asOf, now, out)
-	case differs && now.Sub(r.Limit.ChangedAt) > limitNewsPeriod:
+	case differs && now.Sub(r.Limit.ChangedAt) > NewsPeriod:
 		r.Limit.ChangedAt = now
 	case !differs:
 		r.Limit.AsOf = latest(r.Limit.AsOf, asOf)
@@ -168,7 +166,7 @@
 
 // HasLimitNews reports whether reports list the limit of the runner, since it has changed or this VM has sent a request.
 func (r *Runner) HasLimitNews(now cs.Instant) bool {
-	return r.Limit.AsOf != 0 && now.Sub(max(r.Limit.ChangedAt, r.Limit.SentAt)) <= limitNewsPeriod
+	return r.Limit.AsOf != 0 && now.Sub(max(r.Limit.ChangedAt, r.Limit.SentAt)) <= NewsPeriod
 }
 
 // Senders is the state by which the senders of limited runners were last determined.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -206,12 +206,15 @@
 	Routes              ReportRoutes
 	// CheckedAt is when the peers were last checked for a timeout.
 	CheckedAt cs.Instant
-	// AllSuspectsAt is when a report last listed old suspects too, and AllLimitsAt when one listed old limits.
-	AllSuspectsAt, AllLimitsAt cs.Instant
-	// AllDeparturesAt is when a report last listed old departures too.
-	AllDeparturesAt cs.Instant
+	// FullAt is when the group last got a report that listed all limits, suspects and departures, and FullRelayAt when the
+	// VMs outside did.
+	FullAt, FullRelayAt cs.Instant
 }
 
+// NewsPeriod is how long each report lists a limit, a suspect, a refused connection or a departure of which its sender has
+// learned something new. It covers the loss of a datagram.
+const NewsPeriod = 600 * cs.Millisecond
+
 // liveVMRank returns how many of the peers that report and are not leaving come before this VM in the order of a key. The
 // order is another one for each key, and the same on all VMs that know the same peers.
 func (t *Tables) liveVMRank(key string) int {
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -104,9 +104,6 @@
 	// soundPeriod is how long after a response began its parts are acquitted of crashes. A part of every tenth request
 	// begins several responses in this time even while most runners are down.
 	soundPeriod = 10 * cs.Second
-	// SuspectNewsPeriod is how long each report to peers lists a suspect of which this VM has learned something new. It
-	// covers the loss of a datagram.
-	SuspectNewsPeriod = 600 * cs.Millisecond
 )
 
 // RecordCrash records that a runner crashed under a suspect, and reports whether the crash was not known before.
@@ -279,7 +276,7 @@
 func (t *Tables) ForgetSuspects(now cs.Instant) {
 	t.Suspects.DeleteFunc(func(k SuspectKey, s *Suspect) bool {
 		switch {
-		case now.Sub(s.ChangedAt) <= SuspectNewsPeriod:
+		case now.Sub(s.ChangedAt) <= NewsPeriod:
 			return false
 		case k.Kind == SuspectContent:
 			return now.Sub(s.LastCrashAt) > contentSuspectTTL
--- a/roster/departures.go
+++ b/roster/departures.go
@@ -7,17 +7,9 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-const (
-	// departureNewsPeriod is how long each report lists a departure of which its sender has learned. It covers the loss of
-	// a datagram.
-	departureNewsPeriod = 600 * cs.Millisecond
-	// allDeparturesInterval is the time between two reports that list departures that are known for longer, for peers that
-	// have started or were cut off since.
-	allDeparturesInterval = cs.Second
-	// maxReportedDepartures bounds the departures of a report, of which each takes up to 33 bytes, so that a report fits into a
-	// datagram of 1,500 bytes.
-	maxReportedDepartures = 10
-)
+// maxReportedDepartures bounds the departures of a report, of which each takes up to 33 bytes, so that a report fits into a
+// datagram of 1,500 bytes.
+const maxReportedDepartures = 10
 
 // applyDepartures applies what a peer reports of runners that are leaving or have left.
 func applyDepartures(t *gateway.Tables, now cs.Instant, r gateway.RelayedReport, out *gateway.Actions) {
@@ -43,22 +35,18 @@
 	return false
 }
 
-// departuresToReport returns the departures for a report to peers: the news and, at intervals, the others. If they are too
-// many, the newest come first, and others by chance.
-func departuresToReport(t *gateway.Tables, now cs.Instant) []gateway.DepartureReport {
-	all := now.Sub(t.Gossip.AllDeparturesAt) >= allDeparturesInterval
-	if all {
-		t.Gossip.AllDeparturesAt = now
-	}
+// departuresToReport returns the departures for a report to peers: the news and, for a full report, the others. If they are
+// too many, the news comes first, and of others some by chance.
+func departuresToReport(t *gateway.Tables, now cs.Instant, full bool) []gateway.DepartureReport {
 	var news, others []gateway.DepartureReport
 	for id, d := range t.Departures.All() {
 		report := gateway.DepartureReport{
 			Runner: id, Offset: d.Offset, Removed: d.Removed, Announced: d.Announced, Incarnation: d.Incarnation, Age: now.Sub(d.At),
 		}
 		switch {
-		case now.Sub(d.ChangedAt) <= departureNewsPeriod:
+		case now.Sub(d.ChangedAt) <= gateway.NewsPeriod:
 			news = append(news, report)
-		case all:
+		case full:
 			others = append(others, report)
 		}
 	}
--- a/roster/limits.go
+++ b/roster/limits.go
@@ -5,13 +5,8 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-const (
-	// allLimitsInterval is the time between two reports that list limits that have not changed, for peers that have
-	// started or were cut off since.
-	allLimitsInterval = cs.Second
-	// maxReportedLimits bounds the limits of a report. Of more than these each report lists others, by chance.
-	maxReportedLimits = 16
-)
+// maxReportedLimits bounds the limits of a report. Of more than these each report lists others, by chance.
+const maxReportedLimits = 16
 
 // Limits applies the limits on requests that runners name to this VM, and decides to which of these runners this VM may send.
 func Limits(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
@@ -23,15 +18,11 @@
 	t.AssignSenders(now)
 }
 
-// limitsToReport returns the limits for a report to peers: those that have changed and, at intervals, the others.
-func limitsToReport(t *gateway.Tables, now cs.Instant) []gateway.LimitReport {
-	all := now.Sub(t.Gossip.AllLimitsAt) >= allLimitsInterval
-	if all {
-		t.Gossip.AllLimitsAt = now
-	}
+// limitsToReport returns the limits for a report to peers: those that have changed or, for a full report, all.
+func limitsToReport(t *gateway.Tables, now cs.Instant, full bool) []gateway.LimitReport {
 	var reports []gateway.LimitReport
 	for id, r := range t.Runners.All() {
-		if r.HasLimitNews(now) || all && r.Limit.Named {
+		if r.HasLimitNews(now) || full && r.Limit.Named {
 			reports = append(reports, gateway.LimitReport{Runner: id, Named: r.Limit.Named, Rate: r.Limit.Rate, Age: now.Sub(r.Limit.AsOf), Sent: r.Limit.Sent})
 		}
 	}
--- a/roster/report.go
+++ b/roster/report.go
@@ -8,8 +8,13 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// maxRelayedLoads bounds the loads of the relayed reports of one datagram, so that it holds a few thousand bytes.
-const maxRelayedLoads = 100
+const (
+	// fullReportInterval is the time between two reports that list all limits, suspects and departures, for peers that have
+	// started or were cut off since there was news of them.
+	fullReportInterval = cs.Second
+	// maxRelayedLoads bounds the loads of the relayed reports of one datagram, so that it holds a few thousand bytes.
+	maxRelayedLoads = 100
+)
 
 // Report sends this VM's load to the VMs of its group when it has changed, and at a longer interval when it has not, and
 // relays the reports of the group to other VMs.
@@ -23,13 +28,17 @@
 	}
 	relayInterval := t.RelayInterval()
 	reports, relays := now >= due, relayInterval > 0 && now >= gossip.RelayDue
+	full := reports && now.Sub(gossip.FullAt) >= fullReportInterval || relays && now.Sub(gossip.FullRelayAt) >= fullReportInterval
 	if reports || relays {
 		gossip.Seq++
-		r := newReport(t, now, loads)
+		r := newReport(t, now, loads, full)
 		routes := t.UpdateRoutes(now)
 		if reports {
 			sendReport(t, r, routes.Group, out)
 			gossip.SentAt, gossip.Sent = now, loads
+			if full {
+				gossip.FullAt = now
+			}
 			due = now.Add(idleInterval)
 		}
 		if relays {
@@ -38,6 +47,9 @@
 			}
 			relayReports(t, now, r, routes.Relay, out)
 			gossip.RelayedAt, gossip.RelayDue = now, now.Add(t.NextRelay())
+			if full {
+				gossip.FullRelayAt = now
+			}
 		}
 	}
 	out.WakeAt(due)
@@ -57,8 +69,8 @@
 	out.Add(gateway.SendReport{To: addresses, Report: r})
 }
 
-// newReport returns the report of this VM.
-func newReport(t *gateway.Tables, now cs.Instant, loads []gateway.RunnerLoad) gateway.Report {
+// newReport returns the report of this VM. A full one lists all limits, suspects and departures, and others only the news.
+func newReport(t *gateway.Tables, now cs.Instant, loads []gateway.RunnerLoad, full bool) gateway.Report {
 	r := gateway.Report{
 		From: t.Self.ID, Incarnation: t.Self.Incarnation, DataCentre: t.Self.DataCentre, Seq: t.Gossip.Seq,
 		Loads: loads, Leaving: t.Drain.Phase != fleet.DrainNone, StoreUnreadable: t.StoreUnreadable(),
@@ -68,13 +80,13 @@
 		if runner.Failures > 0 && now < runner.EjectedUntil {
 			r.Ejected = append(r.Ejected, id)
 		}
-		if age := now.Sub(runner.RefusedAt); age <= gateway.SuspectNewsPeriod {
+		if age := now.Sub(runner.RefusedAt); age <= gateway.NewsPeriod {
 			r.Refusing = append(r.Refusing, gateway.RefusingRunner{Runner: id, Age: age})
 		}
 	}
-	r.Suspects = suspectsToReport(t, now)
-	r.Limits = limitsToReport(t, now)
-	r.Departures = departuresToReport(t, now)
+	r.Suspects = suspectsToReport(t, now, full)
+	r.Limits = limitsToReport(t, now, full)
+	r.Departures = departuresToReport(t, now, full)
 	if feed := t.Feeds[gateway.FeedRunners]; feed.ReadableSince != 0 {
 		r.Registrations = &gateway.ReadsReport{Since: now.Sub(feed.ReadableSince), AsOf: feed.Age(now)}
 	}
--- a/roster/suspects.go
+++ b/roster/suspects.go
@@ -8,10 +8,6 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// allSuspectsInterval is the time between two reports that list all suspects, for peers that have started or were cut off
-// since there was news of them.
-const allSuspectsInterval = cs.Second
-
 // Bounds on the suspects of a report, so that they fit into a datagram of 1,500 bytes beside the loads.
 const (
 	maxReportedContents   = 6
@@ -30,20 +26,13 @@
 	return false
 }
 
-// suspectsToReport returns the suspects for a report to peers: those of which this VM has learned something new and, at
-// intervals, the others. Of too many contents or parts those with the most crashes are reported.
-func suspectsToReport(t *gateway.Tables, now cs.Instant) []gateway.SuspectReport {
-	if t.Suspects.Len() == 0 {
-		return nil
-	}
-	all := now.Sub(t.Gossip.AllSuspectsAt) >= allSuspectsInterval
-	if all {
-		t.Gossip.AllSuspectsAt = now
-	}
+// suspectsToReport returns the suspects for a report to peers: those of which this VM has learned something new or, for a
+// full report, all. Of too many contents or parts those with the most crashes are reported.
+func suspectsToReport(t *gateway.Tables, now cs.Instant, full bool) []gateway.SuspectReport {
 	var contents, parts, acquitted []gateway.SuspectKey
 	for k, s := range t.Suspects.All() {
 		switch {
-		case !all && now.Sub(s.ChangedAt) > gateway.SuspectNewsPeriod:
+		case !full && now.Sub(s.ChangedAt) > gateway.NewsPeriod:
 		case k.Kind == gateway.SuspectContent:
 			contents = append(contents, k)
 		case len(s.Crashes) > 0:
