Relay no departures in the reports of others

The VM that relays a report has learned of the departures in it and reports them itself, as it does with suspects; in the relayed report they only took bytes.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -16,8 +16,8 @@
 // Relayed reports are applied like those received directly. VMs that disagree about the groups for a moment may therefore
 // send a report twice, or late, but no load is counted twice.
 
-// RelayedReport is the report of a VM as another VM of its group passes it on, without the suspects: those are merged into
-// the report of the relaying VM.
+// RelayedReport is the report of a VM as another VM of its group passes it on, without the suspects and departures: those are
+// merged into the report of the relaying VM.
 type RelayedReport struct {
 	_       struct{} `cbor:",toarray"`
 	Address cs.Address
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -101,7 +101,7 @@
 func recordDirectReport(t *gateway.Tables, now cs.Instant, p *gateway.Peer, r gateway.Report) {
 	p.DirectReportAt = now
 	if t.InOwnGroup(r.From) {
-		r.Suspects, r.Relayed = nil, nil
+		r.Suspects, r.Departures, r.Relayed = nil, nil, nil // this VM reports them itself
 		p.Last = r
 	}
 }
