Bound the size of relays by all that they list

A relay was split by the loads that it lists only. While many runners leave, name limits or refuse connections, it could exceed the size of a datagram that is sent (16 KB), so that VMs outside the group got no reports from it at all. TestRelaysFitIntoDatagrams fails before and passes now.

--- a/roster/relay_test.go
+++ b/roster/relay_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
@@ -87,3 +88,47 @@
 	c.Assert(a.Runners.Get("r").Load(), qt.Equals, cs.Slots(1))
 	c.Assert(a.DataCentres.Get("x").LastReportAt, qt.Equals, startTime)
 }
+
+// Guards against relays that are too large to be sent, so that VMs outside the group get no reports while many runners leave
+// or name limits.
+func TestRelaysFitIntoDatagrams(t *testing.T) {
+	const maxDatagram = 16 << 10 // the limit of package gossip
+	c := qt.New(t)
+	for id, vm := range newPeerTables(255, 4) {
+		members, relayed := 0, make(map[cs.VMID]bool)
+		for other, p := range vm.Peers.All() {
+			if !vm.InOwnGroup(other) {
+				continue
+			}
+			members++
+			p.Last = gateway.Report{From: other, Incarnation: 1 << 60, DataCentre: p.VM.DataCentre, Seq: 1}
+			for i := range 30 {
+				runner := cs.RunnerID(fmt.Sprintf("i-%010x", i))
+				if i < 3 {
+					p.Last.Loads = append(p.Last.Loads, gateway.RunnerLoad{Runner: runner, Online: 3, Batch: 3})
+				}
+				p.Last.Ejected = append(p.Last.Ejected, runner)
+				p.Last.Refusing = append(p.Last.Refusing, gateway.RefusingRunner{Runner: runner, Age: 500})
+			}
+			for i := range 16 {
+				p.Last.Limits = append(p.Last.Limits, gateway.LimitReport{Runner: cs.RunnerID(fmt.Sprintf("i-%010x", i)), Named: true, Rate: 1.25, Age: 500, Sent: 300})
+			}
+			for i := range 10 {
+				p.Last.Departures = append(p.Last.Departures, gateway.DepartureReport{
+					Runner: cs.RunnerID(fmt.Sprintf("i-%010x", i)), Offset: 100_000, Announced: true, Incarnation: 1 << 40, Age: 500,
+				})
+			}
+		}
+		for _, a := range runSystem(vm, startTime.Add(1), roster.Report) {
+			data, err := cbor.Marshal(a.(gateway.SendReport).Report)
+			c.Assert(err, qt.IsNil)
+			c.Assert(len(data) <= maxDatagram, qt.IsTrue, qt.Commentf("%d bytes from %s", len(data), id))
+			for _, r := range a.(gateway.SendReport).Report.Relayed {
+				relayed[r.Report.From] = true
+			}
+		}
+		if len(vm.Gossip.Routes.Relay) > 0 {
+			c.Assert(relayed, qt.HasLen, members)
+		}
+	}
+}
--- a/roster/report.go
+++ b/roster/report.go
@@ -8,8 +8,8 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// maxRelayedLoads bounds the loads of the relayed reports of one datagram, so that it holds a few thousand bytes.
-const maxRelayedLoads = 100
+// maxRelayedRows bounds the rows of the relayed reports of one datagram, so that it holds a few thousand bytes.
+const maxRelayedRows = 100
 
 // Report sends this VM's load to the VMs of its group when it has changed, and at a longer interval when it has not, and
 // relays the reports of the group to other VMs.
@@ -92,20 +92,25 @@
 	if len(to) == 0 {
 		return
 	}
-	loads := 0
+	rows := 0
 	for id, p := range t.Peers.All() {
 		if p.DirectReportAt < t.Gossip.RelayedAt || p.LastReportAt == 0 || !t.InOwnGroup(id) {
 			continue
 		}
-		if loads += len(p.Last.Loads); loads > maxRelayedLoads && len(own.Relayed) > 0 {
+		if rows += rowCount(p.Last); rows > maxRelayedRows && len(own.Relayed) > 0 {
 			sendReport(t, own, to, out)
-			own.Relayed, loads = nil, len(p.Last.Loads)
+			own.Relayed, rows = nil, rowCount(p.Last)
 		}
 		own.Relayed = append(own.Relayed, gateway.RelayedReport{Address: p.VM.Address, Age: now.Sub(p.DirectReportAt), Report: p.Last})
 	}
 	sendReport(t, own, to, out)
 }
 
+// rowCount returns the number of rows of a report, which determines its size.
+func rowCount(r gateway.Report) int {
+	return 1 + len(r.Loads) + len(r.Ejected) + len(r.Refusing) + len(r.Limits) + len(r.Departures) + len(r.Demands)
+}
+
 // localLoads returns the number of this VM's requests in flight on each runner that has any.
 func localLoads(t *gateway.Tables) []gateway.RunnerLoad {
 	var loads []gateway.RunnerLoad
