--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -80,7 +80,9 @@
 	response, err := t.runners.Dispatch(ctx, forward.RunnerRequest{
 		ID: cs.RequestID(a.Item.ID), Method: http.MethodPost, Target: a.Item.Target, Host: a.Host,
 		Header: header, Body: a.Item.Body,
-	}, forward.Destination{Runner: a.Runner, Address: a.Address, LastEvent: a.LastEvent})
+	}, forward.Destination{
+		Runner: a.Runner, Incarnation: a.Incarnation, Address: a.Address, LastEvent: a.LastEvent, NewConnection: a.NewConnection,
+	})
 	if err != nil {
 		ended.Outcome = outcomeOf(ctx, err)
 		return ended
@@ -131,21 +133,24 @@
 	if !response.Signed {
 		return errors.New("successful response without the runner's signature")
 	}
+	if !response.Stream {
+		return errors.New("successful response that is no stream of events")
+	}
 	last := a.LastEvent
 	events := forward.NewEventReader(response.Body, last)
 	for {
 		event, err := events.Read()
 		if errors.Is(err, io.EOF) {
-			if last == 0 {
+			if last == 0 || e.LastEvent == 0 && response.EndsWithConnection {
 				return &forward.InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection}
 			}
 			return nil
 		}
 		if err != nil {
-			return &forward.InterruptedError{Cause: err, Disconnected: true}
+			return &forward.InterruptedError{Cause: err, Disconnected: !errors.Is(err, forward.ErrUnnumberedEvent)}
 		}
 		if event.ID == 0 {
-			continue // an event without an id is no output
+			continue // comments are no output
 		}
 		if event.ID != last+1 {
 			return errors.Newf("event %d received directly after event %d, events are missing", event.ID, last)
--- a/forward/session.go
+++ b/forward/session.go
@@ -18,7 +18,8 @@
 	forward gateway.Forward
 	caller  Caller
 	// headSent means that the caller has received the status and headers of a response.
-	headSent  bool
+	headSent bool
+	// lastEvent is the last event that the caller has: received from here, or named as such in its request.
 	lastEvent cs.EventID
 	// heldError is a complete response with an error status, which is sent to the caller if no
 	// further attempt follows.
@@ -88,7 +89,7 @@
 	ctx, idleTimer := WithIdleTimeout(ctx, a.FirstByteTimeout)
 	defer idleTimer.Stop()
 	response, err := s.traffic.cfg.Runners.Dispatch(ctx, s.request, Destination{
-		Runner: a.Runner, Address: a.Address, TimeLeft: timeLeft, LastEvent: a.LastEvent, NewConnection: a.NewConnection,
+		Runner: a.Runner, Incarnation: a.Incarnation, Address: a.Address, TimeLeft: timeLeft, LastEvent: a.LastEvent, NewConnection: a.NewConnection,
 	})
 	if err != nil {
 		return s.failure(ctx, err)
@@ -162,18 +163,18 @@
 	if !response.Signed {
 		return s.failure(ctx, errors.New("successful response without the runner's signature"))
 	}
-	events := NewEventReader(response.Body, s.lastEvent)
+	events, received := NewEventReader(response.Body, s.lastEvent), false
 	for {
 		e, err := events.Read()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
-			return s.failure(ctx, &InterruptedError{Cause: err, Disconnected: true})
+			return s.failure(ctx, &InterruptedError{Cause: err, Disconnected: !errors.Is(err, ErrUnnumberedEvent)})
 		}
 		if e.ID != 0 {
-			idleTimer.Restart(a.EventTimeout) // events without an id are no output
-			if s.lastEvent != 0 && e.ID != s.lastEvent+1 {
+			idleTimer.Restart(a.EventTimeout) // comments are no output
+			if e.ID != s.lastEvent+1 {
 				return s.failure(ctx, errors.Newf("event %d received directly after event %d, events are missing", e.ID, s.lastEvent))
 			}
 		}
@@ -185,10 +186,10 @@
 			return s.failure(ctx, err)
 		}
 		if e.ID != 0 {
-			s.lastEvent = e.ID
+			s.lastEvent, received = e.ID, true
 		}
 	}
-	if !s.headSent {
+	if s.lastEvent == s.forward.LastEvent || !received && response.EndsWithConnection {
 		return s.failure(ctx, &InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection})
 	}
 	return gateway.OutcomeAnswered{Status: response.Status}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -1,6 +1,12 @@
 package gateway
 
-import cs "github.com/crocusstile/crocusstile"
+import (
+	"math"
+
+	"github.com/cockroachdb/errors"
+
+	cs "github.com/crocusstile/crocusstile"
+)
 
 // Peer is another entry VM, with the contents of its last report.
 type Peer struct {
@@ -20,6 +26,8 @@
 	Loads []RunnerLoad
 	// StoreUnreadable means that the peer cannot read the store.
 	StoreUnreadable bool
+	// Registrations tells how the peer reads the registrations of runners.
+	Registrations PeerReads
 	// BatchDemand is the peer's demand for batch slots: the items that it could start now. Items that will be
 	// late anyway count for less.
 	BatchDemand int
@@ -29,6 +37,16 @@
 	SentTo map[cs.RunnerID]uint32
 }
 
+// PeerReads tells since when a peer has been able to read a topic without a failure, and up to which instant it is known to have
+// read it. Both are 0 if it cannot read it.
+type PeerReads struct{ Since, AsOf cs.Instant }
+
+// ReadsReport is PeerReads in a report, as ages.
+type ReadsReport struct {
+	_           struct{} `cbor:",toarray"`
+	Since, AsOf cs.Span
+}
+
 // RunnerLoad is the number of requests that one VM has in flight on a runner.
 type RunnerLoad struct {
 	Runner cs.RunnerID `cbor:"r"`
@@ -48,6 +66,8 @@
 	Leaving bool `cbor:"x,omitempty"`
 	// StoreUnreadable means that the sender cannot read the store.
 	StoreUnreadable bool `cbor:"u,omitempty"`
+	// Registrations tells how the sender reads the registrations of runners; nil if it cannot read them.
+	Registrations *ReadsReport `cbor:"g,omitempty"`
 	// BatchDemand is the sender's demand for batch slots (see Peer).
 	BatchDemand int `cbor:"q,omitempty"`
 	// Demands is the sender's demand for the free capacity of services.
@@ -60,10 +80,56 @@
 	Limits []LimitReport `cbor:"m,omitempty"`
 	// Suspects lists what the sender suspects of crashing runners.
 	Suspects []SuspectReport `cbor:"p,omitempty"`
+	// Departures lists the runners that are leaving or have left.
+	Departures []DepartureReport `cbor:"e,omitempty"`
 	// Relayed lists the latest reports of VMs of the sender's group.
 	Relayed []RelayedReport `cbor:"y,omitempty"`
 }
 
+// Bounds of the counts in a report. Anyone can send a datagram to the address for reports.
+const (
+	// maxReportedLoad bounds the requests of a VM in flight on a runner, which are at most a few more than its slots. Sums
+	// over the largest deployment stay within 32 bits.
+	maxReportedLoad = 2 * cs.MaxSlots
+	// maxReportedDemand bounds a demand, which is at most the number of a VM's waiting items or requests.
+	maxReportedDemand = 1 << 24
+)
+
+// Validate returns an error unless a VM can have sent the report.
+func (r *Report) Validate() error {
+	if r.From == "" {
+		return errors.New("report without a sender")
+	}
+	for _, l := range r.Loads {
+		if l.Online < 0 || l.Batch < 0 || l.Online > maxReportedLoad || l.Batch > maxReportedLoad {
+			return errors.Newf("load out of range: %d and %d requests", l.Online, l.Batch)
+		}
+	}
+	if r.BatchDemand < 0 || r.BatchDemand > maxReportedDemand {
+		return errors.Newf("demand for batch slots out of range: %d", r.BatchDemand)
+	}
+	for _, d := range r.Demands {
+		if d.Demand < 0 || d.Demand > maxReportedDemand {
+			return errors.Newf("demand out of range: %d", d.Demand)
+		}
+	}
+	for _, l := range r.Limits {
+		if !(l.Rate >= 0) || math.IsInf(float64(l.Rate), 0) {
+			return errors.Newf("limit out of range: %g a second", l.Rate)
+		}
+	}
+	for i := range r.Relayed {
+		relayed := &r.Relayed[i].Report
+		if len(relayed.Relayed) > 0 {
+			return errors.New("relayed report that relays others")
+		}
+		if err := relayed.Validate(); err != nil {
+			return errors.Wrap(err, "relayed report")
+		}
+	}
+	return nil
+}
+
 // LimitReport is the limit of a runner as a VM knows it.
 type LimitReport struct {
 	_      struct{} `cbor:",toarray"`
@@ -142,6 +208,8 @@
 	CheckedAt cs.Instant
 	// AllSuspectsAt is when a report last listed old suspects too, and AllLimitsAt when one listed old limits.
 	AllSuspectsAt, AllLimitsAt cs.Instant
+	// AllDeparturesAt is when a report last listed old departures too.
+	AllDeparturesAt cs.Instant
 }
 
 // liveVMRank returns how many of the peers that report and are not leaving come before this VM in the order of a key. The
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -23,6 +23,8 @@
 	// Catalog is the newest version known, or nil.
 	Catalog *cs.Catalog
 	Runners *fleet.Table[cs.RunnerID, Runner]
+	// Departures holds the runners that are leaving or have left, and those that were removed lately.
+	Departures *fleet.Table[cs.RunnerID, Departure]
 	// EmptiedAt holds, for each service whose last runner was removed, when that was.
 	EmptiedAt *fleet.Table[cs.ServiceID, cs.Instant]
 	Peers     *fleet.Table[cs.VMID, Peer]
@@ -61,6 +63,7 @@
 	return &Tables{
 		Config: c, Self: self, Started: now, Pace: defaultPace, JobLog: JobLog{Epoch: 1}, Rand: rand.New(rand.NewPCG(seed, 1)),
 		Runners:        fleet.NewTable[cs.RunnerID, Runner](),
+		Departures:     fleet.NewTable[cs.RunnerID, Departure](),
 		EmptiedAt:      fleet.NewTable[cs.ServiceID, cs.Instant](),
 		Peers:          fleet.NewTable[cs.VMID, Peer](),
 		DataCentres:    fleet.NewTable[cs.DataCentreID, DataCentreState](),
@@ -128,7 +131,12 @@
 	AsOf cs.Instant
 	// FailingSince is when the current series of failed reads began, or 0 if the last read succeeded.
 	FailingSince cs.Instant
-	// RecoveredAt is when the last series of failed reads ended, or 0.
+	// FailedAt is when the last series of failed reads began, whether or not it has ended, or 0.
+	FailedAt cs.Instant
+	// ReadableSince is when the current series of successful reads began, or 0 while reads fail. A series goes on after a
+	// failure that was too short for a registration to expire. ReadableBefore is its value before the last failure.
+	ReadableSince, ReadableBefore cs.Instant
+	// RecoveredAt is when the last series of failed reads ended in which a registration may have expired, or 0.
 	RecoveredAt cs.Instant
 }
 
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -31,22 +32,28 @@
 	Groups  map[cs.ServiceID]cs.RunnerGroup `cbor:"g"`
 	Limits  cs.CallerLimits                 `cbor:"l"`
 	Runners []cs.Runner                     `cbor:"u"`
+	// Revisions is missing in the state of a VM of an earlier version.
+	Revisions map[cs.RunnerID]cs.Offset `cbor:"o,omitempty"`
 }
 
 func encodeState(s gateway.PeerState) ([]byte, error) {
-	out := wireState{Runners: s.Runners}
+	out := wireState{Runners: s.Runners, Revisions: s.Revisions}
 	if c := s.Catalog; c != nil {
 		out.Version, out.Routes, out.Groups, out.Limits = c.Version, c.Routes(), c.Groups, c.Limits
 	}
 	return cbor.Marshal(out)
 }
 
+// decodeState decodes the state of a peer, without registrations that a peer of an older version took for those of runners.
 func decodeState(data []byte) (gateway.PeerState, error) {
 	var in wireState
-	if err := cbor.Unmarshal(data, &in); err != nil {
+	if err := decoder.Unmarshal(data, &in); err != nil {
 		return gateway.PeerState{}, err
 	}
-	s := gateway.PeerState{Runners: in.Runners}
+	s := gateway.PeerState{
+		Runners:   slices.DeleteFunc(in.Runners, func(r cs.Runner) bool { return r.Validate() != nil }),
+		Revisions: in.Revisions,
+	}
 	if len(in.Routes) > 0 {
 		s.Catalog = cs.NewCatalog(in.Version, in.Routes, in.Groups, in.Limits)
 	}
--- a/roster/bootstrap.go
+++ b/roster/bootstrap.go
@@ -20,7 +20,7 @@
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case gateway.PeerStateRead:
-			adoptPeerState(t, e, out)
+			adoptPeerState(t, now, e, out)
 		case gateway.PeerStateRequested:
 			out.Add(gateway.AnswerPeerState{Query: e.Query, State: localState(t)})
 		default:
@@ -61,16 +61,17 @@
 
 // localState returns the catalog and the runners known to this VM, as the answer to a peer's request.
 func localState(t *gateway.Tables) gateway.PeerState {
-	s := gateway.PeerState{Catalog: t.Catalog}
-	for _, r := range t.Runners.All() {
+	s := gateway.PeerState{Catalog: t.Catalog, Revisions: make(map[cs.RunnerID]cs.Offset)}
+	for id, r := range t.Runners.All() {
 		s.Runners = append(s.Runners, r.Spec)
+		s.Revisions[id] = r.Revision
 	}
 	return s
 }
 
 // adoptPeerState applies a peer's state, except for parts that were read from the store in the
 // meantime.
-func adoptPeerState(t *gateway.Tables, e gateway.PeerStateRead, out *gateway.Actions) {
+func adoptPeerState(t *gateway.Tables, now cs.Instant, e gateway.PeerStateRead, out *gateway.Actions) {
 	catalog := e.State.Catalog
 	if catalog == nil || len(e.State.Runners) == 0 {
 		return // the peer has not read the store yet either
@@ -87,7 +88,11 @@
 		Kind: gateway.NoteStateAdopted, Peer: e.Peer, Version: catalog.Version, Count: len(e.State.Runners),
 	})
 	for _, r := range e.State.Runners {
-		upsertRunner(t, r, out)
+		revision, known := e.State.Revisions[r.ID]
+		if !known {
+			revision = cs.NoOffset
+		}
+		applyRegistration(t, r, revision, now, out)
 	}
 	sumPeerLoads(t)
 }
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -63,6 +63,9 @@
 		switch p := t.Peers.Get(c.ID); {
 		case c.ID == t.Self.ID:
 		case c.VM == nil:
+			if p != nil {
+				setPeerLoad(t, p, nil, nil)
+			}
 			t.Peers.Delete(c.ID)
 			t.LiveChanges++
 		case p == nil:
@@ -141,7 +144,11 @@
 		l.Age += e.Age
 		t.MergeLimit(p, l, now, out)
 	}
-	p.StoreUnreadable, p.BatchDemand = r.StoreUnreadable, r.BatchDemand
+	applyDepartures(t, now, e, out)
+	p.StoreUnreadable, p.BatchDemand, p.Registrations = r.StoreUnreadable, r.BatchDemand, gateway.PeerReads{}
+	if reads := r.Registrations; reads != nil {
+		p.Registrations = gateway.PeerReads{Since: now.Add(-reads.Since - e.Age), AsOf: now.Add(-reads.AsOf - e.Age)}
+	}
 	setPeerLoad(t, p, r.Loads, r.Demands)
 	return p
 }
