Request the platform's list again when a response is overdue

One read of the list on a connection that had stopped responding delayed the news that a runner leaves by 5.0 s (pause 1 s, silent read 3 s, pause 1 s), bound 3 s. VMs of other data centres learn it only from the list.

A request that has no response after 0.5 s goes on, and another one starts beside it on a new connection; the first success counts.

--- a/registry/list.go
+++ b/registry/list.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,8 +17,15 @@
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
-// maxListBytes limits the size of the platform's list; a registration takes about 200 bytes.
-const maxListBytes = 16 << 20
+const (
+	// maxListBytes limits the size of the platform's list; a registration takes about 200 bytes.
+	maxListBytes = 16 << 20
+	// listTimeout is the timeout of one request for the list.
+	listTimeout = 3 * cs.Second
+	// listOverdue is the time without a response after which the list is requested again on a new connection: the one in use
+	// may have stopped responding. A runner that leaves gets no new work 3 s after the list says so.
+	listOverdue = 500 * cs.Millisecond
+)
 
 // ListConfig is the configuration of a List.
 type ListConfig struct {
@@ -46,7 +54,7 @@
 func NewList(c ListConfig) *List {
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &List{cfg: c, client: &http.Client{
-		Timeout:   (3 * cs.Second).Std(),
+		Timeout:   listTimeout.Std(),
 		Transport: &http.Transport{DialContext: dialer.DialContext},
 	}}
 }
@@ -81,35 +89,77 @@
 	Slots       cs.Slots        `json:"slots"`
 }
 
+// listResponse is the response to one request for the list.
+type listResponse struct {
+	read fleet.ListRead
+	etag string
+	err  error
+}
+
+// read reads the list. If the response is overdue, it requests the list once more beside, and the first success counts.
 func (l *List) read(ctx context.Context) (fleet.ListRead, error) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	const maxRequests = 2
+	responses := make(chan listResponse, maxRequests)
+	request := func() {
+		read, etag, err := l.request(ctx)
+		responses <- listResponse{read, etag, err}
+	}
+	running.Go(request)
+	overdue := time.NewTimer(listOverdue.Std())
+	defer overdue.Stop()
+	for sent, failed := 1, 0; ; {
+		select {
+		case <-overdue.C:
+			l.client.CloseIdleConnections()
+			sent++
+			running.Go(request)
+		case r := <-responses:
+			if r.err == nil {
+				cancel()
+				running.Wait() // the other request reads the last list
+				l.last, l.etag = r.read, r.etag
+				return r.read, nil
+			}
+			if failed++; failed == sent {
+				return fleet.ListRead{}, r.err
+			}
+		}
+	}
+}
+
+// request requests the list once and returns it with its entity tag.
+func (l *List) request(ctx context.Context) (fleet.ListRead, string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(l.cfg.Address)+"/v1/vms", http.NoBody)
 	if err != nil {
-		return fleet.ListRead{}, err
+		return fleet.ListRead{}, "", err
 	}
 	if l.etag != "" {
 		req.Header.Set("If-None-Match", l.etag)
 	}
 	resp, err := l.client.Do(req)
 	if err != nil {
-		return fleet.ListRead{}, err
+		return fleet.ListRead{}, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusNotModified && l.etag != "" {
-		return l.last, nil
+		return l.last, l.etag, nil
 	}
 	if resp.StatusCode != http.StatusOK {
-		return fleet.ListRead{}, errors.Newf("list: %s", resp.Status)
+		return fleet.ListRead{}, "", errors.Newf("list: %s", resp.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
 	if err != nil {
-		return fleet.ListRead{}, err
+		return fleet.ListRead{}, "", err
 	}
 	registrations, err := decodeList(body)
 	if err != nil {
-		return fleet.ListRead{}, errors.Wrap(err, "list")
+		return fleet.ListRead{}, "", errors.Wrap(err, "list")
 	}
-	l.last, l.etag = newListRead(registrations), resp.Header.Get("ETag")
-	return l.last, nil
+	return newListRead(registrations), resp.Header.Get("ETag"), nil
 }
 
 // decodeList decodes the list. Another writer may have left registrations there that cannot be decoded; they are left out.
