--- a/entry/activity.go
+++ b/entry/activity.go
@@ -42,7 +42,7 @@
 
 // readActivity reads the counters of the components.
 func (v *VM) readActivity() activity {
-	a := activity{ticks: v.loop.Ticks(), processorTime: processorTime()}
+	a := activity{ticks: v.loop.Ticks(), processorTime: v.processorTime()}
 	a.reportsSent, a.reportsReceived = v.gossip.Traffic()
 	a.storeCalls, a.storeReceived = v.store.Traffic()
 	return a
@@ -60,10 +60,11 @@
 }
 
 // processorTime returns the processor time that the process has used.
-func processorTime() cs.Span {
+func (v *VM) processorTime() cs.Span {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0 // fails only for an invalid argument
+		v.log.Warn().Err(err).Msg("cannot read the processor time")
+		return 0
 	}
 	used := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 	return cs.Span(used.Milliseconds())
