Encode a specification the same way each time

The headers of items were encoded in a random order, so that such chunks did not fit together and the job could not be decoded.

Change: the encoding of the job log is deterministic. Chunks of two appends differ in the time of acceptance only, which takes the same number of bytes.

TestChunksOfTwoAppendsMakeOneSpecification failed before ("decode specification of job j: unexpected EOF", cut after the first chunk).

--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
@@ -28,6 +29,18 @@
 // recordOverheadBytes is an upper bound of the size of a record without its payload: key, append ID and counts.
 const recordOverheadBytes = 512
 
+var jobEncoder = newJobEncoder()
+
+// newJobEncoder returns the encoding mode of the job log, which is deterministic: a snapshot may hold the chunks of a
+// specification from two appends. It panics on inconsistent options, as newEncoder does.
+func newJobEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // MaxOutput returns the size of the largest output of an item whose result or progress fits into a record of
 // maxRecord bytes.
 func MaxOutput(maxRecord cs.Bytes) cs.Bytes { return maxRecord - 2*recordOverheadBytes }
@@ -68,7 +81,7 @@
 	case gateway.JobOpened:
 		return encodeSpec(id, c.Spec, maxChunkBytes)
 	case gateway.JobResultAppended:
-		value, err := encoder.Marshal(jobRecord{Writer: id.Writer, Number: id.Number, Result: &c.Result})
+		value, err := jobEncoder.Marshal(jobRecord{Writer: id.Writer, Number: id.Number, Result: &c.Result})
 		if err == nil && len(value) > maxChunkBytes {
 			return nil, errors.Newf("result of %d bytes exceeds the maximum record size", len(value))
 		}
@@ -87,7 +100,7 @@
 
 // splitSpec encodes a specification and splits it into chunks of at most maxChunkBytes bytes.
 func splitSpec(spec gateway.JobSpec, maxChunkBytes int) ([][]byte, error) {
-	data, err := encoder.Marshal(spec)
+	data, err := jobEncoder.Marshal(spec)
 	if err != nil {
 		return nil, err
 	}
@@ -136,7 +149,7 @@
 }
 
 func encodeRecord(kind string, job cs.JobID, n int, r jobRecord) (KeyedRecord, error) {
-	value, err := encoder.Marshal(r)
+	value, err := jobEncoder.Marshal(r)
 	return KeyedRecord{Key: jobKey(kind, job, n), Value: value}, err
 }
 
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -132,3 +132,42 @@
 		c.Check(len(r.Key)+len(r.Value) <= maxRecord, qt.IsTrue, qt.Commentf("%d bytes", len(r.Key)+len(r.Value)))
 	}
 }
+
+// Guards against a job that cannot be read since its chunks come from two appends: two VMs may accept the same job, and
+// the pages of a snapshot are read one after another. Two encodings of a specification must be the same, but for the
+// time of acceptance.
+func TestChunksOfTwoAppendsMakeOneSpecification(t *testing.T) {
+	c := qt.New(t)
+	spec := gateway.JobSpec{ID: "j", Route: "r", Host: "h", Accepted: 1_700_000_000_000}
+	for i := range 20 {
+		spec.Items = append(spec.Items, gateway.Item{
+			ID: cs.ItemID(strings.Repeat("i", i+1)), Target: "/p", Body: make([]byte, 100), Tokens: 9,
+			Header: map[string]string{"Model": "m", "Token-Count": "540,400", "Prompt-Prefix": "9c2e41:300", "Length-Hint": "7", "X-A": "a", "X-Bc": "bc"},
+		})
+	}
+	const maxRecord = 1024
+	encode := func(number uint64, accepted cs.Instant) []wire.KeyedRecord {
+		s := spec
+		s.Accepted = accepted
+		records, err := wire.EncodeJobChanges(gateway.AppendID{Writer: 3, Number: number}, []gateway.JobChange{gateway.JobOpened{Spec: s}}, maxRecord)
+		c.Assert(err, qt.IsNil)
+		return records
+	}
+	first, second := encode(1, spec.Accepted), encode(2, spec.Accepted+5)
+	c.Assert(len(first) > 4, qt.IsTrue)
+	c.Assert(second, qt.HasLen, len(first))
+	for cut := 1; cut < len(first); cut++ {
+		var decoder wire.JobDecoder
+		var last gateway.JobRecord
+		for i := range first {
+			r := first[i]
+			if i >= cut {
+				r = second[i]
+			}
+			var err error
+			last, err = decoder.Decode(r.Key, r.Value)
+			c.Assert(err, qt.IsNil, qt.Commentf("chunks from %d on are of the second append", cut))
+		}
+		c.Assert(last.Change, qt.DeepEquals, gateway.JobChange(gateway.JobOpened{Spec: spec}))
+	}
+}
