Decode jobs whose items have many headers

A job with an item of more than 64 headers was accepted with 202, and its record could not be decoded by any VM: the limit of the fields of a message held for the header of an item as well. Read in the code, not run: all VMs but one that has applied its own append then answer 404.

Change: the job log has a decoding mode of its own, whose maps may have as many pairs as an array has elements.

TestItemWithManyHeadersIsReadable failed before ("exceeded max number of key-value pairs 64 for CBOR map").

--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -29,7 +29,10 @@
 // recordOverheadBytes is an upper bound of the size of a record without its payload: key, append ID and counts.
 const recordOverheadBytes = 512
 
-var jobEncoder = newJobEncoder()
+var (
+	jobEncoder = newJobEncoder()
+	jobDecoder = newJobDecoder()
+)
 
 // newJobEncoder returns the encoding mode of the job log, which is deterministic: a snapshot may hold the chunks of a
 // specification from two appends. It panics on inconsistent options, as newEncoder does.
@@ -41,6 +44,18 @@
 	return mode
 }
 
+// newJobDecoder returns the decoding mode of the job log. Unlike in messages, a map may be the header of an item, with up to
+// MaxElements fields.
+func newJobDecoder() cbor.DecMode {
+	options := decoderOptions()
+	options.MaxMapPairs = MaxElements
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // MaxOutput returns the size of the largest output of an item whose result or progress fits into a record of
 // maxRecord bytes.
 func MaxOutput(maxRecord cs.Bytes) cs.Bytes { return maxRecord - 2*recordOverheadBytes }
@@ -186,7 +201,7 @@
 		return gateway.JobRecord{}, nil
 	}
 	var r jobRecord
-	if err := decoder.Unmarshal(value, &r); err != nil {
+	if err := jobDecoder.Unmarshal(value, &r); err != nil {
 		return gateway.JobRecord{}, err
 	}
 	out := gateway.JobRecord{AppendID: gateway.AppendID{Writer: r.Writer, Number: r.Number}}
@@ -232,7 +247,7 @@
 		delete(d.chunks, job)
 	}
 	var spec gateway.JobSpec
-	if err := decoder.Unmarshal(data, &spec); err != nil {
+	if err := jobDecoder.Unmarshal(data, &spec); err != nil {
 		return nil, errors.Wrapf(err, "decode specification of job %s", job)
 	}
 	return &spec, nil
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -171,3 +171,20 @@
 		c.Assert(last.Change, qt.DeepEquals, gateway.JobChange(gateway.JobOpened{Spec: spec}))
 	}
 }
+
+// Guards against an accepted job that no VM can read, since one of its items has more headers than a record of another
+// kind has fields.
+func TestItemWithManyHeadersIsReadable(t *testing.T) {
+	c := qt.New(t)
+	header := make(map[string]string)
+	for i := range 200 {
+		header["X-"+strings.Repeat("a", i+1)] = "v"
+	}
+	want := gateway.JobOpened{Spec: gateway.JobSpec{ID: "j", Items: []gateway.Item{{ID: "i", Target: "/p", Header: header}}}}
+	records, err := wire.EncodeJobChanges(gateway.AppendID{Writer: 3, Number: 4}, []gateway.JobChange{want}, 1<<18)
+	c.Assert(err, qt.IsNil)
+	var decoder wire.JobDecoder
+	got, err := decoder.Decode(records[0].Key, records[0].Value)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Change, qt.DeepEquals, gateway.JobChange(want))
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -47,17 +47,21 @@
 	return mode
 }
 
-// newDecoder returns the shared decoding mode. It accepts strings that are not valid UTF-8: generated
-// text may be cut inside a character, and a batch that no reader can decode would be lost.
-func newDecoder() cbor.DecMode {
-	options := cbor.DecOptions{
+// decoderOptions returns the options of decoders. They accept strings that are not valid UTF-8: generated text may be cut
+// inside a character, and a batch that no reader can decode would be lost.
+func decoderOptions() cbor.DecOptions {
+	return cbor.DecOptions{
 		MaxNestedLevels:  maxNesting,
 		MaxArrayElements: MaxElements,
 		MaxMapPairs:      maxFields,
 		IndefLength:      cbor.IndefLengthForbidden,
 		UTF8:             cbor.UTF8DecodeInvalid,
 	}
-	mode, err := options.DecModeWithTags(newTagSet())
+}
+
+// newDecoder returns the shared decoding mode. It panics on inconsistent options, as newEncoder does.
+func newDecoder() cbor.DecMode {
+	mode, err := decoderOptions().DecModeWithTags(newTagSet())
 	if err != nil {
 		panic(err)
 	}
