Serve jobs at hosts that have lost their last route

A query for results, the body of an item or the end of a job came to 404 as a request without a route, if the operator had removed the last route of its host since the job was accepted.

Change: calls on jobs are served at any host. Whether the job exists is decided by the job log alone, so that a job that is unknown gets 404 as before.

--- a/route.go
+++ b/route.go
@@ -129,6 +129,3 @@
 
 // Route returns the route with the given name, or nil.
 func (c *Catalog) Route(name RouteName) *Route { return c.routesByName[name] }
-
-// HasHost reports whether any route matches the host.
-func (c *Catalog) HasHost(host string) bool { return len(c.routesByHost[host]) > 0 }
