Answer the end of a complete list from an old view

The end of the list of a complete job was refused with 503 after 0.8 s, although a complete list cannot grow.

Change: an empty page needs a recent view only while items of the job have no result.

TestOldViewAnswersWhatIsCertain failed before in two of seven cases (no answer in the tick). Ruled out by TestOldViewDoesNotDenyWhatMayHaveFollowed, which passed before: 404 or an empty page from an old view.

--- /dev/null
+++ b/batchjob/known_test.go
@@ -0,0 +1,107 @@
+package batchjob_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
+)
+
+// appendResults appends results of items of a job in the order given.
+func appendResults(l *jobLog, job cs.JobID, items ...int) {
+	for _, i := range items {
+		spec := newJob(job, i+1)
+		id := gateway.AppendID{Writer: 1, Number: uint64(len(l.records))}
+		l.records = append(l.records, gateway.JobRecord{Offset: cs.Offset(len(l.records)), AppendID: id, Change: gateway.JobResultAppended{
+			Job: job, Index: i, AppendID: id, Result: gateway.Result{Item: spec.Items[i].ID, Done: true, Text: "t"},
+		}})
+	}
+}
+
+// newVMWithOldView returns a VM that has read an open job with one result of three, a complete job and an ended one, and
+// has been unable to read the log for a minute.
+func newVMWithOldView(c *qt.C) (*vm, *jobLog, cs.Instant) {
+	l := &jobLog{}
+	v := newVM("a")
+	for i, id := range []cs.JobID{"open", "complete", "ended"} {
+		submit(v, l, newJob(id, 3), gateway.QueryID(100+i), startTime)
+	}
+	v.nextOffset = cs.Offset(len(l.records))
+	appendResults(l, "open", 1)
+	appendResults(l, "complete", 2, 0, 1)
+	l.records = append(l.records, gateway.JobRecord{Offset: cs.Offset(len(l.records)), Change: gateway.JobEnded{Job: "ended"}})
+	v.readLog(l, startTime)
+	v.tick(startTime)
+	clear(v.answers)
+	c.Assert(v.Jobs.Get("complete").Results, qt.HasLen, 3)
+	v.inbox = append(v.inbox, gateway.FeedFailed{Feed: gateway.FeedJobs, Error: "no data"})
+	v.tick(startTime.Add(cs.Second))
+	return v, l, startTime.Add(cs.Minute)
+}
+
+// Guards against a VM that cannot read the log and refuses what it knows for certain: records of the log are never
+// taken back, so that a listed result, the body of an item, an accepted job and an end do not depend on the age of the view.
+func TestOldViewAnswersWhatIsCertain(t *testing.T) {
+	for name, test := range map[string]struct {
+		ask  gateway.Event
+		want gateway.Action
+	}{
+		"results": {
+			gateway.ResultsRequested{Query: 1, Job: "open"},
+			gateway.AnswerResults{Query: 1, Total: 3, Next: 1, Results: []gateway.Result{{Item: "open-1", Done: true, Text: "t"}}},
+		},
+		"results from a position on": {
+			gateway.ResultsRequested{Query: 1, Job: "complete", After: 2},
+			gateway.AnswerResults{Query: 1, Total: 3, Next: 3, Results: []gateway.Result{{Item: "complete-1", Done: true, Text: "t"}}},
+		},
+		"the end of a complete list":      {gateway.ResultsRequested{Query: 1, Job: "complete", After: 3}, gateway.AnswerResults{Query: 1, Total: 3, Next: 3}},
+		"beyond the end of such a list":   {gateway.ResultsRequested{Query: 1, Job: "complete", After: 7}, gateway.AnswerResults{Query: 1, Total: 3, Next: 7}},
+		"a body":                          {gateway.ItemBodyRequested{Query: 1, Job: "open", Item: "open-2"}, gateway.AnswerBody{Query: 1}},
+		"a submission of an accepted job": {gateway.JobSubmitted{Query: 1, Spec: newJob("open", 3)}, gateway.AnswerJob{Query: 1}},
+		"the end of a job that has ended": {gateway.JobEndRequested{Query: 1, Job: "ended"}, gateway.AnswerJob{Query: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			v, _, now := newVMWithOldView(c)
+			v.inbox = append(v.inbox, test.ask)
+			v.tick(now)
+			c.Assert(v.answers[1], qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// Guards against a VM that cannot read the log and answers as if it knew what others have written since.
+func TestOldViewDoesNotDenyWhatMayHaveFollowed(t *testing.T) {
+	for name, ask := range map[string]gateway.Event{
+		"a position that may have been filled":      gateway.ResultsRequested{Query: 1, Job: "open", After: 1},
+		"results of a job that was ended":           gateway.ResultsRequested{Query: 1, Job: "ended"},
+		"a job that may have been accepted":         gateway.ResultsRequested{Query: 1, Job: "later"},
+		"an item of one that may have been":         gateway.ItemBodyRequested{Query: 1, Job: "later", Item: "later-0"},
+		"the end of a job that may have been":       gateway.JobEndRequested{Query: 1, Job: "later"},
+		"the end of a long poll on an open job":     gateway.ResultsRequested{Query: 1, Job: "open", After: 1, Until: startTime.Add(cs.Minute + 500)},
+		"a position beyond the end of an open list": gateway.ResultsRequested{Query: 1, Job: "open", After: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			v, _, now := newVMWithOldView(c)
+			v.inbox = append(v.inbox, ask)
+			for range 20 {
+				v.tick(now)
+				now = now.Add(100)
+			}
+			var refusal *cs.Refusal
+			switch a := v.answers[1].(type) {
+			case gateway.AnswerResults:
+				refusal = a.Refusal
+			case gateway.AnswerBody:
+				refusal = a.Refusal
+			case gateway.AnswerJob:
+				refusal = a.Refusal
+			}
+			c.Assert(refusal, qt.IsNotNil)
+			c.Assert(refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+		})
+	}
+}
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -84,7 +84,7 @@
 			out.WakeAt(query.Until)
 			return false
 		}
-		if len(page) == 0 && t.Feeds[gateway.FeedJobs].Age(now) > maxReadAge {
+		if len(page) == 0 && !j.Complete() && t.Feeds[gateway.FeedJobs].Age(now) > maxReadAge {
 			return refuseStalePage(t, q, query, now, out)
 		}
 		out.Add(gateway.AnswerResults{Query: q, Total: len(j.Spec.Items), Next: query.After + len(page), Results: page})
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -60,7 +60,10 @@
 }
 
 // Open reports whether the job has items without a result and was not ended by its caller.
-func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Spec.Items) }
+func (j *Job) Open() bool { return !j.Ended && !j.Complete() }
+
+// Complete reports whether all items have a result, so that no more will be listed.
+func (j *Job) Complete() bool { return len(j.Results) == len(j.Spec.Items) }
 
 // ItemPhase is the state of a batch item at this VM.
 type ItemPhase int
