Compress outputs of items in the job log

Change: outputs and saved progress are compressed (DEFLATE) in the records of the job log. A VM writes them so once all registered VMs read that; VMs say which format they read in their registration. Records of the former format stay readable.

Figures: an output of random letters takes less than two thirds of its size (TestOutputIsCompressed, which does not build before).

--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -84,7 +84,7 @@
 	l.Number++
 	a := gateway.AppendJobs{
 		AppendID: appendID, ExpectedEnd: cs.NoOffset, Epoch: l.Epoch, Seq: l.Seq,
-		Changes: b.changes,
+		Changes: b.changes, Format: jobLogFormat(t),
 	}
 	if conditional {
 		a.ExpectedEnd = l.End
@@ -93,6 +93,16 @@
 	out.Add(a)
 }
 
+// jobLogFormat returns the newest format of the job log's records that all VMs read. A VM that is known from reports only
+// reads the oldest one as far as is known.
+func jobLogFormat(t *gateway.Tables) cs.JobLogFormat {
+	format := t.Self.JobLogFormat
+	for _, p := range t.Peers.All() {
+		format = min(format, p.VM.JobLogFormat)
+	}
+	return format
+}
+
 // estimateSize estimates the size of a proposal's records.
 func estimateSize(t *gateway.Tables, p gateway.Proposal) cs.Bytes {
 	n := recordOverheadBytes
--- /dev/null
+++ b/batchjob/format_test.go
@@ -0,0 +1,38 @@
+package batchjob_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
+)
+
+// Guards against results without their text at VMs of an older version, which cannot read compressed records, while VMs are
+// updated one by one.
+func TestRecordsAreCompressedOnceAllVMsReadThem(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		peers []cs.JobLogFormat
+		want  cs.JobLogFormat
+	}{
+		{nil, cs.JobLogCompressed},
+		{[]cs.JobLogFormat{cs.JobLogCompressed, cs.JobLogCompressed}, cs.JobLogCompressed},
+		{[]cs.JobLogFormat{cs.JobLogCompressed, cs.JobLogPlain}, cs.JobLogPlain},
+	} {
+		v := newVM("a", 0, 1, 2, 3)
+		v.Self.JobLogFormat = cs.JobLogCompressed
+		var listed gateway.VMsRead
+		for i, format := range test.peers {
+			id := cs.VMID(rune('b' + i))
+			listed.Changes = append(listed.Changes, gateway.VMChange{ID: id, VM: &cs.VM{ID: id, DataCentre: "a", Incarnation: 1, JobLogFormat: format}})
+		}
+		v.inbox = append(v.inbox, listed, gateway.JobSubmitted{Query: 1, Spec: newJob("j", 1)})
+		for range 3 {
+			v.tick(startTime)
+		}
+		c.Assert(v.appends, qt.HasLen, 1)
+		c.Check(v.appends[0].Format, qt.Equals, test.want, qt.Commentf("peers %v", test.peers))
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,7 +83,8 @@
 	// a higher one.
 	v.self = cs.VM{
 		ID: s.VM, DataCentre: s.DataCentre, Address: s.addressOf(s.Listen.PeerPort),
-		Incarnation: cs.Incarnation(clock.Now())<<20 | cs.Incarnation(rand.Uint64N(1<<20)),
+		Incarnation:  cs.Incarnation(clock.Now())<<20 | cs.Incarnation(rand.Uint64N(1<<20)),
+		JobLogFormat: wire.NewestJobLogFormat,
 	}
 	limitMemory(s.MemoryMB)
 	tables := gateway.New(gateway.Config{
--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
 	"github.com/crocusstile/crocusstile/standin"
 	"github.com/crocusstile/crocusstile/wire"
@@ -90,7 +91,7 @@
 		gateway.JobResultAppended{Job: "job1", Index: 1 << 62, AppendID: id, Result: gateway.Result{Item: "i1"}},
 		gateway.ProgressSaved{Job: "job1", Item: "i1", Index: -1, Progress: gateway.Progress{LastEvent: 1}},
 	}
-	records, err := wire.EncodeJobChanges(id, changes, 1<<18)
+	records, err := wire.EncodeJobChanges(id, changes, cs.JobLogPlain, 1<<18)
 	s.Assert(err, qt.IsNil)
 	for _, r := range records {
 		s.store.Put("keyed.jobs", r.Key, r.Value)
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -83,6 +83,8 @@
 		Epoch       uint64
 		Seq         uint64
 		Changes     []JobChange
+		// Format is that of the records, which all VMs must be able to read.
+		Format cs.JobLogFormat
 	}
 	// LeaveGroup ends this VM's membership in the batch group and so gives up its partitions.
 	LeaveGroup struct{}
--- a/vm.go
+++ b/vm.go
@@ -7,8 +7,21 @@
 	DataCentre  DataCentreID `cbor:"d" json:"dataCentre"`
 	Address     Address      `cbor:"a" json:"address"`
 	Leaving     bool         `cbor:"l" json:"leaving"`
+	// JobLogFormat is the newest format of job log records that the VM reads.
+	JobLogFormat JobLogFormat `cbor:"f,omitempty" json:"jobLogFormat,omitempty"`
 }
 
+// JobLogFormat is a version of the records of the job log. A VM reads all versions up to its own.
+type JobLogFormat int
+
+// The versions of the job log's records.
+const (
+	// JobLogPlain has outputs of items as they are.
+	JobLogPlain JobLogFormat = iota
+	// JobLogCompressed has outputs of items compressed.
+	JobLogCompressed
+)
+
 // Runner is the registration of a runner in the platform's list.
 type Runner struct {
 	ID          RunnerID     `json:"id"`
--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"io"
 	"strconv"
 	"strings"
 
@@ -25,6 +26,9 @@
 	keyKindEnd      = "e"
 )
 
+// NewestJobLogFormat is the newest format that JobDecoder reads.
+const NewestJobLogFormat = cs.JobLogCompressed
+
 // recordOverheadBytes is an upper bound of the size of a record without its payload: key, append ID and counts.
 const recordOverheadBytes = 512
 
@@ -48,13 +52,15 @@
 	// Item is the id of the item that Progress refers to.
 	Item     cs.ItemID         `cbor:"i,omitempty"`
 	Progress *gateway.Progress `cbor:"p,omitempty"`
+	// CompressedText is the text of Result or Progress if that one has none.
+	CompressedText []byte `cbor:"z,omitempty"`
 }
 
-// EncodeJobChanges encodes job changes as records of at most maxRecordBytes bytes each.
-func EncodeJobChanges(id gateway.AppendID, changes []gateway.JobChange, maxRecordBytes int) ([]KeyedRecord, error) {
+// EncodeJobChanges encodes job changes in a format as records of at most maxRecordBytes bytes each.
+func EncodeJobChanges(id gateway.AppendID, changes []gateway.JobChange, format cs.JobLogFormat, maxRecordBytes int) ([]KeyedRecord, error) {
 	var records []KeyedRecord
 	for _, c := range changes {
-		next, err := encodeChange(id, c, maxRecordBytes-recordOverheadBytes)
+		next, err := encodeChange(id, c, format, maxRecordBytes-recordOverheadBytes)
 		if err != nil {
 			return nil, err
 		}
@@ -63,19 +69,19 @@
 	return records, nil
 }
 
-func encodeChange(id gateway.AppendID, c gateway.JobChange, maxChunkBytes int) ([]KeyedRecord, error) {
+func encodeChange(id gateway.AppendID, c gateway.JobChange, format cs.JobLogFormat, maxChunkBytes int) ([]KeyedRecord, error) {
 	switch c := c.(type) {
 	case gateway.JobOpened:
 		return encodeSpec(id, c.Spec, maxChunkBytes)
 	case gateway.JobResultAppended:
-		value, err := encoder.Marshal(jobRecord{Writer: id.Writer, Number: id.Number, Result: &c.Result})
-		if err == nil && len(value) > maxChunkBytes {
-			return nil, errors.Newf("result of %d bytes exceeds the maximum record size", len(value))
-		}
-		return []KeyedRecord{{Key: resultKey(c.Job, gateway.ResultKey{Index: c.Index, AppendID: c.AppendID}), Value: value}}, err
+		return encodeResult(id, c, format, maxChunkBytes)
 	case gateway.ProgressSaved:
-		r, err := encodeRecord(keyKindProgress, c.Job, c.Index, jobRecord{Writer: id.Writer, Number: id.Number, Item: c.Item, Progress: &c.Progress})
-		return []KeyedRecord{r}, err
+		r := jobRecord{Writer: id.Writer, Number: id.Number, Item: c.Item, Progress: &c.Progress}
+		if err := r.compress(c.Progress.Text, format); err != nil {
+			return nil, err
+		}
+		encoded, err := encodeRecord(keyKindProgress, c.Job, c.Index, r)
+		return []KeyedRecord{encoded}, err
 	case gateway.JobEnded:
 		r, err := encodeRecord(keyKindEnd, c.Job, 0, jobRecord{Writer: id.Writer, Number: id.Number})
 		return []KeyedRecord{r}, err
@@ -85,6 +91,18 @@
 	return nil, ErrMissingValue
 }
 
+func encodeResult(id gateway.AppendID, c gateway.JobResultAppended, format cs.JobLogFormat, maxChunkBytes int) ([]KeyedRecord, error) {
+	r := jobRecord{Writer: id.Writer, Number: id.Number, Result: &c.Result}
+	if err := r.compress([]byte(c.Result.Text), format); err != nil {
+		return nil, err
+	}
+	value, err := encoder.Marshal(r)
+	if err == nil && len(value) > maxChunkBytes {
+		return nil, errors.Newf("result of %d bytes exceeds the maximum record size", len(value))
+	}
+	return []KeyedRecord{{Key: resultKey(c.Job, gateway.ResultKey{Index: c.Index, AppendID: c.AppendID}), Value: value}}, err
+}
+
 // splitSpec encodes a specification and splits it into chunks of at most maxChunkBytes bytes.
 func splitSpec(spec gateway.JobSpec, maxChunkBytes int) ([][]byte, error) {
 	data, err := encoder.Marshal(spec)
@@ -151,7 +169,11 @@
 }
 
 // JobDecoder decodes the records of the job log; it buffers the chunks of incomplete specifications.
-type JobDecoder struct{ chunks map[cs.JobID]map[int][]byte }
+type JobDecoder struct {
+	chunks map[cs.JobID]map[int][]byte
+	// inflater is reused from text to text.
+	inflater io.ReadCloser
+}
 
 // Reset discards the buffered chunks.
 func (d *JobDecoder) Reset() { d.chunks = nil }
@@ -176,6 +198,9 @@
 	if err := decoder.Unmarshal(value, &r); err != nil {
 		return gateway.JobRecord{}, err
 	}
+	if err := r.decompress(&d.inflater); err != nil {
+		return gateway.JobRecord{}, err
+	}
 	out := gateway.JobRecord{AppendID: gateway.AppendID{Writer: r.Writer, Number: r.Number}}
 	switch {
 	case kind == keyKindEnd:
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -1,10 +1,16 @@
 package wire_test
 
 import (
+	"bytes"
+	"compress/flate"
+	"math/rand/v2"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
@@ -18,15 +24,23 @@
 	}},
 	gateway.ProgressSaved{Job: "j/1", Item: "i", Index: 0, Progress: gateway.Progress{Text: []byte("a\nb"), LastEvent: 2}},
 	gateway.JobResultAppended{Job: "j/1", Index: 0, AppendID: gateway.AppendID{Writer: 3, Number: 4}, Result: gateway.Result{Item: "i", Done: true, Text: "a\nb\xffc"}},
+	gateway.ProgressSaved{Job: "j/1", Item: "i", Index: 0, Progress: gateway.Progress{Text: []byte(strings.Repeat("ab", 500)), LastEvent: 3}},
+	gateway.JobResultAppended{Job: "j/1", Index: 0, AppendID: gateway.AppendID{Writer: 3, Number: 4}, Result: gateway.Result{Item: "i", Done: true, Text: strings.Repeat("abc\n", 300)}},
 	gateway.JobEnded{Job: "j/1"},
 }
 
 // Every change must be decoded as it was encoded. A specification in chunks must be decoded in any order
 // of its chunks, since a compacted topic returns its records in the order of their keys.
 func TestJobLogRoundTrip(t *testing.T) {
+	for format := cs.JobLogPlain; format <= wire.NewestJobLogFormat; format++ {
+		t.Run(strconv.Itoa(int(format)), func(t *testing.T) { checkRoundTrip(t, format) })
+	}
+}
+
+func checkRoundTrip(t *testing.T, format cs.JobLogFormat) {
 	c := qt.New(t)
 	appendID := gateway.AppendID{Writer: 3, Number: 4}
-	records, err := wire.EncodeJobChanges(appendID, jobChanges, 2048)
+	records, err := wire.EncodeJobChanges(appendID, jobChanges, format, 2048)
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(records) > len(jobChanges), qt.IsTrue, qt.Commentf("the specification must take several records"))
 	for _, reversed := range []bool{false, true} {
@@ -61,11 +75,11 @@
 func TestRemovalDeletesAllKeysOfJob(t *testing.T) {
 	c := qt.New(t)
 	spec := jobChanges[0].(gateway.JobOpened).Spec
-	written, err := wire.EncodeJobChanges(gateway.AppendID{}, jobChanges, 2048)
+	written, err := wire.EncodeJobChanges(gateway.AppendID{}, jobChanges, cs.JobLogPlain, 2048)
 	c.Assert(err, qt.IsNil)
 	removed, err := wire.EncodeJobChanges(gateway.AppendID{}, []gateway.JobChange{
 		gateway.JobRemoved{Job: spec.ID, Spec: spec, ResultKeys: []gateway.ResultKey{{Index: 0, AppendID: gateway.AppendID{Writer: 3, Number: 4}}}, Progressed: []int{0}},
-	}, 2048)
+	}, cs.JobLogPlain, 2048)
 	c.Assert(err, qt.IsNil)
 	remaining := make(map[string]bool)
 	for _, r := range written {
@@ -100,7 +114,7 @@
 // Guards against a position outside of a job, which would end each VM that reads the record, whenever it starts.
 func TestJobLogRecordWithPositionOutOfRange(t *testing.T) {
 	c := qt.New(t)
-	records, err := wire.EncodeJobChanges(gateway.AppendID{}, jobChanges, 1<<18)
+	records, err := wire.EncodeJobChanges(gateway.AppendID{}, jobChanges, cs.JobLogPlain, 1<<18)
 	c.Assert(err, qt.IsNil)
 	for _, r := range records {
 		for _, position := range []string{"-1", "-9223372036854775808", "9223372036854775807", "4294967296", "+0", "1e3", ""} {
@@ -126,9 +140,66 @@
 	records, err := wire.EncodeJobChanges(id, []gateway.JobChange{
 		gateway.JobResultAppended{Job: job, Index: 199, AppendID: id, Result: gateway.Result{Item: item, Done: true, Text: text}},
 		gateway.ProgressSaved{Job: job, Item: item, Index: 199, Progress: gateway.Progress{Text: []byte(text), LastEvent: 1 << 62}},
-	}, maxRecord)
+	}, cs.JobLogPlain, maxRecord)
 	c.Assert(err, qt.IsNil)
 	for _, r := range records {
 		c.Check(len(r.Key)+len(r.Value) <= maxRecord, qt.IsTrue, qt.Commentf("%d bytes", len(r.Key)+len(r.Value)))
 	}
 }
+
+// outputOf returns an output of random words, a letter of which holds at most 4.7 bits.
+func outputOf(events int) string {
+	r := rand.New(rand.NewPCG(1, 2))
+	var text strings.Builder
+	for range events {
+		for range 60 {
+			text.WriteByte(byte('a' + r.IntN(26)))
+		}
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
+// Guards against a job log that takes more of the store's egress than its readers have: each VM reads each result, and
+// reads that wait for longer than their time limit are repeated (LOST).
+func TestOutputIsCompressed(t *testing.T) {
+	c := qt.New(t)
+	text := outputOf(134)
+	records, err := wire.EncodeJobChanges(gateway.AppendID{Writer: 3, Number: 4}, []gateway.JobChange{
+		gateway.JobResultAppended{Job: "j", Result: gateway.Result{Item: "i", Done: true, Text: text}},
+		gateway.ProgressSaved{Job: "j", Item: "i", Progress: gateway.Progress{Text: []byte(text), LastEvent: 134}},
+	}, cs.JobLogCompressed, 1<<18)
+	c.Assert(err, qt.IsNil)
+	for _, r := range records {
+		c.Check(len(r.Value) < len(text)*2/3, qt.IsTrue, qt.Commentf("%s: %d bytes of %d", r.Key, len(r.Value), len(text)))
+	}
+}
+
+// Guards against a record of another writer that ends a VM, or fills its memory, when its text is decompressed.
+func TestMalformedCompressedText(t *testing.T) {
+	c := qt.New(t)
+	var bomb bytes.Buffer
+	w, err := flate.NewWriter(&bomb, flate.BestSpeed)
+	c.Assert(err, qt.IsNil)
+	_, err = w.Write(make([]byte, 8<<20))
+	c.Assert(err, qt.IsNil)
+	c.Assert(w.Close(), qt.IsNil)
+	value, err := cbor.Marshal(map[string]any{"w": 1, "n": 1, "r": map[string]any{"i": "i"}, "z": bomb.Bytes()})
+	c.Assert(err, qt.IsNil)
+	records, err := wire.EncodeJobChanges(gateway.AppendID{}, []gateway.JobChange{
+		gateway.JobResultAppended{Job: "j", Result: gateway.Result{Item: "i", Done: true, Text: outputOf(20)}},
+	}, cs.JobLogCompressed, 1<<18)
+	c.Assert(err, qt.IsNil)
+	var decoder wire.JobDecoder
+	_, err = decoder.Decode("r/j/0/1-1", value)
+	c.Check(err, qt.ErrorMatches, ".*too long.*")
+	damaged := slices.Clone(records[0].Value)
+	for i := len(damaged) / 2; i < len(damaged)/2+40; i++ {
+		damaged[i] ^= 0xff
+	}
+	_, err = decoder.Decode(records[0].Key, damaged)
+	c.Check(err, qt.IsNotNil)
+	decoded, err := decoder.Decode(records[0].Key, records[0].Value) // the damaged text leaves no trace in the decoder
+	c.Assert(err, qt.IsNil)
+	c.Check(decoded.Change.(gateway.JobResultAppended).Result.Text, qt.Equals, outputOf(20))
+}
