--- a/batchjob/format_test.go
+++ b/batchjob/format_test.go
@@ -12,6 +12,12 @@
 // Guards against results without their text at VMs of an older version, which cannot read compressed records, while VMs are
 // updated one by one.
 func TestRecordsAreCompressedOnceAllVMsReadThem(t *testing.T) {
+	for _, reported := range []bool{false, true} { // whether the VMs are known from reports before they are listed
+		checkJobLogFormat(t, reported)
+	}
+}
+
+func checkJobLogFormat(t *testing.T, reported bool) {
 	c := qt.New(t)
 	for _, test := range []struct {
 		peers []cs.JobLogFormat
@@ -26,6 +32,9 @@
 		var listed gateway.VMsRead
 		for i, format := range test.peers {
 			id := cs.VMID(rune('b' + i))
+			if reported {
+				v.inbox = append(v.inbox, gateway.PeerReported{Address: "10.0.0.2:1", Report: gateway.Report{From: id, Incarnation: 1, Seq: 1}})
+			}
 			listed.Changes = append(listed.Changes, gateway.VMChange{ID: id, VM: &cs.VM{ID: id, DataCentre: "a", Incarnation: 1, JobLogFormat: format}})
 		}
 		v.inbox = append(v.inbox, listed, gateway.JobSubmitted{Query: 1, Spec: newJob("j", 1)})
@@ -33,6 +42,6 @@
 			v.tick(startTime)
 		}
 		c.Assert(v.appends, qt.HasLen, 1)
-		c.Check(v.appends[0].Format, qt.Equals, test.want, qt.Commentf("peers %v", test.peers))
+		c.Check(v.appends[0].Format, qt.Equals, test.want, qt.Commentf("peers %v, reported first: %t", test.peers, reported))
 	}
 }
