--- a/entry/activity.go
+++ b/entry/activity.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/platform"
 )
 
 // activityPeriod is the interval of the log line on the process's activity.
@@ -17,8 +18,7 @@
 type activity struct {
 	ticks                        int64
 	reportsSent, reportsReceived int64
-	storeCalls                   int64
-	storeReceived                cs.Bytes
+	store                        platform.StoreTraffic
 	processorTime                cs.Span
 }
 
@@ -44,7 +44,7 @@
 func (v *VM) readActivity() activity {
 	a := activity{ticks: v.loop.Ticks(), processorTime: v.processorTime()}
 	a.reportsSent, a.reportsReceived = v.gossip.Traffic()
-	a.storeCalls, a.storeReceived = v.store.Traffic()
+	a.store = v.store.Traffic()
 	return a
 }
 
@@ -53,8 +53,7 @@
 	e.Int64("ticks", to.ticks-from.ticks).
 		Int64("reportsSent", to.reportsSent-from.reportsSent).
 		Int64("reportsReceived", to.reportsReceived-from.reportsReceived).
-		Int64("storeCalls", to.storeCalls-from.storeCalls).
-		Int64("storeBytes", int64(to.storeReceived-from.storeReceived)).
+		EmbedObject(to.store.Sub(from.store)).
 		Int64("processorMs", int64(to.processorTime-from.processorTime)).
 		Msg("activity")
 }
