Back off from failed appends to the job log

An append that the store rejected was sent again after 250 ms, one without an answer after 150 ms, by all VMs at the same moments and for as long as the store was slow; a VM waited 1.5 s for the answer although the store lets 2 s wait, so that each append counted twice in its queue.

The pause now doubles with each failure up to 2 s and is random, the time-out grows from 1.5 s to 5 s, and the first success ends both. TestFailedAppendsBackOff counts the appends of 20 s without a success: 95 and 96 with the pauses and the time-out kept from growing, at most 30 with this change. The time-out became a field of AppendJobs, since the control loop decides it; TestAppendOutcomes sets the 1.5 s that it had before.

--- a/batchjob/append.go
+++ b/batchjob/append.go
@@ -36,20 +36,23 @@
 		requeueInFlight(t, now.Add(randomDelay(t, conflictBackoffStep*cs.Span(min(l.Conflicts, maxConflictBackoffSteps)))))
 	case gateway.AppendRejected:
 		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "notAppended", Reason: o.Reason, Count: len(l.InFlight.Changes)})
+		backOff(t, now, rejectedRetryDelay)
 		if l.Attempts > 1 {
-			l.ResendNeeded, l.RetryAt = true, now.Add(rejectedRetryDelay)
+			l.ResendNeeded = true
 			return
 		}
-		requeueInFlight(t, now.Add(rejectedRetryDelay))
+		requeueInFlight(t, l.RetryAt)
 	case gateway.AppendOutOfSequence:
 		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "outOfSequence", Reason: o.Reason, Count: len(l.InFlight.Changes)})
 		l.Epoch++ // the store accepts any sequence number as the first one of an epoch
 		l.Seq = 0
 		l.InFlight.Epoch, l.InFlight.Seq = l.Epoch, l.Seq
-		l.ResendNeeded, l.RetryAt = true, now.Add(unknownRetryDelay)
+		backOff(t, now, unknownRetryDelay)
+		l.ResendNeeded = true
 	case gateway.AppendUnknown:
 		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "unknown", Reason: o.Error, Count: len(l.InFlight.Changes)})
-		l.ResendNeeded, l.RetryAt = true, now.Add(unknownRetryDelay)
+		backOff(t, now, unknownRetryDelay)
+		l.ResendNeeded = true
 		out.Add(gateway.ReadJobs{})
 	}
 }
@@ -84,7 +87,7 @@
 	if l.InFlight.ExpectedEnd == cs.NoOffset {
 		l.Seq++
 	}
-	l.InFlight, l.Proposals, l.ResendNeeded, l.Attempts, l.RetryAt, l.Conflicts = nil, nil, false, 0, 0, 0
+	l.InFlight, l.Proposals, l.ResendNeeded, l.Attempts, l.RetryAt, l.Conflicts, l.Failures = nil, nil, false, 0, 0, 0, 0
 }
 
 // resolveInFlight uses records read from the log to determine whether the append in flight took
--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -9,10 +9,6 @@
 
 // Retries and limits of appends to the job log.
 const (
-	// rejectedRetryDelay is the pause after the store has rejected an append.
-	rejectedRetryDelay = 250 * cs.Millisecond
-	// unknownRetryDelay is the pause before an append with an unknown outcome is sent again.
-	unknownRetryDelay = 150 * cs.Millisecond
 	// conflictBackoffStep is the upper bound of the random pause after a conflict with another append.
 	// It grows by one step with each consecutive conflict, so that VMs that append at the same time are
 	// unlikely to collide again.
@@ -43,6 +39,7 @@
 		if l.ResendNeeded && l.RequiredEnd <= l.End {
 			l.ResendNeeded = false
 			l.Attempts++
+			l.InFlight.Timeout = timeoutAfter(l.Failures)
 			out.Add(*l.InFlight) // the store applies the same append at most once
 		}
 		return
@@ -84,7 +81,7 @@
 	l.Number++
 	a := gateway.AppendJobs{
 		AppendID: appendID, ExpectedEnd: cs.NoOffset, Epoch: l.Epoch, Seq: l.Seq,
-		Changes: b.changes,
+		Changes: b.changes, Timeout: timeoutAfter(l.Failures),
 	}
 	if conditional {
 		a.ExpectedEnd = l.End
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -83,6 +83,8 @@
 		Epoch       uint64
 		Seq         uint64
 		Changes     []JobChange
+		// Timeout is how long the response is waited for.
+		Timeout cs.Span
 	}
 	// LeaveGroup ends this VM's membership in the batch group and so gives up its partitions.
 	LeaveGroup struct{}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -254,4 +254,6 @@
 	// Conflicts counts consecutive conditional appends that failed because the log did not end at the
 	// expected offset.
 	Conflicts int
+	// Failures counts consecutive appends that the store rejected or did not confirm.
+	Failures int
 }
