--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -85,6 +85,8 @@
 		Changes     []JobChange
 		// Format is that of the records, which all VMs must be able to read.
 		Format cs.JobLogFormat
+		// Timeout is how long the response is waited for.
+		Timeout cs.Span
 	}
 	// LeaveGroup ends this VM's membership in the batch group and so gives up its partitions.
 	LeaveGroup struct{}
