Answer for jobs that this VM has accepted before it has read them

An append that succeeded was applied only if no unread records precede it in the log; on a VM whose reads fail there are always some, soon after the first of its peers has appended.

Change: the jobs that this VM has accepted, and the ends that it has recorded, apply as soon as their append succeeds. Their order among the records does not matter. Results keep waiting for the read, since their positions are those of the log. Items of such a job do not start before the job has been read: there may be results of it among the unread records, if another VM has accepted it as well. An earlier removal of a job with the same ID, which is read later, removes what was read of the earlier job only.

TestAcceptingVMKnowsItsJobs failed before (no answer to the query for a body in its tick). TestEarlierRemovalDoesNotDropAcceptedJob passed before and guards the change.

--- a/batchjob/apply.go
+++ b/batchjob/apply.go
@@ -8,19 +8,39 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// ApplyJobLog updates the jobs of this VM with the records read from the job log.
+// ApplyJobLog updates the jobs of this VM with the records read from the job log and with its own appends.
 func ApplyJobLog(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	for _, e := range t.Events {
-		read, ok := e.(gateway.JobsRead)
-		if !ok {
-			continue
+		switch e := e.(type) {
+		case gateway.JobsRead:
+			if e.Snapshot {
+				applySnapshot(t, now, e, out)
+			} else {
+				applyNewRecords(t, now, e, out)
+			}
+			resolveInFlight(t, now, e, out)
+		case gateway.JobsAppended:
+			if done, ok := e.Outcome.(gateway.AppendDone); ok {
+				applyOwnAppend(t, now, e.Number, done, out)
+			}
+		default:
 		}
-		if read.Snapshot {
-			applySnapshot(t, now, read, out)
-		} else {
-			applyNewRecords(t, now, read, out)
+	}
+}
+
+// applyOwnAppend applies the jobs that this VM has accepted and ended, although records that precede its append may not
+// have been read: their order does not matter, unlike that of results.
+func applyOwnAppend(t *gateway.Tables, now cs.Instant, number uint64, done gateway.AppendDone, out *gateway.Actions) {
+	appended := t.JobLog.InFlight
+	if appended == nil || appended.AppendID.Number != number {
+		return // completed by a read, which has brought its records
+	}
+	for _, c := range appended.Changes {
+		switch c.(type) {
+		case gateway.JobOpened, gateway.JobEnded:
+			applyChange(t, now, done.From, c, out)
+		case gateway.JobResultAppended, gateway.ProgressSaved, gateway.JobRemoved:
 		}
-		resolveInFlight(t, now, read, out)
 	}
 }
 
@@ -81,9 +101,7 @@
 	switch c := c.(type) {
 	case gateway.JobOpened:
 		if t.Jobs.Get(c.Spec.ID) == nil {
-			t.Jobs.Insert(c.Spec.ID, gateway.Job{
-				Spec: c.Spec, Opened: offset, FirstReadAt: now, ItemWork: make([]gateway.ItemWork, len(c.Spec.Items)),
-			})
+			insertJob(t, c.Spec, offset, now)
 		}
 	case gateway.JobResultAppended:
 		if j := t.Jobs.Get(c.Job); j != nil {
@@ -100,12 +118,27 @@
 		}
 	case gateway.JobRemoved:
 		if j := t.Jobs.Get(c.Job); j != nil {
-			stopJobRuns(t, j, out)
-			t.Jobs.Delete(c.Job)
+			removeJob(t, j, offset, out)
 		}
 	}
 }
 
+// insertJob adds a job without results that was opened at an offset.
+func insertJob(t *gateway.Tables, spec gateway.JobSpec, opened cs.Offset, now cs.Instant) {
+	t.Jobs.Insert(spec.ID, gateway.Job{Spec: spec, Opened: opened, FirstReadAt: now, ItemWork: make([]gateway.ItemWork, len(spec.Items))})
+}
+
+// removeJob removes a job. If this VM has accepted the job again at a later offset, only what was read of the earlier one
+// is removed.
+func removeJob(t *gateway.Tables, j *gateway.Job, offset cs.Offset, out *gateway.Actions) {
+	stopJobRuns(t, j, out)
+	if j.Opened > offset {
+		insertJob(t, j.Spec, j.Opened, j.FirstReadAt)
+		return
+	}
+	t.Jobs.Delete(j.Spec.ID)
+}
+
 // applyResult adds the result of an item. Only the first result of an item in the log counts; the keys
 // of all its records are kept so that they can be deleted with the job.
 func applyResult(t *gateway.Tables, j *gateway.Job, c gateway.JobResultAppended, out *gateway.Actions) {
--- a/batchjob/known_test.go
+++ b/batchjob/known_test.go
@@ -105,3 +105,66 @@
 		})
 	}
 }
+
+// Guards against a VM that cannot read the log and denies a job that it has accepted itself, because the records before
+// that job in the log are missing.
+func TestAcceptingVMKnowsItsJobs(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	other, v := newVM("b"), newVM("a", 0, 1, 2, 3)
+	submit(other, l, newJob("k", 1), 1, startTime)
+	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: startTime})
+	spec := newJob("j", 2)
+	spec.Items[1].Body = []byte("body")
+	submit(v, l, spec, 1, startTime)
+	c.Assert(accepted(v, 1), qt.IsTrue)
+	now := startTime.Add(cs.Second)
+	v.inbox = append(v.inbox, gateway.ItemBodyRequested{Query: 2, Job: "j", Item: "j-1"}, gateway.JobSubmitted{Query: 3, Spec: spec},
+		gateway.ResultsRequested{Query: 4, Job: "j"})
+	v.tick(now)
+	c.Assert(v.answers[2], qt.DeepEquals, gateway.Action(gateway.AnswerBody{Query: 2, Body: []byte("body")}))
+	c.Assert(accepted(v, 3), qt.IsTrue)
+	c.Assert(v.answers[4], qt.IsNil)
+	c.Assert(v.started, qt.HasLen, 0, qt.Commentf("the items may have results among the records that were not read"))
+	v.tick(now.Add(cs.Second))
+	c.Assert(v.answers[4].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+	now = now.Add(2 * cs.Second)
+	v.inbox = append(v.inbox, gateway.JobEndRequested{Query: 5, Job: "j"})
+	v.tick(now)
+	v.completeAppends(l)
+	v.tick(now)
+	c.Assert(accepted(v, 5), qt.IsTrue)
+	c.Assert(v.Jobs.Get("j").Ended, qt.IsTrue)
+	c.Assert(l.records, qt.HasLen, 3)
+	v.readLog(l, now)
+	v.inbox = append(v.inbox, gateway.PartitionsAssigned{Partitions: []int{0, 1, 2, 3}})
+	v.tick(now)
+	v.tick(now.Add(cs.Second))
+	c.Assert(v.Jobs.Len(), qt.Equals, 2)
+	c.Assert(v.started, qt.HasLen, 1)
+	c.Assert(v.started[0].Key.Job, qt.Equals, cs.JobID("k"))
+}
+
+// Guards against a job that was accepted once more after its removal and is dropped when its VM reads the removal, or
+// keeps results and the end of the removed one.
+func TestEarlierRemovalDoesNotDropAcceptedJob(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	v := newVM("a")
+	l.records = append(l.records, gateway.JobRecord{Offset: 0, Change: gateway.JobOpened{Spec: newJob("j", 2)}})
+	appendResults(l, "j", 1)
+	for _, change := range []gateway.JobChange{gateway.JobEnded{Job: "j"}, gateway.JobRemoved{Job: "j"}} {
+		l.records = append(l.records, gateway.JobRecord{Offset: cs.Offset(len(l.records)), Change: change})
+	}
+	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: startTime})
+	submit(v, l, newJob("j", 2), 1, startTime)
+	c.Assert(accepted(v, 1), qt.IsTrue)
+	appendResults(l, "j", 0)
+	v.readLog(l, startTime)
+	v.tick(startTime)
+	j := v.Jobs.Get("j")
+	c.Assert(j, qt.IsNotNil)
+	c.Assert(j.Ended, qt.IsFalse)
+	c.Assert(j.Results, qt.HasLen, 1)
+	c.Assert(j.Results[0].Item, qt.Equals, cs.ItemID("j-0"))
+}
--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -180,8 +180,8 @@
 func waitingItems(t *gateway.Tables, now cs.Instant, out *gateway.Actions) []candidate {
 	var waiting []candidate
 	for id, j := range t.Jobs.All() {
-		if !j.Open() || !owns(t, id) {
-			continue
+		if !j.Open() || !owns(t, id) || j.Opened >= t.JobLog.End {
+			continue // a job beyond the end may have results among the records that have not been read
 		}
 		route := t.Catalog.Route(j.Spec.Route)
 		if route == nil && t.Feeds[gateway.FeedCatalog].AsOf < j.FirstReadAt {
