Do not deny jobs whose record cannot be decoded

It cannot tell what the job is, but the log shows that there is one, and another VM may know it.

Change: a record that holds a specification and cannot be decoded names its job. The VM keeps what it knows of that job, or answers 503 at once. The caller may submit the job again, which writes a new specification.

TestUndecodableJobIsNotDenied and TestUndecodableSpecificationNamesItsJob need the new field.

--- a/batchjob/apply.go
+++ b/batchjob/apply.go
@@ -48,7 +48,12 @@
 // the snapshot. For jobs that are still present, the state of runs at this VM is kept.
 func applySnapshot(t *gateway.Tables, now cs.Instant, read gateway.JobsRead, out *gateway.Actions) {
 	present := make(map[cs.JobID]bool)
+	t.UnreadableJobs.DeleteFunc(func(cs.JobID, *gateway.UnreadableJob) bool { return true })
 	for _, r := range read.Records {
+		if r.Unreadable != "" {
+			present[r.Unreadable] = true
+			noteUnreadable(t, r)
+		}
 		if opened, ok := r.Change.(gateway.JobOpened); ok {
 			present[opened.Spec.ID] = true
 			applyChange(t, now, r.Offset, r.Change, out)
@@ -91,6 +96,7 @@
 		if r.Change != nil {
 			applyChange(t, now, r.Offset, r.Change, out)
 		}
+		noteUnreadable(t, r)
 		t.JobLog.End = r.Offset + 1
 	}
 }
@@ -120,11 +126,22 @@
 		if j := t.Jobs.Get(c.Job); j != nil {
 			removeJob(t, j, offset, out)
 		}
+		if j := t.UnreadableJobs.Get(c.Job); j != nil && j.At <= offset {
+			t.UnreadableJobs.Delete(c.Job)
+		}
+	}
+}
+
+// noteUnreadable records that a job exists whose specification could not be decoded, unless it is known.
+func noteUnreadable(t *gateway.Tables, r gateway.JobRecord) {
+	if r.Unreadable != "" && t.Jobs.Get(r.Unreadable) == nil {
+		t.UnreadableJobs.Insert(r.Unreadable, gateway.UnreadableJob{At: r.Offset})
 	}
 }
 
 // insertJob adds a job without results that was opened at an offset.
 func insertJob(t *gateway.Tables, spec gateway.JobSpec, opened cs.Offset, now cs.Instant) {
+	t.UnreadableJobs.Delete(spec.ID)
 	t.Jobs.Insert(spec.ID, gateway.Job{Spec: spec, Opened: opened, FirstReadAt: now, ItemWork: make([]gateway.ItemWork, len(spec.Items))})
 }
 
--- a/batchjob/builder.go
+++ b/batchjob/builder.go
@@ -126,7 +126,7 @@
 	j := b.t.Jobs.Get(p.Job)
 	switch {
 	case j == nil:
-		refusal := refuseAsOf(b.t, p.Since, unknownJobRefusal(), b.now, b.out)
+		refusal := refuseUnknownJob(b.t, p.Job, p.Since, b.now, b.out)
 		if refusal == nil {
 			return false
 		}
--- a/batchjob/known_test.go
+++ b/batchjob/known_test.go
@@ -168,3 +168,35 @@
 	c.Assert(j.Results, qt.HasLen, 1)
 	c.Assert(j.Results[0].Item, qt.Equals, cs.ItemID("j-0"))
 }
+
+// Guards against 404 for an accepted job whose specification this VM cannot decode, and against dropping such a job from the
+// tables when a snapshot brings what cannot be decoded in the place of its specification.
+func TestUndecodableJobIsNotDenied(t *testing.T) {
+	for name, snapshot := range map[string]bool{"read of changes": false, "snapshot": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			v := newVM("a")
+			l := &jobLog{}
+			submit(v, l, newJob("known", 1), 100, startTime)
+			records := []gateway.JobRecord{{Offset: 1, Unreadable: "j"}, {Offset: 2, Unreadable: "known"}}
+			now := startTime.Add(cs.Second)
+			v.inbox = append(v.inbox, gateway.JobsRead{Snapshot: snapshot, From: 1, End: 3, Records: records},
+				gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: now})
+			v.tick(now)
+			c.Assert(v.Jobs.Get("known"), qt.IsNotNil)
+			v.inbox = append(v.inbox, gateway.ResultsRequested{Query: 1, Job: "j"}, gateway.ItemBodyRequested{Query: 2, Job: "j", Item: "i"},
+				gateway.JobEndRequested{Query: 3, Job: "j"}, gateway.ItemBodyRequested{Query: 4, Job: "known", Item: "known-0"},
+				gateway.ResultsRequested{Query: 5, Job: "none"})
+			v.tick(now)
+			c.Check(v.answers[1].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+			c.Check(v.answers[2].(gateway.AnswerBody).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+			c.Check(v.answers[3].(gateway.AnswerJob).Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+			c.Check(v.answers[4].(gateway.AnswerBody).Refusal == nil, qt.IsTrue)
+			c.Check(v.answers[5].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonNotFound)
+			v.inbox = append(v.inbox, gateway.JobsRead{From: 3, End: 4, Records: []gateway.JobRecord{{Offset: 3, Change: gateway.JobRemoved{Job: "j"}}}},
+				gateway.ResultsRequested{Query: 6, Job: "j"})
+			v.tick(now)
+			c.Check(v.answers[6].(gateway.AnswerResults).Refusal.Reason, qt.Equals, cs.ReasonNotFound)
+		})
+	}
+}
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -73,7 +73,7 @@
 	t.ResultsQueries.DeleteFunc(func(q gateway.QueryID, query *gateway.ResultsQuery) bool {
 		j := t.Jobs.Get(query.Job)
 		if j == nil {
-			refusal := refuseAsOf(t, query.Arrived, unknownJobRefusal(), now, out)
+			refusal := refuseUnknownJob(t, query.Job, query.Arrived, now, out)
 			if refusal != nil {
 				refuseResults(t, q, query.Job, refusal, now, out)
 			}
@@ -108,6 +108,15 @@
 	return true
 }
 
+// refuseUnknownJob returns the refusal of a request for a job that this VM does not know, or nil while the request must
+// wait.
+func refuseUnknownJob(t *gateway.Tables, job cs.JobID, arrived cs.Instant, now cs.Instant, out *gateway.Actions) *cs.Refusal {
+	if t.UnreadableJobs.Get(job) != nil {
+		return &cs.Refusal{Reason: cs.ReasonUnavailable, Message: "the record of the job cannot be read"}
+	}
+	return refuseAsOf(t, arrived, unknownJobRefusal(), now, out)
+}
+
 // refuseAsOf returns the refusal of a request that rests on what the job log does not hold, such as a job or
 // free quota, or nil while the request must wait. It stands only if the state of the log that this VM has applied
 // is not older than the request: another VM may have appended in the meantime. If no such state is read in time,
@@ -152,7 +161,7 @@
 		a := gateway.AnswerBody{Query: q}
 		if j := t.Jobs.Get(query.Job); j != nil {
 			a.Body, a.Refusal = itemBody(j, query.Item)
-		} else if a.Refusal = refuseAsOf(t, query.Arrived, unknownJobRefusal(), now, out); a.Refusal == nil {
+		} else if a.Refusal = refuseUnknownJob(t, query.Job, query.Arrived, now, out); a.Refusal == nil {
 			return false
 		}
 		out.Add(a)
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -65,6 +65,12 @@
 // Complete reports whether all items have a result, so that no more will be listed.
 func (j *Job) Complete() bool { return len(j.Results) == len(j.Spec.Items) }
 
+// UnreadableJob is a job of the job log of which this VM knows only that it exists.
+type UnreadableJob struct {
+	// At is the offset of a record of its specification.
+	At cs.Offset
+}
+
 // ItemPhase is the state of a batch item at this VM.
 type ItemPhase int
 
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -42,6 +42,8 @@
 	// PossibleCrashes are the lost connections of which it is not yet known whether the runner has crashed.
 	PossibleCrashes []PossibleCrash
 	Jobs            *fleet.Table[cs.JobID, Job]
+	// UnreadableJobs holds the jobs that are in the job log with a specification that could not be decoded.
+	UnreadableJobs *fleet.Table[cs.JobID, UnreadableJob]
 	// Proposals are the changes that wait for an append to the job log, in the order of their arrival.
 	Proposals []Proposal
 	// ResultsQueries holds the requests for the results of a job that have not been answered.
@@ -72,6 +74,7 @@
 		Suspects:       fleet.NewTable[SuspectKey, Suspect](),
 		BegunParts:     fleet.NewTable[cs.PromptPart, cs.Instant](),
 		Jobs:           fleet.NewTable[cs.JobID, Job](),
+		UnreadableJobs: fleet.NewTable[cs.JobID, UnreadableJob](),
 		ResultsQueries: fleet.NewTable[QueryID, ResultsQuery](),
 		BodyQueries:    fleet.NewTable[QueryID, BodyQuery](),
 		Feeds: map[Feed]*FeedState{
--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -202,7 +202,7 @@
 	}
 	var r jobRecord
 	if err := jobDecoder.Unmarshal(value, &r); err != nil {
-		return gateway.JobRecord{}, err
+		return unreadable(kind, job, gateway.JobRecord{}), err
 	}
 	out := gateway.JobRecord{AppendID: gateway.AppendID{Writer: r.Writer, Number: r.Number}}
 	switch {
@@ -215,7 +215,7 @@
 	case kind == keyKindSpec:
 		spec, err := d.addChunk(job, n, r)
 		if err != nil {
-			return out, err
+			return unreadable(kind, job, out), err
 		}
 		if spec != nil {
 			out.Change = gateway.JobOpened{Spec: *spec}
@@ -226,6 +226,14 @@
 	return out, nil
 }
 
+// unreadable returns a record that could not be decoded.
+func unreadable(kind string, job cs.JobID, r gateway.JobRecord) gateway.JobRecord {
+	if kind == keyKindSpec {
+		r.Unreadable = job
+	}
+	return r
+}
+
 // addChunk buffers a chunk and returns the specification once all of its chunks are there.
 func (d *JobDecoder) addChunk(job cs.JobID, n int, r jobRecord) (*gateway.JobSpec, error) {
 	data := r.Chunk
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -97,6 +97,22 @@
 	}
 }
 
+// Guards against a job that counts as missing since its specification cannot be decoded.
+func TestUndecodableSpecificationNamesItsJob(t *testing.T) {
+	c := qt.New(t)
+	for key, want := range map[string]cs.JobID{"j/a/0": "a", "j/a/1": "a", "r/a/0/1-1": "", "e/a/0": "", "p/a/0": "", "x/a/0": ""} {
+		for _, value := range []string{"\xff\xff", "\xa1\x61k\x01"} {
+			var decoder wire.JobDecoder
+			decoded, err := decoder.Decode(key, []byte(value))
+			if key == "e/a/0" && err == nil {
+				continue // an end has no payload
+			}
+			c.Assert(err, qt.IsNotNil, qt.Commentf(key))
+			c.Assert(decoded.Unreadable, qt.Equals, want, qt.Commentf(key))
+		}
+	}
+}
+
 // Guards against a position outside of a job, which would end each VM that reads the record, whenever it starts.
 func TestJobLogRecordWithPositionOutOfRange(t *testing.T) {
 	c := qt.New(t)
