Let one VM probe a quarantined part

What callers saw: a request with a quarantined part that is let through crashes a runner, with the other requests on it.

Cause: VMs got the right to probe 100 ms after each other and kept it, and what one sends is known to all after up to 125 ms at 121 VMs, plus the network. The more VMs have the right, the more often two use it within that time.

Ruled out: the suspects reach all VMs in time there (TestPartThatCrashesRunnersIsQuarantined, many VMs, passed before).

Claims are in each VM's report and relayed with it. Of VMs that claim at the same time the first in the order of the part sends. A claim lapses if nothing was sent, as when the caller leaves. A probe is recorded when it is sent, not when it arrives. The claims are a new field of the report, which older VMs ignore.

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -202,6 +202,9 @@
 				continue
 			}
 			if part, ok := t.QuarantinedPart(j.Spec.Items[i].Parts); ok && !t.MayProbe(part, now) {
+				if t.ClaimProbe(part, now) {
+					out.WakeAt(t.ProbeSettledAt(now))
+				}
 				continue // the item is held until the part is released
 			}
 			waiting = append(waiting, candidate{key: k, urgency: urgencyOf(t, j, w, now)})
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -296,3 +296,34 @@
 	c.Check(unjustRefusals(f), qt.Equals, 0)
 	c.Check(largest <= maxDatagram, qt.IsTrue, qt.Commentf("a report of %d bytes", largest))
 }
+
+// lateProbes counts the requests with the deadly part that reached runners after the given time of a day.
+func lateProbes(f *simFleet, length, after cs.Span) int {
+	n := 0
+	for _, s := range f.dispatches {
+		if s.at > f.now.Add(after-length) && slices.Contains(s.parts, deadlyPart) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against several VMs that let a request with a quarantined part pass at the same time: each crashes a runner, and
+// one would have shown that the cause is still there.
+func TestOneVMProbesQuarantinedPart(t *testing.T) {
+	for seed := range uint64(3) {
+		d := deadlyDay{
+			vms: 60, runners: 45, perSecond: 20, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 8, seed: seed, length: 24 * cs.Second,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at >= 15*cs.Second && at%(400*cs.Millisecond) == 0 {
+					for range 8 {
+						f.send(f.anyVM(), firstPart, deadlyPart)
+					}
+				}
+			},
+		}
+		c := qt.New(t)
+		f := d.play()
+		c.Check(lateProbes(f, d.length, 15*cs.Second), qt.Equals, 1)
+	}
+}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -37,11 +37,11 @@
 			continue
 		}
 		if part, ok := t.QuarantinedPart(f.Parts); ok {
-			if f.Probe = t.MayProbe(part, now); !f.Probe {
+			if f.Probe = t.ClaimProbe(part, now); !f.Probe {
 				refuse(now, &f, quarantineRefusal(&f), out)
 				continue
 			}
-			t.RecordProbe(part, now, out)
+			f.NotBefore = t.ProbeSettledAt(now)
 		}
 		if t.Drain.Phase >= fleet.DrainFinishing {
 			refuse(now, &f, cs.Refusal{Reason: cs.ReasonLeaving, Message: "this VM is leaving"}, out)
@@ -136,7 +136,7 @@
 // it may still be sent.
 func terminalRefusal(t *gateway.Tables, f *gateway.Forward, now cs.Instant) *cs.Refusal {
 	ran := ranSoFar(f)
-	if _, quarantined := t.QuarantinedPart(f.Parts); quarantined && (!f.Probe || f.Attempt > 0) {
+	if part, quarantined := t.QuarantinedPart(f.Parts); quarantined && (!f.Probe || f.Attempt > 0 || !t.HoldsProbeClaim(part, now)) {
 		refusal := quarantineRefusal(f)
 		return &refusal
 	}
@@ -176,6 +176,9 @@
 
 // dispatchTo sends a request to a runner and counts it as in flight there.
 func dispatchTo(t *gateway.Tables, f *gateway.Forward, r *gateway.Runner, now cs.Instant, out *gateway.Actions) {
+	if part, quarantined := t.QuarantinedPart(f.Parts); quarantined {
+		t.RecordProbe(part, now, out)
+	}
 	load := r.Load()
 	r.Online++
 	r.TakeToken(now)
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -33,6 +33,8 @@
 	BatchDemand int
 	// Demands is the peer's demand for the free capacity of services.
 	Demands []DemandReport
+	// ProbeClaims are the quarantined parts of which the peer claims a probe.
+	ProbeClaims []cs.PromptPart
 	// SentTo holds the requests that the peer has sent to runners while they named a limit, as last reported.
 	SentTo map[cs.RunnerID]uint32
 }
@@ -80,6 +82,8 @@
 	Limits []LimitReport `cbor:"m,omitempty"`
 	// Suspects lists what the sender suspects of crashing runners.
 	Suspects []SuspectReport `cbor:"p,omitempty"`
+	// ProbeClaims lists the quarantined parts of which the sender claims a probe.
+	ProbeClaims []cs.PromptPart `cbor:"h,omitempty"`
 	// Departures lists the runners that are leaving or have left.
 	Departures []DepartureReport `cbor:"e,omitempty"`
 	// Relayed lists the latest reports of VMs of the sender's group.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
 )
 
 const (
@@ -22,9 +23,8 @@
 	// probeTimeout is the time after which another request may pass if no outcome of the last one is known. It exceeds the
 	// time in which a crash becomes known.
 	probeTimeout = 7 * cs.Second
-	// probeStagger is the time between VMs being allowed to let a request pass, in which they learn from a report that one
-	// of them has.
-	probeStagger = 100 * cs.Millisecond
+	// maxProbeClaims is the number of parts of which a VM claims a probe at the same time, since its reports list them.
+	maxProbeClaims = 4
 )
 
 // Quarantine lists the parts of prompts that crash runners, in ascending order.
@@ -124,29 +124,88 @@
 	return 2*common > len(other.Crashes)
 }
 
-// quarantineTime returns how long after its last crash a part is quarantined without exception.
-func (s *Suspect) quarantineTime() cs.Span {
-	return min(max(s.LastCrashAt.Sub(s.FirstCrashAt), minQuarantine), maxQuarantine)
+// nextProbeAt returns when a request with the part may be let through.
+func (s *Suspect) nextProbeAt() cs.Instant {
+	at := s.LastCrashAt.Add(min(max(s.LastCrashAt.Sub(s.FirstCrashAt), minQuarantine), maxQuarantine))
+	if s.ProbedAt != 0 {
+		at = max(at, s.ProbedAt.Add(probeTimeout))
+	}
+	return at
+}
+
+// ClaimProbe reports whether a request that this VM has may be let through although a part of its prompt is quarantined. It
+// must wait until ProbeSettledAt, and be sent only if MayProbe then allows it: VMs that claim a probe at the same time learn
+// of each other's claims, and one of them sends it.
+func (t *Tables) ClaimProbe(p cs.PromptPart, now cs.Instant) bool {
+	s := t.Suspects.Get(PartKey(p))
+	switch {
+	case s == nil || now < s.nextProbeAt() || t.claimsProbe(s, now):
+		return false
+	case t.Drain.Phase != fleet.DrainNone || len(t.ProbeClaims(now)) == maxProbeClaims:
+		return false
+	}
+	if _, claimed := t.peerProbeClaim(p); claimed {
+		return false
+	}
+	s.ClaimedAt, s.ChangedAt = now, now
+	return true
 }
 
-// MayProbe reports whether this VM may send one request with a quarantined part to a runner, which RecordProbe records.
-// The VMs get this right one after the other, so that one that has such a request sends it and the others learn of it.
+// ProbeSettledAt returns when peers have learned of the claim that this VM makes now, and this VM of theirs.
+func (t *Tables) ProbeSettledAt(now cs.Instant) cs.Instant { return now.Add(t.partSettleTime()) }
+
+// MayProbe reports whether this VM may now send one request with a quarantined part to a runner, which RecordProbe records.
 func (t *Tables) MayProbe(p cs.PromptPart, now cs.Instant) bool {
+	return t.HoldsProbeClaim(p, now) && now >= t.ProbeSettledAt(t.Suspects.Get(PartKey(p)).ClaimedAt)
+}
+
+// claimsProbe reports whether this VM claims a probe of a suspect. A claim lapses if the probe is not sent, since its
+// caller has left or no runner is free.
+func (t *Tables) claimsProbe(s *Suspect, now cs.Instant) bool {
+	return s.ClaimedAt != 0 && now.Sub(s.ClaimedAt) < 2*t.partSettleTime()
+}
+
+// HoldsProbeClaim reports whether this VM claims a probe of a quarantined part, and no VM before it in the order of the
+// part does.
+func (t *Tables) HoldsProbeClaim(p cs.PromptPart, now cs.Instant) bool {
 	s := t.Suspects.Get(PartKey(p))
-	if s == nil {
+	if s == nil || !t.claimsProbe(s, now) || now < s.nextProbeAt() {
 		return false
 	}
-	allowed := s.LastCrashAt.Add(s.quarantineTime())
-	if s.ProbedAt != 0 {
-		allowed = max(allowed, s.ProbedAt.Add(probeTimeout))
+	weight, claimed := t.peerProbeClaim(p)
+	return !claimed || weight < probeWeight(p, t.Self.ID)
+}
+
+// peerProbeClaim returns the highest weight of the peers that claim a probe of a part, if there are any.
+func (t *Tables) peerProbeClaim(p cs.PromptPart) (weight uint64, claimed bool) {
+	for id, peer := range t.Peers.All() {
+		if peer.LastReportAt != 0 && !peer.VM.Leaving && slices.Contains(peer.ProbeClaims, p) {
+			weight, claimed = max(weight, probeWeight(p, id)), true
+		}
+	}
+	return weight, claimed
+}
+
+// probeWeight returns the rendezvous hashing weight of a VM for the probe of a part.
+func probeWeight(p cs.PromptPart, id cs.VMID) uint64 {
+	return cs.RendezvousWeight("part/"+strconv.FormatUint(uint64(p), 16), string(id))
+}
+
+// ProbeClaims returns the parts of which this VM claims a probe, in ascending order.
+func (t *Tables) ProbeClaims(now cs.Instant) []cs.PromptPart {
+	var parts []cs.PromptPart
+	for _, p := range t.Quarantine.Parts {
+		if s := t.Suspects.Get(PartKey(p)); s != nil && t.claimsProbe(s, now) {
+			parts = append(parts, p)
+		}
 	}
-	return now >= allowed && now >= allowed.Add(cs.Span(t.liveVMRank("part/"+strconv.FormatUint(uint64(p), 16)))*probeStagger)
+	return parts
 }
 
 // RecordProbe records that this VM sends a request with a quarantined part to a runner.
 func (t *Tables) RecordProbe(p cs.PromptPart, now cs.Instant, out *Actions) {
 	if s := t.Suspects.Get(PartKey(p)); s != nil {
-		s.ProbedAt, s.ChangedAt = now, now
+		s.ProbedAt, s.ClaimedAt, s.ChangedAt = now, 0, now
 		out.Note(Note{Kind: NotePromptPartProbed, Parts: []cs.PromptPart{p}, Age: now.Sub(s.LastCrashAt)})
 	}
 }
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -50,6 +50,8 @@
 	ChangedAt cs.Instant
 	// ProbedAt is when a VM last let a request with the quarantined part pass, or 0.
 	ProbedAt cs.Instant
+	// ClaimedAt is when this VM claimed to send such a request, or 0.
+	ClaimedAt cs.Instant
 }
 
 // CrashID identifies the crash of a runner on all VMs: it is a hash of the runner and its incarnation.
@@ -246,7 +248,7 @@
 		s.ChangedAt = now
 	}
 	if len(s.Crashes) == 0 {
-		s.FirstCrashAt, s.LastCrashAt, s.ProbedAt = 0, 0, 0
+		s.FirstCrashAt, s.LastCrashAt, s.ProbedAt, s.ClaimedAt = 0, 0, 0, 0
 	}
 }
 
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -110,7 +110,7 @@
 // differs reports whether VMs outside the group should soon learn what a VM of the group reports after its last report.
 func differs(last, r gateway.Report) bool {
 	return last.Leaving != r.Leaving || last.BatchDemand != r.BatchDemand || len(r.Ejected)+len(r.Refusing)+len(r.Limits) > 0 ||
-		!slices.Equal(last.Loads, r.Loads) || !slices.Equal(last.Demands, r.Demands)
+		!slices.Equal(last.Loads, r.Loads) || !slices.Equal(last.Demands, r.Demands) || !slices.Equal(last.ProbeClaims, r.ProbeClaims)
 }
 
 // applyReport applies a report, unless it is out of date, and returns the peer that it is of, or nil.
@@ -156,6 +156,7 @@
 	if reads := r.Registrations; reads != nil {
 		p.Registrations = gateway.PeerReads{Since: now.Add(-reads.Since - e.Age), AsOf: now.Add(-reads.AsOf - e.Age)}
 	}
+	p.ProbeClaims = r.ProbeClaims
 	setPeerLoad(t, p, r.Loads, r.Demands)
 	return p
 }
--- a/roster/report.go
+++ b/roster/report.go
@@ -89,7 +89,7 @@
 			r.Refusing = append(r.Refusing, gateway.RefusingRunner{Runner: id, Age: age})
 		}
 	}
-	r.Suspects = suspectsToReport(t, now, full)
+	r.Suspects, r.ProbeClaims = suspectsToReport(t, now, full), t.ProbeClaims(now)
 	r.Limits = limitsToReport(t, now, full)
 	r.Departures = departuresToReport(t, now, full)
 	if feed := t.Feeds[gateway.FeedRunners]; feed.ReadableSince != 0 {
@@ -125,7 +125,7 @@
 
 // rowCount returns the number of rows of a report, which determines its size.
 func rowCount(r gateway.Report) int {
-	return 1 + len(r.Loads) + len(r.Ejected) + len(r.Refusing) + len(r.Limits) + len(r.Departures) + len(r.Demands)
+	return 1 + len(r.Loads) + len(r.Ejected) + len(r.Refusing) + len(r.Limits) + len(r.Departures) + len(r.Demands) + len(r.ProbeClaims)
 }
 
 // localLoads returns the number of this VM's requests in flight on each runner that has any.
