Let no VM probe a quarantined part while it is cut off

What callers saw: each VM that is cut off from the others lets a request with the part through for itself, and each crashes a runner.

Cause: the order in which VMs probe counts the VMs that are heard. A VM that hears none is always the first.

Change: a VM claims a probe only if it hears more than half of the VMs that have reported in the last 30 s (liveShare, by which the limits of runners are shared). With no such side nobody probes until the cut has healed or the 30 s are over.

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -327,3 +327,22 @@
 		c.Check(lateProbes(f, d.length, 15*cs.Second), qt.Equals, 1)
 	}
 }
+
+// Guards against VMs that are cut off from the others and let a request with a quarantined part pass each for itself.
+func TestVMsThatAreCutOffDoNotProbe(t *testing.T) {
+	for seed := range uint64(3) {
+		d := deadlyDay{
+			vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 6, seed: seed, length: 30 * cs.Second,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at == 12*cs.Second {
+					for _, v := range f.vms[:6] {
+						v.cutUntil = f.now.Add(14 * cs.Second)
+					}
+				}
+			},
+		}
+		c := qt.New(t)
+		f := d.play()
+		c.Check(lateProbes(f, d.length, 12*cs.Second), qt.Equals, 1)
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -135,13 +135,14 @@
 
 // ClaimProbe reports whether a request that this VM has may be let through although a part of its prompt is quarantined. It
 // must wait until ProbeSettledAt, and be sent only if MayProbe then allows it: VMs that claim a probe at the same time learn
-// of each other's claims, and one of them sends it.
+// of each other's claims, and one of them sends it. A VM that does not hear most of the others does not probe, since each
+// of them may do so as well.
 func (t *Tables) ClaimProbe(p cs.PromptPart, now cs.Instant) bool {
 	s := t.Suspects.Get(PartKey(p))
 	switch {
 	case s == nil || now < s.nextProbeAt() || t.claimsProbe(s, now):
 		return false
-	case t.Drain.Phase != fleet.DrainNone || len(t.ProbeClaims(now)) == maxProbeClaims:
+	case t.Drain.Phase != fleet.DrainNone || t.liveShare(now) <= 0.5 || len(t.ProbeClaims(now)) == maxProbeClaims:
 		return false
 	}
 	if _, claimed := t.peerProbeClaim(p); claimed {
