Count a probe without an outcome like a crash

What callers saw: while the crash of a probe cannot be proved, or its runner refuses the request or falls silent, another request with the quarantined part is sent every 7 s, so that four reach runners within 37 s of the last crash. The platform allows three over the whole outage.

Cause: the time until the next probe grew with the last crash that is known, and a probe without an outcome held up the next one for 7 s only.

Change: the time until the next probe grows with the last crash or probe, whichever is later.

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -346,3 +346,24 @@
 		c.Check(lateProbes(f, d.length, 12*cs.Second), qt.Equals, 1)
 	}
 }
+
+// Guards against probes that follow each other while no crash of them can be proved: each reaches a runner.
+func TestProbeWithoutOutcomeIsNotRepeatedSoon(t *testing.T) {
+	c := qt.New(t)
+	f := newSimFleet(1, 1, 1)
+	vm, crashed := f.vms[0].tables, f.now
+	var out gateway.Actions
+	for id := range gateway.CrashID(3) {
+		vm.RecordCrash(gateway.PartKey(7), gateway.Crash{ID: id, At: crashed, LearnedAt: crashed})
+	}
+	vm.UpdateQuarantine(crashed.Add(cs.Second), &out)
+	probes := 0
+	for now := crashed; now < crashed.Add(59*cs.Second); now = now.Add(100) {
+		if vm.MayProbe(7, now) {
+			vm.RecordProbe(7, now, &out)
+			probes++
+		}
+		vm.ClaimProbe(7, now)
+	}
+	c.Assert(probes, qt.Equals, 2) // 15 and 30 s after the crashes
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -20,9 +20,6 @@
 	// crash, up to maxQuarantine, so that it doubles with each crash of such a probe.
 	minQuarantine = 15 * cs.Second
 	maxQuarantine = 5 * cs.Minute
-	// probeTimeout is the time after which another request may pass if no outcome of the last one is known. It exceeds the
-	// time in which a crash becomes known.
-	probeTimeout = 7 * cs.Second
 	// maxProbeClaims is the number of parts of which a VM claims a probe at the same time, since its reports list them.
 	maxProbeClaims = 4
 )
@@ -124,13 +121,11 @@
 	return 2*common > len(other.Crashes)
 }
 
-// nextProbeAt returns when a request with the part may be let through.
+// nextProbeAt returns when a request with the part may be let through. A probe counts like a crash, whether or not its outcome
+// becomes known, so that it is not repeated soon if the proof of its crash is missing.
 func (s *Suspect) nextProbeAt() cs.Instant {
-	at := s.LastCrashAt.Add(min(max(s.LastCrashAt.Sub(s.FirstCrashAt), minQuarantine), maxQuarantine))
-	if s.ProbedAt != 0 {
-		at = max(at, s.ProbedAt.Add(probeTimeout))
-	}
-	return at
+	last := max(s.LastCrashAt, s.ProbedAt)
+	return last.Add(min(max(last.Sub(s.FirstCrashAt), minQuarantine), maxQuarantine))
 }
 
 // ClaimProbe reports whether a request that this VM has may be let through although a part of its prompt is quarantined. It
