Let a started VM take over a quarantine at once

What callers saw: in the first half second of a VM requests with a part that all others have quarantined long ago crash two runners each, with the other requests on them.

Cause: a crash counts partSettleTime after this VM has learned of it, in which peers may acquit the part. A VM that starts waits for that although its peers have had the time: the crash was proved and reported long ago.

Ruled out: that suspects reach the VM late.

Change: a crash counts at the latest partSettleTime after the end of the time in which crashes are proved (6 s).

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -367,3 +367,31 @@
 	}
 	c.Assert(probes, qt.Equals, 2) // 15 and 30 s after the crashes
 }
+
+// Guards against a VM that has started and lets requests with a part pass that all others have quarantined long ago,
+// since it waits for news that can no longer come.
+func TestStartedVMTakesOverQuarantine(t *testing.T) {
+	const (
+		// heard is after which time nearly all VMs have got a report that lists all suspects: each peer sends one a second.
+		heard = 350 * cs.Millisecond
+		// maxUnheard is how often the 21 requests may reach runners: one VM may not have heard, and sends its request twice.
+		maxUnheard = 2
+	)
+	for _, vms := range []int{21, 60} {
+		c := qt.New(t)
+		d := deadlyDay{
+			vms: vms, runners: 45, perSecond: 20, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 8, length: 18 * cs.Second, stopDeadlyAt: 8 * cs.Second,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at < 13*cs.Second || at > 17*cs.Second || at%(200*cs.Millisecond) != 0 {
+					return
+				}
+				i := int(at/(200*cs.Millisecond)) % vms
+				f.restart(i)
+				f.at(heard, func() { f.send(f.vms[i], firstPart, deadlyPart) })
+			},
+		}
+		f := d.play()
+		late := lateProbes(f, d.length, 13*cs.Second)
+		c.Check(late <= maxUnheard, qt.IsTrue, qt.Commentf("%d VMs: %d requests reached runners", vms, late))
+	}
+}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -18,6 +18,11 @@
 	At          cs.Instant
 }
 
+// CrashDetectionWindow is how long after a lost connection its runner may still be found to
+// have crashed. A registration expires after three heartbeat intervals of about 1.2 s, and the
+// expiry is read within 500 ms.
+const CrashDetectionWindow = 6 * cs.Second
+
 // RecordPossibleCrash records a lost connection to a runner as a possible crash. It does nothing for a runner that is no
 // longer in the table (nil) or that is draining, since a draining runner closes its connections without a
 // crash.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -29,7 +29,8 @@
 
 // partSettleTime is the time from a crash becoming known at this VM until the crash counts against a part. Peers that
 // know of a response that acquits the part have been told of the crash by then and have reported the response, also if
-// one datagram was lost.
+// one datagram was lost. A VM that has started, or returns from a cut, thus need not wait for crashes that its peers have
+// known for longer.
 func (t *Tables) partSettleTime() cs.Span { return 300*cs.Millisecond + 2*t.SpreadTime() }
 
 // UpdateQuarantine decides which parts of prompts are quarantined. It returns when a crash that is known counts at the
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -77,11 +77,12 @@
 	return slices.BinarySearchFunc(crashes, id, func(c Crash, id CrashID) int { return cmp.Compare(c.ID, id) })
 }
 
-// learnedAt returns when this VM knew n crashes of the suspect, of those that it has kept.
+// learnedAt returns when n crashes of the suspect, of those that this VM has kept, were known to it or, since crashes are
+// proved within CrashDetectionWindow, to its peers.
 func (s *Suspect) learnedAt(n int) cs.Instant {
 	at := make([]cs.Instant, len(s.Crashes))
 	for i, c := range s.Crashes {
-		at[i] = c.LearnedAt
+		at[i] = min(c.LearnedAt, c.At.Add(CrashDetectionWindow))
 	}
 	slices.Sort(at)
 	return at[n-1]
--- a/roster/crashes.go
+++ b/roster/crashes.go
@@ -7,11 +7,6 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// crashDetectionWindow is how long after a lost connection its runner may still be found to
-// have crashed. A registration expires after three heartbeat intervals of about 1.2 s, and the
-// expiry is read within 500 ms.
-const crashDetectionWindow = 6 * cs.Second
-
 // Crashes determines which lost connections were caused by a crash of the runner, records the crash against the content
 // and the parts of the prompt that were in flight on it, and decides which parts are quarantined.
 func Crashes(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
@@ -20,7 +15,7 @@
 			recordCrash(t, now, p, out)
 			return true
 		}
-		return now.Sub(p.At) > crashDetectionWindow
+		return now.Sub(p.At) > gateway.CrashDetectionWindow
 	})
 	if t.Suspects.Len() == 0 && len(t.Quarantine.Parts) == 0 {
 		return
