--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -296,3 +296,102 @@
 	c.Check(unjustRefusals(f), qt.Equals, 0)
 	c.Check(largest <= maxDatagram, qt.IsTrue, qt.Commentf("a report of %d bytes", largest))
 }
+
+// lateProbes counts the requests with the deadly part that reached runners after the given time of a day.
+func lateProbes(f *simFleet, length, after cs.Span) int {
+	n := 0
+	for _, s := range f.dispatches {
+		if s.at > f.now.Add(after-length) && slices.Contains(s.parts, deadlyPart) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against several VMs that let a request with a quarantined part pass at the same time: each crashes a runner, and
+// one would have shown that the cause is still there.
+func TestOneVMProbesQuarantinedPart(t *testing.T) {
+	for seed := range uint64(3) {
+		d := deadlyDay{
+			vms: 60, runners: 45, perSecond: 20, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 8, seed: seed, length: 24 * cs.Second,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at >= 15*cs.Second && at%(400*cs.Millisecond) == 0 {
+					for range 8 {
+						f.send(f.anyVM(), firstPart, deadlyPart)
+					}
+				}
+			},
+		}
+		c := qt.New(t)
+		f := d.play()
+		c.Check(lateProbes(f, d.length, 15*cs.Second), qt.Equals, 1)
+	}
+}
+
+// Guards against VMs that are cut off from the others and let a request with a quarantined part pass each for itself.
+func TestVMsThatAreCutOffDoNotProbe(t *testing.T) {
+	for seed := range uint64(3) {
+		d := deadlyDay{
+			vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 6, seed: seed, length: 30 * cs.Second,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at == 12*cs.Second {
+					for _, v := range f.vms[:6] {
+						v.cutUntil = f.now.Add(14 * cs.Second)
+					}
+				}
+			},
+		}
+		c := qt.New(t)
+		f := d.play()
+		c.Check(lateProbes(f, d.length, 12*cs.Second), qt.Equals, 1)
+	}
+}
+
+// Guards against probes that follow each other while no crash of them can be proved: each reaches a runner.
+func TestProbeWithoutOutcomeIsNotRepeatedSoon(t *testing.T) {
+	c := qt.New(t)
+	f := newSimFleet(1, 1, 1)
+	vm, crashed := f.vms[0].tables, f.now
+	var out gateway.Actions
+	for id := range gateway.CrashID(3) {
+		vm.RecordCrash(gateway.PartKey(7), gateway.Crash{ID: id, At: crashed, LearnedAt: crashed})
+	}
+	vm.UpdateQuarantine(crashed.Add(cs.Second), &out)
+	probes := 0
+	for now := crashed; now < crashed.Add(59*cs.Second); now = now.Add(100) {
+		if vm.MayProbe(7, now) {
+			vm.RecordProbe(7, now, &out)
+			probes++
+		}
+		vm.ClaimProbe(7, now)
+	}
+	c.Assert(probes, qt.Equals, 2) // 15 and 30 s after the crashes
+}
+
+// Guards against a VM that has started and lets requests with a part pass that all others have quarantined long ago,
+// since it waits for news that can no longer come.
+func TestStartedVMTakesOverQuarantine(t *testing.T) {
+	const (
+		// heard is after which time nearly all VMs have got a report that lists all suspects: each peer sends one a second.
+		heard = 350 * cs.Millisecond
+		// maxUnheard is how often the 21 requests may reach runners: one VM may not have heard, and sends its request twice.
+		maxUnheard = 2
+	)
+	for _, vms := range []int{21, 60} {
+		c := qt.New(t)
+		d := deadlyDay{
+			vms: vms, runners: 45, perSecond: 20, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 8, length: 18 * cs.Second, stopDeadlyAt: 8 * cs.Second,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at < 13*cs.Second || at > 17*cs.Second || at%(200*cs.Millisecond) != 0 {
+					return
+				}
+				i := int(at/(200*cs.Millisecond)) % vms
+				f.restart(i)
+				f.at(heard, func() { f.send(f.vms[i], firstPart, deadlyPart) })
+			},
+		}
+		f := d.play()
+		late := lateProbes(f, d.length, 13*cs.Second)
+		c.Check(late <= maxUnheard, qt.IsTrue, qt.Commentf("%d VMs: %d requests reached runners", vms, late))
+	}
+}
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -50,6 +50,8 @@
 	ChangedAt cs.Instant
 	// ProbedAt is when a VM last let a request with the quarantined part pass, or 0.
 	ProbedAt cs.Instant
+	// ClaimedAt is when this VM claimed to send such a request, or 0.
+	ClaimedAt cs.Instant
 }
 
 // CrashID identifies the crash of a runner on all VMs: it is a hash of the runner and its incarnation.
@@ -75,11 +77,12 @@
 	return slices.BinarySearchFunc(crashes, id, func(c Crash, id CrashID) int { return cmp.Compare(c.ID, id) })
 }
 
-// learnedAt returns when this VM knew n crashes of the suspect, of those that it has kept.
+// learnedAt returns when n crashes of the suspect, of those that this VM has kept, were known to it or, since crashes are
+// proved within CrashDetectionWindow, to its peers.
 func (s *Suspect) learnedAt(n int) cs.Instant {
 	at := make([]cs.Instant, len(s.Crashes))
 	for i, c := range s.Crashes {
-		at[i] = c.LearnedAt
+		at[i] = min(c.LearnedAt, c.At.Add(CrashDetectionWindow))
 	}
 	slices.Sort(at)
 	return at[n-1]
@@ -246,7 +249,7 @@
 		s.ChangedAt = now
 	}
 	if len(s.Crashes) == 0 {
-		s.FirstCrashAt, s.LastCrashAt, s.ProbedAt = 0, 0, 0
+		s.FirstCrashAt, s.LastCrashAt, s.ProbedAt, s.ClaimedAt = 0, 0, 0, 0
 	}
 }
 
