Open the listener for callers before readiness is answered

Cause: each HTTP server opened its listener on its own goroutine, so that the one for readiness checks could be first.

Change: Run opens all listeners, that for readiness checks last, before it starts anything. A VM that cannot listen ends without having started.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,6 +161,10 @@
 // of them are shut down.
 func (v *VM) Run(ctx context.Context, signals <-chan os.Signal) error {
 	v.log.Info().Uint64("incarnation", uint64(v.self.Incarnation)).Str("address", string(v.settings.Listen.Callers)).Msg("started")
+	listeners, err := v.listen()
+	if err != nil {
+		return err
+	}
 	var g run.Group
 	for _, f := range []func(context.Context) error{
 		v.loop.Run, v.feeds.RunCatalog, v.feeds.RunRunners, v.feeds.RunVMs, v.feeds.RunJobs, v.feeds.RunMembership,
@@ -169,14 +173,12 @@
 		g.Add(func() error { return f(v.ctx) }, func(error) { v.cancel() })
 	}
 	g.Add(func() error { return v.gossip.Run(v.ctx) }, func(error) { v.gossip.Close() })
-	for _, s := range []*http.Server{v.callers, v.ready, v.peers, v.metrics} {
-		if s != nil {
-			g.Add(func() error { return v.serve(s) }, func(error) { _ = s.Close() }) // requests in flight have had the drain and the shutdown timeout to finish
-		}
+	for i, s := range v.servers() {
+		g.Add(func() error { return v.serve(s, listeners[i]) }, func(error) { _ = s.Close() }) // requests in flight have had the drain and the shutdown timeout to finish
 	}
 	waitCtx, cancelWait := context.WithCancel(ctx)
 	g.Add(func() error { return v.waitForShutdown(waitCtx, signals) }, func(error) { cancelWait() })
-	err := g.Run()
+	err = g.Run()
 	v.batchjob.Close()
 	v.tasks.Wait()
 	v.store.Close()
@@ -191,13 +193,35 @@
 	return err
 }
 
+// servers returns the HTTP servers, that for readiness checks last.
+func (v *VM) servers() []*http.Server {
+	servers := []*http.Server{v.callers, v.peers}
+	if v.metrics != nil {
+		servers = append(servers, v.metrics)
+	}
+	return append(servers, v.ready)
+}
+
+// listen opens the listeners of the servers. It opens them all before anything is served: a VM that says that it is ready
+// must accept the connections of callers.
+func (v *VM) listen() ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, s := range v.servers() {
+		l, err := net.Listen("tcp4", s.Addr)
+		if err != nil {
+			for _, l := range listeners {
+				_ = l.Close() // nothing has been accepted
+			}
+			return nil, errors.Wrap(err, "listen")
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
 // serve runs an HTTP server until v.ctx ends. Serve returns as soon as a shutdown begins, while the last
 // responses are still being written, so a server that shuts down must not end the run group.
-func (v *VM) serve(s *http.Server) error {
-	l, err := net.Listen("tcp4", s.Addr)
-	if err != nil {
-		return err
-	}
+func (v *VM) serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
