Refuse requests in a drain that cannot end before the VM exits

Callers saw: in the planned stop of one VM, requests that came late in the grace period were taken, sent to a runner and cut at its end without a complete answer, also those that may not be repeated.

Cause: for 4 s after SIGTERM requests were admitted whatever time they need, while the process exits 7.3 s after it.

Ruled out: callers that send on connections kept open until the process is gone. TestDrainCutsNoRequest uses them; only the long streams were cut.

Change: a request that has not been sent is refused as not run, with Retry-After, if neither its time limit nor the time that requests of its route take (mean and four mean deviations of the answered ones) fits into the time until the exit. Others are admitted as before.

Shown by TestDrainCutsNoRequest with streams of 4 s, which failed before: 3 streams, sent 3.79, 3.90 and 4.00 s after SIGTERM, ended with an unexpected EOF. TestRequestThatCannotEndInDrainIsRefused (4 of 9 cases) and TestRequestThatWaitedTooLongInDrainIsRefused failed before: the requests were sent.

--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,161 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// drainCatalog has time limits that are longer than the grace period of the VMs.
+const drainCatalog = `{"version":3,"routes":[
+{"name":"ask","host":"h.example","path_prefix":"/ask/","kind":"streaming","timeout_ms":12000,"target_latency_ms":300,"gap_target_ms":2000,"service":"x","max_attempts":1,"resumable":true},
+{"name":"quiz","host":"h.example","path_prefix":"/quiz/","kind":"streaming","timeout_ms":12000,"target_latency_ms":300,"gap_target_ms":2000,"service":"x","max_attempts":1},
+{"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":12000,"target_latency_ms":400,"service":"x","max_attempts":3},
+{"name":"fetch","host":"h.example","path_prefix":"/fetch/","kind":"idempotent","timeout_ms":12000,"target_latency_ms":400,"service":"x","max_attempts":1},
+{"name":"mark","host":"h.example","path_prefix":"/mark/","kind":"batch","timeout_ms":15000,"target_latency_ms":400,"service":"x","max_attempts":3,"completion_target_ms":18000,"retention_s":60,"max_count":100000}],
+"services":[{"name":"x","engine":{"slots":200}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+// startDraining starts a VM with drainCatalog in front of scripted runners that have a free slot for each request.
+func startDraining(t *testing.T, respond func(r *scriptedRunner, conn *scriptedConn, req *http.Request)) (*cluster, *entryVM, *scriptedRunner) {
+	s, m, r := startScripted(t, 15, func(r *scriptedRunner, conn *scriptedConn, req *http.Request) {
+		r.begin(req.Header.Get("Request-Id"), 1000)
+		respond(r, conn, req)
+	})
+	s.store.Put("keyed.op", "config", []byte(drainCatalog))
+	s.eventually(func() bool { return strings.Contains(m.logs.String(), `"catalog":3`) })
+	return s, m, r
+}
+
+// streamFor sends an event each 100 ms for a time, and then the end of the stream.
+func streamFor(conn *scriptedConn, id string, length time.Duration) {
+	conn.send(signedHead(id) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for i, end := 1, time.Now().Add(length); time.Now().Before(end); i++ {
+		conn.send(chunk(eventsFrom(i, i)))
+		time.Sleep(100 * time.Millisecond)
+	}
+	conn.send("0\r\n\r\n")
+}
+
+// drainExchange is a request that was sent to a draining VM, and what came of it.
+type drainExchange struct {
+	id   string
+	sent time.Time
+	answer
+	// closing means that the response asked for the connection to be closed.
+	closing bool
+	err     error
+}
+
+// keptConns are the connections on which callers send requests one after another.
+type keptConns struct {
+	s       *cluster
+	m       *entryVM
+	mu      sync.Mutex
+	idle    []*keptConn
+	results []drainExchange
+}
+
+type keptConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// take returns an idle connection, or a new one, or nil if the VM accepts none.
+func (k *keptConns) take() *keptConn {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if n := len(k.idle); n > 0 {
+		c := k.idle[0]
+		k.idle = k.idle[1:]
+		return c
+	}
+	conn, err := net.Dial("tcp4", k.m.callersAddr)
+	if err != nil {
+		return nil
+	}
+	return &keptConn{conn, bufio.NewReader(conn)}
+}
+
+// send sends a request on a connection, reads the response and records both.
+func (k *keptConns) send(c *keptConn, path, id string) {
+	e := drainExchange{id: id, sent: time.Now()}
+	_, e.err = io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "+id+"\r\nDeadline-Ms: 12000\r\nContent-Length: 6\r\n\r\nprompt")
+	if e.err == nil {
+		var resp *http.Response
+		if resp, e.err = http.ReadResponse(c.in, nil); e.err == nil {
+			var body []byte
+			body, e.err = io.ReadAll(resp.Body)
+			e.answer = answer{status: resp.StatusCode, body: string(body), complete: e.err == nil}
+			e.closing = resp.Close
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.results = append(k.results, e)
+	if e.complete && !e.closing {
+		k.idle = append(k.idle, c)
+		return
+	}
+	_ = c.Close()
+}
+
+// Guards against requests that a VM takes in a drain although they cannot end before it exits, and cuts at its exit: their
+// callers cannot tell whether they have run. Callers use their open connections until the process is gone.
+func TestDrainCutsNoRequest(t *testing.T) {
+	s, m, runner := startDraining(t, func(_ *scriptedRunner, conn *scriptedConn, req *http.Request) {
+		id := req.Header.Get("Request-Id")
+		if strings.HasPrefix(req.URL.Path, "/ask/") || strings.HasPrefix(req.URL.Path, "/quiz/") {
+			streamFor(conn, id, 4*time.Second)
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+		conn.send(wholeOutput(req))
+	})
+	k := &keptConns{s: s, m: m}
+	var callers sync.WaitGroup
+	paths := []string{"/ask/x", "/once/x", "/quiz/x", "/fetch/x"}
+	start := func(i int) bool {
+		c := k.take()
+		if c == nil {
+			return false
+		}
+		callers.Go(func() { k.send(c, paths[i%len(paths)], fmt.Sprintf("d%d", i)) })
+		return true
+	}
+	for i := range 4 * len(paths) { // more connections than requests at a time, so that some stay idle
+		start(i)
+	}
+	callers.Wait()
+	m.signals <- syscall.SIGTERM
+	drainStart := time.Now()
+	s.eventually(func() bool { return readyStatus(m.readyAddr) == http.StatusServiceUnavailable })
+	gone := false
+	for i := 100; !gone; i++ {
+		gone = !start(i)
+		s.Assert(time.Since(drainStart) < 8*time.Second, qt.IsTrue, qt.Commentf("the VM still runs at the end of its grace period"))
+		time.Sleep(50 * time.Millisecond)
+	}
+	callers.Wait()
+	served := 0
+	for _, e := range k.results {
+		runs, at := runner.runsOf(e.id), e.sent.Sub(drainStart)
+		comment := qt.Commentf("%s, sent at %v: status %d, %d runs, %v", e.id, at, e.status, runs, e.err)
+		s.Check(!e.complete && runs > 0, qt.IsFalse, comment)
+		s.Check(promisesNotRun(e.status) && runs > 0, qt.IsFalse, comment)
+		s.Check(e.complete && at > 500*time.Millisecond && !e.closing, qt.IsFalse, comment)
+		if e.status == http.StatusOK && at > 0 {
+			served++
+		}
+	}
+	s.Check(served > 20, qt.IsTrue, qt.Commentf("%d requests served in the drain", served))
+}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -44,7 +44,7 @@
 			t.RecordProbe(part, now, out)
 		}
 		if t.Drain.Phase >= fleet.DrainFinishing {
-			refuse(now, &f, cs.Refusal{Reason: cs.ReasonLeaving, Message: "this VM is leaving"}, out)
+			refuse(now, &f, leavingRefusal(), out)
 			continue
 		}
 		if t.Forwards.Len() >= maxWaitingRequests {
@@ -81,6 +81,11 @@
 	var done []gateway.ForwardID
 	for _, id := range waitingByRank(t, now) {
 		f := t.Forwards.Get(id)
+		if refusal := drainRefusal(t, f, now); refusal != nil {
+			refuse(now, f, *refusal, out)
+			done = append(done, id)
+			continue
+		}
 		if refusal := terminalRefusal(t, f, now); refusal != nil {
 			refuse(now, f, *refusal, out)
 			done = append(done, id)
@@ -244,6 +249,8 @@
 }
 
 const (
+	// leavingRetryAfter is the retry delay given to callers when this VM leaves: another VM can serve the request at once.
+	leavingRetryAfter = 20 * cs.Millisecond
 	// unavailableRetryAfter is the retry delay given to callers when this VM reaches no runner of
 	// the service.
 	unavailableRetryAfter = 400 * cs.Millisecond
@@ -257,6 +264,8 @@
 	switch {
 	case refusal.Ran != cs.RanNotRun:
 		return 0
+	case refusal.Reason == cs.ReasonLeaving:
+		return leavingRetryAfter
 	case refusal.Reason == cs.ReasonUnavailable:
 		return unavailableRetryAfter
 	case refusal.Reason == cs.ReasonOverloaded:
--- /dev/null
+++ b/forward/drain_test.go
@@ -0,0 +1,100 @@
+package forward_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
+)
+
+const (
+	drainGrace = 8 * cs.Second
+)
+
+// newDrainingVM returns a VM with a runner that has served requests on the route "r", each within the given time if it is
+// not 0, and that has been draining for the other time.
+func newDrainingVM(served, draining cs.Span) *testVM {
+	vm := newTestVM()
+	vm.Config.Grace = drainGrace
+	vm.addRunner("a1", "a")
+	if served > 0 {
+		for range 30 {
+			vm.serve("r", served)
+		}
+	}
+	vm.tick(gateway.DrainRequested{})
+	vm.now = vm.now.Add(draining)
+	vm.tick()
+	return vm
+}
+
+// serve serves a request on a route, which takes the given time at the runner.
+func (vm *testVM) serve(route cs.RouteName, taken cs.Span) {
+	r := onceRoute
+	r.Name = route
+	dispatches, _ := vm.tick(vm.arrival(100, r))
+	vm.now = vm.now.Add(taken)
+	for _, d := range dispatches {
+		vm.tick(gateway.ForwardStarted{ID: d.ID, Attempt: d.Attempt}, gateway.ForwardEnded{ID: d.ID, Attempt: d.Attempt, Outcome: gateway.OutcomeAnswered{Status: 200}})
+	}
+}
+
+// Guards against requests that are sent to a runner in a drain although they cannot end before the process exits, so that
+// they are cut, and against refusals of requests that can.
+func TestRequestThatCannotEndInDrainIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		// served is how long requests of the route take, or 0 if none has ended.
+		served, draining, timeLimit cs.Span
+		sent                        bool
+	}{
+		"short":                              {200, 3900, 12_000, true},
+		"short, at once":                     {200, 0, 12_000, true},
+		"ends by its time limit":             {5000, 3900, 3000, true},
+		"no duration known, ends by limit":   {0, 3900, 3000, true},
+		"no duration known, limit too long":  {0, 3900, 4000, false},
+		"long, early":                        {5000, 1000, 12_000, true},
+		"long, late":                         {5000, 3000, 12_000, false},
+		"long, at the end of the admissions": {4000, 3900, 12_000, false},
+		"longer than the grace period":       {9000, 0, 12_000, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, kind := range []cs.Route{onceRoute, idempotentRoute, resumableRoute} {
+				c := qt.New(t)
+				vm := newDrainingVM(test.served, test.draining)
+				kind.Name = "r"
+				e := vm.arrival(1, kind).(gateway.ForwardArrived)
+				e.Forward.Deadline = vm.now.Add(test.timeLimit)
+				dispatches, refusals := vm.tick(e)
+				c.Assert(len(dispatches) == 1, qt.Equals, test.sent)
+				c.Assert(len(refusals) == 1, qt.Equals, !test.sent)
+				if !test.sent {
+					c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
+					c.Assert(refusals[0].Refusal.Reason, qt.Equals, cs.ReasonLeaving)
+					c.Assert(refusals[0].RetryAfter > 0 && refusals[0].RetryAfter < 100, qt.IsTrue)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request that waits for a runner until it can no longer end before the process exits, and is sent then.
+func TestRequestThatWaitedTooLongInDrainIsRefused(t *testing.T) {
+	c := qt.New(t)
+	vm := newDrainingVM(3000, 1000)
+	vm.Runners.Get("a1").Online = 10 // full
+	route := onceRoute
+	route.Name = "r"
+	e := vm.arrival(1, route).(gateway.ForwardArrived)
+	e.Forward.Deadline = vm.now.Add(12 * cs.Second)
+	dispatches, refusals := vm.tick(e)
+	c.Assert(dispatches, qt.HasLen, 0)
+	c.Assert(refusals, qt.HasLen, 0)
+	vm.now = vm.now.Add(4500)
+	vm.Runners.Get("a1").Online = 0
+	dispatches, refusals = vm.tick()
+	c.Assert(dispatches, qt.HasLen, 0)
+	c.Assert(refusals, qt.HasLen, 1)
+	c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
+}
--- a/forward/outcomes.go
+++ b/forward/outcomes.go
@@ -86,6 +86,7 @@
 			runner.ResetFailures()
 		}
 		observeServiceTime(t, f, now)
+		observeDuration(t, f, now)
 		t.Forwards.Delete(e.ID)
 		return
 	case gateway.OutcomeNotRun:
--- a/roster/drain.go
+++ b/roster/drain.go
@@ -24,6 +24,7 @@
 	for _, e := range t.Events {
 		if _, ok := e.(gateway.DrainRequested); ok && d.Phase == fleet.DrainNone {
 			enterPhase(d, fleet.DrainWaiting, now, out)
+			d.StopAt = now.Add(t.Config.Grace - graceMargin)
 		}
 	}
 	switch d.Phase {
