Answer all callers before the VM exits at the end of a drain

Callers saw: at the end of the grace period requests in flight, queries that waited and submissions were cut without an answer.

Cause: the drain waited only for online requests, items and appends, and exited without telling what was left. Requests that arrived in the tick of the exit, or after it, were not considered.

Change: 0.6 s before the end of the grace period attempts are cancelled, which ends the runners' work. Requests that may have run get 502, those that have not get 503, and streams are broken off, so that they are not taken for complete. Long polls are answered when admission ends; other queries and submissions are answered at the same 0.6 s, with an unknown outcome if their append is in flight. The VM exits when nobody waits and no request has come for 0.25 s, at the latest 0.35 s before the end. A grace period shorter than the 4 s of admission is kept.

Failed before: TestExitWaitsForCallers (exit after 4.01 s with queries that wait or requests that arrive), TestDrainFitsShortGracePeriod, TestRequestsInFlightAreAnsweredBeforeExit, TestWaitingQueryIsAnsweredInDrain, TestQueriesAreRefusedBeforeExit, TestSubmissionsAreAnsweredBeforeExit. TestStoppedAttemptEnds covers the new action. Ruled out by TestExitWaitsForCallers: an exit while a submission waits for its append.

--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -33,6 +33,9 @@
 			handleAppendOutcome(t, now, a, out)
 		}
 	}
+	if t.Drain.Stopping {
+		releaseCallers(t, now, out)
+	}
 	expireProposals(t, now, out)
 	l := &t.JobLog
 	if now < l.RetryAt {
@@ -116,6 +119,27 @@
 	return cs.Bytes(n)
 }
 
+// releaseCallers answers the callers who wait for an append that this VM may not see the end of before it exits: changes
+// that were not sent are refused as not made, and those in flight as unknown.
+func releaseCallers(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+	refuse := func(proposals []gateway.Proposal, refusal cs.Refusal) []gateway.Proposal {
+		return slices.DeleteFunc(proposals, func(p gateway.Proposal) bool {
+			switch p := p.(type) {
+			case gateway.ProposeJob:
+				refuseJob(p.Query, p.Spec.ID, now.Sub(p.Since), refusal, out)
+				return true
+			case gateway.ProposeEnd:
+				refuseJob(p.Query, p.Job, now.Sub(p.Since), refusal, out)
+				return true
+			case gateway.ProposeResult, gateway.ProposeProgress, gateway.ProposeRemoval:
+			}
+			return false
+		})
+	}
+	t.Proposals = refuse(t.Proposals, leavingRefusal())
+	t.JobLog.Proposals = refuse(t.JobLog.Proposals, storeUnavailableRefusal(cs.RanUnknown))
+}
+
 // expireProposals refuses the proposals of callers that were not sent within proposalTimeout.
 func expireProposals(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	t.Proposals = slices.DeleteFunc(t.Proposals, func(p gateway.Proposal) bool {
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
@@ -25,9 +26,17 @@
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case gateway.JobSubmitted:
+			if exiting(t) {
+				refuseJob(e.Query, e.Spec.ID, 0, leavingRefusal(), out)
+				continue
+			}
 			readIfUnknown(t, e.Spec.ID, out)
 			t.Proposals = append(t.Proposals, gateway.ProposeJob{Query: e.Query, Spec: e.Spec, Since: now})
 		case gateway.JobEndRequested:
+			if exiting(t) {
+				refuseJob(e.Query, e.Job, 0, leavingRefusal(), out)
+				continue
+			}
 			readIfUnknown(t, e.Job, out)
 			t.Proposals = append(t.Proposals, gateway.ProposeEnd{Query: e.Query, Job: e.Job, Since: now})
 		case gateway.ResultsRequested:
@@ -46,6 +55,14 @@
 	answerBodyQueries(t, now, out)
 }
 
+// exiting reports whether this VM is about to exit, so that no caller may wait any longer.
+func exiting(t *gateway.Tables) bool { return t.Drain.Stopping || t.Drain.Phase == fleet.DrainDone }
+
+// leavingRefusal says that another VM should be asked.
+func leavingRefusal() cs.Refusal {
+	return cs.Refusal{Reason: cs.ReasonLeaving, Message: "this VM is leaving"}
+}
+
 // isSubmissionOf reports whether a proposal is the job submission of a query. If the caller disconnects
 // before the submission is sent to the log, the proposal is discarded, since the caller submits the
 // job again at another VM.
@@ -80,7 +97,7 @@
 			return refusal != nil
 		}
 		page := resultsPage(j, query.After)
-		if len(page) == 0 && j.Open() && now < query.Until {
+		if len(page) == 0 && j.Open() && now < query.Until && t.Drain.Phase < fleet.DrainFinishing {
 			out.WakeAt(query.Until)
 			return false
 		}
@@ -100,7 +117,7 @@
 		out.Add(gateway.ReadJobs{})
 	}
 	waitEnd := max(query.Until, query.Arrived).Add(maxReadWait)
-	if now < waitEnd {
+	if now < waitEnd && !exiting(t) {
 		out.WakeAt(waitEnd)
 		return false
 	}
@@ -117,7 +134,7 @@
 	switch {
 	case t.Feeds[gateway.FeedJobs].AsOf >= arrived:
 		return refusal
-	case now >= waitEnd:
+	case now >= waitEnd || exiting(t):
 		return staleReadRefusal()
 	}
 	out.WakeAt(waitEnd)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,8 +39,6 @@
 	// settingsPollInterval is the time between checks of the settings file, which may change without a
 	// SIGHUP.
 	settingsPollInterval = 2 * cs.Second
-	// shutdownTimeout bounds the time to finish writing the last responses after a drain.
-	shutdownTimeout = 500 * cs.Millisecond
 )
 
 // VM is one entry VM: a control loop, the clients and servers that exchange events and actions with it,
@@ -64,7 +62,8 @@
 	ready         *http.Server
 	metrics       *http.Server
 	peers         *http.Server
-	drained       chan struct{}
+	clock         *cs.Clock
+	drained       chan gateway.Exit
 	tasks         sync.WaitGroup
 	ctx           context.Context
 	cancel        context.CancelFunc
@@ -76,9 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &VM{settings: s, settingsPath: settingsPath, log: log.With().Str("vm", string(s.VM)).Logger(), drained: make(chan struct{})}
+	v := &VM{settings: s, settingsPath: settingsPath, log: log.With().Str("vm", string(s.VM)).Logger(), drained: make(chan gateway.Exit, 1)}
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 	clock := cs.NewClock()
+	v.clock = clock
 	// The incarnation is the start time in milliseconds followed by 20 random bits, so that a later start has
 	// a higher one.
 	v.self = cs.VM{
@@ -133,7 +133,7 @@
 		forward: v.forward, batchjob: v.batchjob, runTask: v.startTask, appendJobs: v.appendJobs(clock), readJobs: v.feeds.WakeJobs,
 		leaveGroup: v.feeds.LeaveGroup,
 		sendReport: v.gossip.Send, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer, logNote: v.noteLogger.logNote, itemsCtx: v.ctx,
-		drainComplete: sync.OnceFunc(func() { close(v.drained) }),
+		drainComplete: func(e gateway.Exit) { v.drained <- e }, // a drain completes once
 	}
 	return nil
 }
@@ -174,7 +174,7 @@
 	}
 	g.Add(func() error { return v.gossip.Run(v.ctx) }, func(error) { v.gossip.Close() })
 	for i, s := range v.servers() {
-		g.Add(func() error { return v.serve(s, listeners[i]) }, func(error) { _ = s.Close() }) // requests in flight have had the drain and the shutdown timeout to finish
+		g.Add(func() error { return v.serve(s, listeners[i]) }, func(error) { _ = s.Close() }) // the drain has ended the requests
 	}
 	waitCtx, cancelWait := context.WithCancel(ctx)
 	g.Add(func() error { return v.waitForShutdown(waitCtx, signals) }, func(error) { cancelWait() })
@@ -248,8 +248,8 @@
 			if err := v.loop.Post(ctx, gateway.DrainRequested{}); err != nil {
 				return err
 			}
-		case <-v.drained:
-			shutdownCtx, cancel := context.WithTimeout(ctx, shutdownTimeout.Std())
+		case exit := <-v.drained:
+			shutdownCtx, cancel := context.WithTimeout(ctx, exit.By.Sub(v.clock.Now()).Std())
 			defer cancel()
 			if err := v.callers.Shutdown(shutdownCtx); err != nil {
 				v.log.Warn().Err(err).Msg("shutdown timeout reached with responses still being written")
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -30,6 +30,7 @@
 		batchjob.AssignPartitions,
 		batchjob.ApplyOutcomes,
 		roster.Crashes,
+		forward.StopRemaining,
 		forward.Dispatch,
 		batchjob.PreemptRuns,
 		batchjob.Schedule,
@@ -56,7 +57,7 @@
 	requestPeerState func(context.Context, gateway.RequestPeerState)
 	answerPeerState  func(gateway.AnswerPeerState)
 	logNote          func(gateway.Note)
-	drainComplete    func()
+	drainComplete    func(gateway.Exit)
 	// itemsCtx is the context in which batch items run.
 	itemsCtx context.Context
 }
@@ -122,6 +123,8 @@
 	switch a := a.(type) {
 	case gateway.Dispatch:
 		h.forward.Deliver(a.ID, a)
+	case gateway.StopForward:
+		h.forward.Stop(a.ID)
 	case gateway.Refuse:
 		h.forward.Deliver(a.ID, a)
 	case gateway.RunItem:
@@ -147,7 +150,7 @@
 	case gateway.AnswerPeerState:
 		h.answerPeerState(a)
 	case gateway.Exit:
-		h.drainComplete()
+		h.drainComplete(a)
 	case gateway.Note:
 		h.logNote(a)
 	}
--- a/forward/drain_test.go
+++ b/forward/drain_test.go
@@ -6,11 +6,14 @@
 	qt "github.com/frankban/quicktest"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
 const (
 	drainGrace = 8 * cs.Second
+	// drainWork is the longest time that a VM with drainGrace works after the request to drain.
+	drainWork = drainGrace - 500*cs.Millisecond
 )
 
 // newDrainingVM returns a VM with a runner that has served requests on the route "r", each within the given time if it is
@@ -98,3 +101,53 @@
 	c.Assert(refusals, qt.HasLen, 1)
 	c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
 }
+
+// Guards against requests in flight that are cut without an answer when the process exits. A caller must not be told that
+// a request has not run which a runner may have run.
+func TestRequestsInFlightAreAnsweredBeforeExit(t *testing.T) {
+	for name, test := range map[string]struct {
+		outcome gateway.Outcome
+		ran     cs.Ran
+	}{
+		"interrupted": {gateway.OutcomeInterrupted{Error: "context canceled"}, cs.RanUnknown},
+		"not sent":    {gateway.OutcomeNotRun{Reason: "context canceled"}, cs.RanNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			vm := newTestVM()
+			vm.Config.Grace = drainGrace
+			vm.addRunner("a1", "a")
+			vm.addRunner("a2", "a")
+			e := vm.arrival(1, idempotentRoute).(gateway.ForwardArrived)
+			e.Forward.Deadline = vm.now.Add(30 * cs.Second)
+			dispatches, _ := vm.tick(e)
+			c.Assert(dispatches, qt.HasLen, 1)
+			vm.tick(gateway.DrainRequested{})
+			vm.now = vm.now.Add(7 * cs.Second)
+			vm.tick()
+			c.Assert(stopsOf(vm), qt.HasLen, 0)
+			vm.now = vm.now.Add(drainWork - 7*cs.Second)
+			vm.tick()
+			c.Assert(stopsOf(vm), qt.DeepEquals, []gateway.ForwardID{1})
+			vm.now = vm.now.Add(5)
+			dispatches, refusals := vm.tick(gateway.ForwardEnded{ID: 1, Attempt: 1, Outcome: test.outcome})
+			c.Assert(dispatches, qt.HasLen, 0)
+			c.Assert(refusals, qt.HasLen, 1)
+			c.Assert(refusals[0].Refusal.Ran, qt.Equals, test.ran)
+			vm.now = vm.now.Add(5)
+			vm.tick()
+			c.Assert(vm.Drain.Phase, qt.Equals, fleet.DrainDone)
+		})
+	}
+}
+
+// stopsOf returns the requests whose attempts were cancelled in the last tick.
+func stopsOf(vm *testVM) []gateway.ForwardID {
+	var stopped []gateway.ForwardID
+	for _, a := range vm.out.List {
+		if s, ok := a.(gateway.StopForward); ok {
+			stopped = append(stopped, s.ID)
+		}
+	}
+	return stopped
+}
--- a/forward/session.go
+++ b/forward/session.go
@@ -17,6 +17,11 @@
 	request RunnerRequest
 	forward gateway.Forward
 	caller  Caller
+	// actions are those of the control loop.
+	actions chan gateway.Action
+	// attempts is the context of all attempts, and stop ends it.
+	attempts context.Context
+	stop     context.CancelFunc
 	// headSent means that the caller has received the status and headers of a response.
 	headSent bool
 	// lastEvent is the last event that the caller has: received from here, or named as such in its request.
@@ -34,16 +39,16 @@
 }
 
 // run carries out the actions of the control loop until the request ends.
-func (s *session) run(ctx context.Context, actions <-chan gateway.Action) End {
+func (s *session) run(ctx context.Context) End {
 	for {
 		select {
 		case <-ctx.Done():
 			s.post(gateway.CallerDisconnected{ID: s.forward.ID, Reason: context.Cause(ctx).Error()})
 			return EndCallerDisconnected{}
-		case a := <-actions:
+		case a := <-s.actions:
 			switch a := a.(type) {
 			case gateway.Dispatch:
-				outcome := s.sendOnce(ctx, a)
+				outcome := s.sendOnce(s.attempts, a)
 				s.post(gateway.ForwardEnded{ID: a.ID, Attempt: a.Attempt, Outcome: outcome})
 				if _, ok := outcome.(gateway.OutcomeAnswered); ok {
 					s.traffic.cfg.ObserveDuration(s.forward.Route.Name, s.traffic.cfg.Clock.Now().Sub(s.forward.Arrived))
--- a/forward/session_test.go
+++ b/forward/session_test.go
@@ -246,3 +246,42 @@
 	c.Assert(ended.Disconnected, qt.IsFalse)
 	c.Assert(caller.body.String(), qt.Equals, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 }
+
+// Guards against an attempt that goes on when the control loop stops it, so that its caller gets no answer before the
+// process exits.
+func TestStoppedAttemptEnds(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent string
+		want forward.End
+	}{
+		"nothing sent":     {"", forward.EndRefused{Refusal: cs.Refusal{Ran: cs.RanUnknown}}},
+		"stream has begun": {"id: 1\ndata: a\n\n", forward.EndBroken{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			clock, ignore := cs.NewClock(), func(cs.RouteName, cs.Span) {}
+			var traffic *forward.Traffic
+			traffic = forward.NewTraffic(forward.TrafficConfig{
+				Clock: clock, ObserveFirstByte: ignore, ObserveDuration: ignore,
+				Runners: &scriptedRunner{responses: []func(context.Context) (*forward.RunnerResponse, error){stalledAfter(test.sent)}},
+				Post: func(_ context.Context, e gateway.Event) error {
+					switch e := e.(type) {
+					case gateway.ForwardArrived:
+						traffic.Deliver(e.Forward.ID, gateway.Dispatch{ID: e.Forward.ID, Attempt: 1})
+						time.AfterFunc(50*time.Millisecond, func() { traffic.Stop(e.Forward.ID) })
+					case gateway.ForwardEnded:
+						interrupted, ok := e.Outcome.(gateway.OutcomeInterrupted)
+						c.Check(ok, qt.IsTrue)
+						c.Check(interrupted.Disconnected || interrupted.TimedOut, qt.IsFalse, qt.Commentf("the runner has not failed"))
+						traffic.Deliver(e.ID, gateway.Refuse{ID: e.ID, Refusal: cs.Refusal{Ran: cs.RanUnknown}})
+					default:
+					}
+					return nil
+				},
+			})
+			f := gateway.Forward{Route: cs.Route{Kind: cs.RouteStreaming}, Arrived: clock.Now(), Deadline: clock.Now().Add(sessionTimeout)}
+			c.Assert(traffic.Serve(context.Background(), forward.RunnerRequest{ID: "r1"}, f, &recordingCaller{}), qt.DeepEquals, test.want)
+			c.Assert(clock.Now().Sub(f.Arrived) < sessionTimeout/2, qt.IsTrue)
+		})
+	}
+}
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -29,12 +29,12 @@
 	cfg      TrafficConfig
 	lastID   atomic.Uint64
 	mu       sync.Mutex
-	sessions map[gateway.ForwardID]chan gateway.Action
+	sessions map[gateway.ForwardID]*session
 }
 
 // NewTraffic returns a Traffic without sessions.
 func NewTraffic(c TrafficConfig) *Traffic {
-	return &Traffic{cfg: c, sessions: make(map[gateway.ForwardID]chan gateway.Action)}
+	return &Traffic{cfg: c, sessions: make(map[gateway.ForwardID]*session)}
 }
 
 // actionBuffer is the capacity of a session's action channel. At most one action is in transit at a
@@ -77,34 +77,49 @@
 // caller disconnects.
 func (t *Traffic) Serve(ctx context.Context, request RunnerRequest, f gateway.Forward, w Caller) End {
 	f.ID = gateway.ForwardID(t.lastID.Add(1))
-	actions := make(chan gateway.Action, actionBuffer)
+	attempts, stop := context.WithCancel(ctx)
+	defer stop()
+	s := &session{
+		traffic: t, request: request, forward: f, caller: w, lastEvent: f.LastEvent, actions: make(chan gateway.Action, actionBuffer),
+		attempts: attempts, stop: stop,
+	}
 	t.mu.Lock()
-	t.sessions[f.ID] = actions
+	t.sessions[f.ID] = s
 	t.mu.Unlock()
 	defer func() {
 		t.mu.Lock()
 		delete(t.sessions, f.ID)
 		t.mu.Unlock()
 	}()
-	s := &session{traffic: t, request: request, forward: f, caller: w, lastEvent: f.LastEvent}
 	if err := t.cfg.Post(ctx, gateway.ForwardArrived{Forward: f}); err != nil {
 		return EndCallerDisconnected{}
 	}
-	return s.run(ctx, actions)
+	return s.run(ctx)
 }
 
 // Deliver delivers an action of the control loop to the session of a request.
 func (t *Traffic) Deliver(id gateway.ForwardID, a gateway.Action) {
 	t.mu.Lock()
-	actions := t.sessions[id]
+	s := t.sessions[id]
 	t.mu.Unlock()
-	if actions == nil {
+	if s == nil {
 		return // the caller has disconnected in the meantime
 	}
 	select {
-	case actions <- a:
+	case s.actions <- a:
 	default:
 		// Not reached: a session receives each action before it causes the next one, so that the
 		// channel always has room.
 	}
 }
+
+// Stop cancels the attempt of a request that is in progress, and all further ones. That closes the connection to the
+// runner, which then drops the request.
+func (t *Traffic) Stop(id gateway.ForwardID) {
+	t.mu.Lock()
+	s := t.sessions[id]
+	t.mu.Unlock()
+	if s != nil {
+		s.stop()
+	}
+}
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -35,6 +35,9 @@
 		// outcome is TimedOut.
 		FirstByteTimeout, EventTimeout cs.Span
 	}
+	// StopForward cancels the attempt of a request that is in progress, and with it the runner's work. A ForwardEnded event
+	// reports how the attempt ended.
+	StopForward struct{ ID ForwardID }
 	// Refuse ends a request for which there will be no further attempt. The caller gets the refusal if no
 	// part of a response has been passed on and no runner has responded with an error, which is passed on
 	// instead.
@@ -131,11 +134,13 @@
 		Query StateQueryID
 		State PeerState
 	}
-	// Exit lets the process exit, since the drain is complete or its time limit has passed.
-	Exit struct{}
+	// Exit lets the process exit, since the drain is complete or its time limit has passed. The answers that are still
+	// being written must be complete at By.
+	Exit struct{ By cs.Instant }
 )
 
 func (Dispatch) isAction()         {}
+func (StopForward) isAction()      {}
 func (Refuse) isAction()           {}
 func (RunItem) isAction()          {}
 func (StopItem) isAction()         {}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -46,6 +46,8 @@
 	MayHaveRun bool
 	// Begun means that the response of a runner has begun: its first byte was passed to the caller.
 	Begun bool
+	// Stopped means that the attempt in progress has been cancelled, since this VM is about to exit.
+	Stopped bool
 	// Probe means that the request may be sent once although a part of its prompt is quarantined.
 	Probe bool
 	// NotBefore is the earliest time of the next attempt after a failure.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -110,8 +110,13 @@
 	Phase fleet.DrainPhase
 	// Since is when the drain was requested or, in phase fleet.DrainDone, when it ended.
 	Since cs.Instant
-	// StopAt is when this VM exits even if work is still in flight, or 0 without a drain.
+	// StopAt is when this VM stops the work that is still in flight, so that each caller gets an answer before the process
+	// exits, or 0 without a drain.
 	StopAt cs.Instant
+	// Stopping means that StopAt has passed.
+	Stopping bool
+	// ArrivedAt is when the last request of a caller arrived.
+	ArrivedAt cs.Instant
 }
 
 // CanFinish reports whether work that begins now can be expected to end before the drain stops it. It ends by its deadline
