--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,8 +39,6 @@
 	// settingsPollInterval is the time between checks of the settings file, which may change without a
 	// SIGHUP.
 	settingsPollInterval = 2 * cs.Second
-	// shutdownTimeout bounds the time to finish writing the last responses after a drain.
-	shutdownTimeout = 500 * cs.Millisecond
 )
 
 // VM is one entry VM: a control loop, the clients and servers that exchange events and actions with it,
@@ -64,7 +62,8 @@
 	ready         *http.Server
 	metrics       *http.Server
 	peers         *http.Server
-	drained       chan struct{}
+	clock         *cs.Clock
+	drained       chan gateway.Exit
 	tasks         sync.WaitGroup
 	ctx           context.Context
 	cancel        context.CancelFunc
@@ -76,9 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &VM{settings: s, settingsPath: settingsPath, log: log.With().Str("vm", string(s.VM)).Logger(), drained: make(chan struct{})}
+	v := &VM{settings: s, settingsPath: settingsPath, log: log.With().Str("vm", string(s.VM)).Logger(), drained: make(chan gateway.Exit, 1)}
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 	clock := cs.NewClock()
+	v.clock = clock
 	// The incarnation is the start time in milliseconds followed by 20 random bits, so that a later start has
 	// a higher one.
 	v.self = cs.VM{
@@ -134,7 +134,7 @@
 		forward: v.forward, batchjob: v.batchjob, runTask: v.startTask, appendJobs: v.appendJobs(clock), readJobs: v.feeds.WakeJobs,
 		leaveGroup: v.feeds.LeaveGroup,
 		sendReport: v.gossip.Send, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer, logNote: v.noteLogger.logNote, itemsCtx: v.ctx,
-		drainComplete: sync.OnceFunc(func() { close(v.drained) }),
+		drainComplete: func(e gateway.Exit) { v.drained <- e }, // a drain completes once
 	}
 	return nil
 }
@@ -162,6 +162,10 @@
 // of them are shut down.
 func (v *VM) Run(ctx context.Context, signals <-chan os.Signal) error {
 	v.log.Info().Uint64("incarnation", uint64(v.self.Incarnation)).Str("address", string(v.settings.Listen.Callers)).Msg("started")
+	listeners, err := v.listen()
+	if err != nil {
+		return err
+	}
 	var g run.Group
 	for _, f := range []func(context.Context) error{
 		v.loop.Run, v.feeds.RunCatalog, v.feeds.RunRunners, v.feeds.RunVMs, v.feeds.RunJobs, v.feeds.RunMembership,
@@ -170,14 +174,12 @@
 		g.Add(func() error { return f(v.ctx) }, func(error) { v.cancel() })
 	}
 	g.Add(func() error { return v.gossip.Run(v.ctx) }, func(error) { v.gossip.Close() })
-	for _, s := range []*http.Server{v.callers, v.ready, v.peers, v.metrics} {
-		if s != nil {
-			g.Add(func() error { return v.serve(s) }, func(error) { _ = s.Close() }) // requests in flight have had the drain and the shutdown timeout to finish
-		}
+	for i, s := range v.servers() {
+		g.Add(func() error { return v.serve(s, listeners[i]) }, func(error) { _ = s.Close() }) // the drain has ended the requests
 	}
 	waitCtx, cancelWait := context.WithCancel(ctx)
 	g.Add(func() error { return v.waitForShutdown(waitCtx, signals) }, func(error) { cancelWait() })
-	err := g.Run()
+	err = g.Run()
 	v.batchjob.Close()
 	v.tasks.Wait()
 	v.store.Close()
@@ -192,13 +194,35 @@
 	return err
 }
 
+// servers returns the HTTP servers, that for readiness checks last.
+func (v *VM) servers() []*http.Server {
+	servers := []*http.Server{v.callers, v.peers}
+	if v.metrics != nil {
+		servers = append(servers, v.metrics)
+	}
+	return append(servers, v.ready)
+}
+
+// listen opens the listeners of the servers. It opens them all before anything is served: a VM that says that it is ready
+// must accept the connections of callers.
+func (v *VM) listen() ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, s := range v.servers() {
+		l, err := net.Listen("tcp4", s.Addr)
+		if err != nil {
+			for _, l := range listeners {
+				_ = l.Close() // nothing has been accepted
+			}
+			return nil, errors.Wrap(err, "listen")
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
 // serve runs an HTTP server until v.ctx ends. Serve returns as soon as a shutdown begins, while the last
 // responses are still being written, so a server that shuts down must not end the run group.
-func (v *VM) serve(s *http.Server) error {
-	l, err := net.Listen("tcp4", s.Addr)
-	if err != nil {
-		return err
-	}
+func (v *VM) serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -225,8 +249,8 @@
 			if err := v.loop.Post(ctx, gateway.DrainRequested{}); err != nil {
 				return err
 			}
-		case <-v.drained:
-			shutdownCtx, cancel := context.WithTimeout(ctx, shutdownTimeout.Std())
+		case exit := <-v.drained:
+			shutdownCtx, cancel := context.WithTimeout(ctx, exit.By.Sub(v.clock.Now()).Std())
 			defer cancel()
 			if err := v.callers.Shutdown(shutdownCtx); err != nil {
 				v.log.Warn().Err(err).Msg("shutdown timeout reached with responses still being written")
