Close callers' connections in a drain only when nothing is unanswered

Callers saw: at the exit of a draining VM, kept connections were closed when a part of the next request had been read, requests whose body was being read were cut, and responses to requests that were taken before SIGTERM did not ask for the connection to be closed.

Cause: http.Server.Shutdown takes a connection for idle until the head of a request is complete. Bodies were not considered, and Connection: close was decided when a request arrived.

Change: callerConns tracks what was read from each connection, and ends the wait for a request by a read deadline: if a request is read at that moment, it is answered. Requests whose body is being read at the exit are refused as not run.

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -159,3 +159,59 @@
 	}
 	s.Check(served > 20, qt.IsTrue, qt.Commentf("%d requests served in the drain", served))
 }
+
+// Guards against requests that are cut without an answer at the end of the grace period: one that a runner does not
+// answer, a stream, one whose body is still being read, and a query for results that waits.
+func TestRemainingRequestsAreAnsweredBeforeExit(t *testing.T) {
+	released := make(chan struct{}, 10)
+	s, m, runner := startDraining(t, func(_ *scriptedRunner, conn *scriptedConn, req *http.Request) {
+		id := req.Header.Get("Request-Id")
+		switch {
+		case strings.HasPrefix(req.URL.Path, "/quiz/"):
+			streamFor(conn, id, 9*time.Second)
+		case strings.HasPrefix(req.URL.Path, "/once/"):
+			if _, err := conn.Read(make([]byte, 1)); err != nil { // until the VM closes the connection
+				released <- struct{}{}
+			}
+		case strings.HasPrefix(req.URL.Path, "/mark/"):
+			time.Sleep(9 * time.Second)
+		default:
+			conn.send(wholeOutput(req))
+		}
+	})
+	code, _, _ := s.call(m, "POST", "/mark/x", "job1", `{"items":[{"id":"i1","path":"/mark/1","body":"","tokens":10}]}`)
+	s.Assert(code, qt.Equals, http.StatusAccepted)
+	const head = " HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 12000\r\n"
+	send := func(request string) net.Conn {
+		conn := s.dial(m, request)
+		s.Assert(conn.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+		s.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	once := send("POST /once/x" + head + "Request-Id: once\r\nContent-Length: 1\r\n\r\nx")
+	quiz := send("POST /quiz/x" + head + "Request-Id: quiz\r\nContent-Length: 1\r\n\r\nx")
+	s.eventually(func() bool { return runner.runsOf("once") == 1 && runner.runsOf("quiz") == 1 })
+	m.signals <- syscall.SIGTERM
+	drainStart := time.Now()
+	time.Sleep(3500 * time.Millisecond)
+	query := send("GET /lots/job1?after=0" + head + "Wait-Ms: 5000\r\n\r\n")
+	body := send("POST /fetch/x" + head + "Request-Id: body\r\nContent-Length: 100\r\n\r\nx")
+
+	answers := make(map[string]answer)
+	for name, conn := range map[string]net.Conn{"once": once, "quiz": quiz, "query": query, "body": body} {
+		answers[name] = readAnswer(conn)
+	}
+	s.Check(time.Since(drainStart) < 8*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(drainStart)))
+	s.Check(answers["once"].status, qt.Equals, http.StatusBadGateway)
+	s.Check(answers["once"].complete, qt.IsTrue)
+	s.Check(answers["quiz"].status, qt.Equals, http.StatusOK)
+	s.Check(answers["quiz"].complete, qt.IsFalse)
+	s.Check(answers["body"].status, qt.Equals, http.StatusServiceUnavailable)
+	s.Check(answers["query"].status, qt.Equals, http.StatusOK)
+	s.Check(answers["query"].complete, qt.IsTrue)
+	select {
+	case <-released:
+	case <-time.After(time.Second):
+		s.Error("the runner still works on a request that was given up")
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,6 +59,8 @@
 	forward       *forward.Traffic
 	batchjob      *batchjob.Traffic
 	callers       *http.Server
+	callerConns   *callerConns
+	ingress       *platform.Ingress
 	ready         *http.Server
 	metrics       *http.Server
 	peers         *http.Server
@@ -116,12 +118,14 @@
 	}
 	v.stateExchange = gossip.NewStateExchange(post)
 	v.peers = &http.Server{Addr: string(v.self.Address), Handler: v.stateExchange, ReadHeaderTimeout: readHeaderTimeout.Std()}
-	ingress := platform.NewIngress(platform.IngressConfig{
+	v.ingress = platform.NewIngress(platform.IngressConfig{
 		Clock: clock, Forward: v.forward, BatchJobs: v.batchjob, View: v.loop.View, Note: v.noteLogger.logNote, Loaded: v.loop.loaded,
 		WallClock: func() cs.Instant { return cs.Instant(time.Now().UnixMilli()) },
 	})
+	v.callerConns = newCallerConns()
 	v.callers = &http.Server{
-		Addr: string(s.Listen.Callers), Handler: ingress, ReadHeaderTimeout: readHeaderTimeout.Std(), IdleTimeout: callerIdleTimeout.Std(),
+		Addr: string(s.Listen.Callers), Handler: v.ingress, ReadHeaderTimeout: readHeaderTimeout.Std(), IdleTimeout: callerIdleTimeout.Std(),
+		ConnState: v.callerConns.track,
 	}
 	v.ready = &http.Server{Addr: string(s.Listen.Ready), Handler: platform.Ready(v.loop.View), ReadHeaderTimeout: readHeaderTimeout.Std()}
 	if s.Listen.MetricsPort > 0 {
@@ -216,13 +220,14 @@
 		}
 		listeners = append(listeners, l)
 	}
+	listeners[0] = v.callerConns.wrap(listeners[0])
 	return listeners, nil
 }
 
 // serve runs an HTTP server until v.ctx ends. Serve returns as soon as a shutdown begins, while the last
 // responses are still being written, so a server that shuts down must not end the run group.
 func (v *VM) serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	<-v.ctx.Done()
@@ -249,10 +254,11 @@
 				return err
 			}
 		case exit := <-v.drained:
-			shutdownCtx, cancel := context.WithTimeout(ctx, exit.By.Sub(v.clock.Now()).Std())
+			v.ingress.StopReading()
+			closeCtx, cancel := context.WithTimeout(ctx, exit.By.Sub(v.clock.Now()).Std())
 			defer cancel()
-			if err := v.callers.Shutdown(shutdownCtx); err != nil {
-				v.log.Warn().Err(err).Msg("shutdown timeout reached with responses still being written")
+			if open := v.callerConns.closeAll(closeCtx); open > 0 {
+				v.log.Warn().Int("connections", open).Msg("the process exits with responses still being written")
 			}
 			return errDrained
 		}
