Take only output of a runner for the beginning of a response

What callers saw: nothing yet; found by reading. A part that crashes runners would stay in use if its runners send a comment of the event stream before they crash (": queued"), or if one of them answers such a request with an error: the part was taken for sound for 10 s, and its quarantine ended.

Cause: a response counted as begun when its first byte was passed to the caller, whatever it was.

Change: a response begins with the first event of a stream or with a successful answer. The time to the first byte is measured as before.

TestResponseBeginsWithOutput failed before with a stream that has only a comment, and with an error.

--- a/forward/session.go
+++ b/forward/session.go
@@ -19,6 +19,8 @@
 	caller  Caller
 	// headSent means that the caller has received the status and headers of a response.
 	headSent bool
+	// started means that a runner has generated output.
+	started bool
 	// lastEvent is the last event that the caller has: received from here, or named as such in its request.
 	lastEvent cs.EventID
 	// heldError is a complete response with an error status, which is sent to the caller if no
@@ -117,14 +119,20 @@
 	return out
 }
 
-// recordFirstByte measures the time to the first byte sent to the caller and reports it to the
-// control loop.
-func (s *session) recordFirstByte(a gateway.Dispatch) {
-	if s.headSent {
-		return
-	}
+// sendHead passes the status and headers of a response to the caller and measures the time to the first byte.
+func (s *session) sendHead(response *RunnerResponse, length int) {
 	s.headSent = true
+	s.caller.Head(response.Status, response.Header, length)
 	s.traffic.cfg.ObserveFirstByte(s.forward.Route.Name, s.traffic.cfg.Clock.Now().Sub(s.forward.Arrived))
+}
+
+// reportStarted reports the first output of a runner to the control loop. Comments and errors do not show that a runner
+// can generate a response to the prompt.
+func (s *session) reportStarted(a gateway.Dispatch) {
+	if s.started {
+		return
+	}
+	s.started = true
 	s.post(gateway.ForwardStarted{ID: a.ID, Attempt: a.Attempt})
 }
 
@@ -149,8 +157,10 @@
 		return s.failure(ctx, errors.New("successful response without the runner's signature"))
 	}
 	s.heldError = nil
-	s.caller.Head(response.Status, response.Header, len(body))
-	s.recordFirstByte(a)
+	s.sendHead(response, len(body))
+	if response.Status < http.StatusMultipleChoices {
+		s.reportStarted(a)
+	}
 	if err := s.caller.Write(body); err != nil {
 		return s.failure(ctx, err)
 	}
@@ -179,8 +189,10 @@
 			}
 		}
 		if !s.headSent {
-			s.caller.Head(response.Status, response.Header, -1)
-			s.recordFirstByte(a)
+			s.sendHead(response, -1)
+		}
+		if e.ID != 0 {
+			s.reportStarted(a)
 		}
 		if err := s.caller.Write(e.Raw); err != nil {
 			return s.failure(ctx, err)
--- a/forward/session_test.go
+++ b/forward/session_test.go
@@ -216,6 +216,50 @@
 	}
 }
 
+// Guards against taking a part of a prompt that crashes runners for a sound one, since a response of which the runner has
+// generated nothing counts as begun.
+func TestResponseBeginsWithOutput(t *testing.T) {
+	lost := io.ErrUnexpectedEOF
+	for name, test := range map[string]struct {
+		status  int
+		body    string
+		err     error
+		started bool
+	}{
+		"event":                    {http.StatusOK, "id: 1\ndata: a\n\n", lost, true},
+		"comment before the event": {http.StatusOK, ": queued\n\nid: 1\ndata: a\n\n", lost, true},
+		"comment only":             {http.StatusOK, ": queued\n\n", lost, false},
+		"error":                    {http.StatusNotFound, "no such model", nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			s := &scriptedRunner{responses: []func(context.Context) (*forward.RunnerResponse, error){
+				func(ctx context.Context) (*forward.RunnerResponse, error) {
+					response, err := streamOf(test.body, test.err)(ctx)
+					response.Status = test.status
+					return response, err
+				},
+			}}
+			started := false
+			serveSession(ctx, s, &recordingCaller{}, func(e gateway.Event) gateway.Action {
+				switch e := e.(type) {
+				case gateway.ForwardArrived:
+					return gateway.Dispatch{ID: e.Forward.ID, Attempt: 1, Runner: "a"}
+				case gateway.ForwardStarted:
+					started = true
+				case gateway.ForwardEnded:
+					return gateway.Refuse{ID: e.ID, Refusal: cs.Refusal{Reason: cs.ReasonBroken, Ran: cs.RanUnknown}}
+				default:
+				}
+				return nil
+			})
+			c.Check(started, qt.Equals, test.started)
+		})
+	}
+}
+
 // A stream on whose connection nothing arrives must end with a timeout while there is time to resume
 // on another runner, and must not count as a lost connection.
 func TestStreamEndsAtIdleTimeout(t *testing.T) {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -107,7 +107,7 @@
 type (
 	// ForwardArrived brings a new online request.
 	ForwardArrived struct{ Forward Forward }
-	// ForwardStarted reports that the first byte of a response was passed to the caller.
+	// ForwardStarted reports that a runner has generated the first output of a response: an event or a successful answer.
 	ForwardStarted struct {
 		ID      ForwardID
 		Attempt cs.Attempt
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -44,7 +44,7 @@
 	// MayHaveRun means that a runner may have started to run the request, so that it is only sent again if
 	// its route allows a repetition.
 	MayHaveRun bool
-	// Begun means that the response of a runner has begun: its first byte was passed to the caller.
+	// Begun means that a runner has generated the first output of a response.
 	Begun bool
 	// Probe means that the request may be sent once although a part of its prompt is quarantined.
 	Probe bool
