--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -95,6 +95,9 @@
 	observeReport func(gateway.Report)
 	// observeSend is called with each report and its receivers, if it is set.
 	observeSend func(gateway.SendReport)
+	// maxTransit is the longest time of a report on the network, and lost the share of reports that do not arrive there.
+	maxTransit cs.Span
+	lost       float64
 
 	crashes    []cs.Instant
 	dispatches []simDispatch
@@ -232,9 +235,13 @@
 	for _, address := range a.To {
 		to[address] = true
 	}
-	f.at(simStep, func() {
+	transit := simStep
+	if f.maxTransit > 0 {
+		transit += cs.Span(f.rand.IntN(int(f.maxTransit)))
+	}
+	f.at(transit, func() {
 		for _, v := range f.vms {
-			if to[v.tables.Self.Address] && v != from && !v.stopped && f.now >= v.cutUntil && f.now >= from.cutUntil {
+			if to[v.tables.Self.Address] && v != from && !v.stopped && f.now >= v.cutUntil && f.now >= from.cutUntil && (f.lost == 0 || f.rand.Float64() >= f.lost) {
 				v.inbox = append(v.inbox, e)
 			}
 		}
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -127,33 +127,41 @@
 // its peers when they learned of it.
 func TestQuarantineReachesVMsThatReturn(t *testing.T) {
 	const returned = 12 * cs.Second
-	d := deadlyDay{
-		vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 2.4,
-		disturb: func(f *simFleet, at cs.Span) {
+	for _, test := range []struct {
+		day      deadlyDay
+		seeds    uint64
+		affected int
+	}{
+		{deadlyDay{vms: 21, runners: 12, perSecond: 48, deadlyPerSecond: 2.4}, 3, 4},
+		{deadlyDay{vms: 121, runners: 90, perSecond: 48, deadlyPerSecond: 16}, 1, 30},
+	} {
+		d := test.day
+		d.deadly = []cs.PromptPart{firstPart, deadlyPart}
+		d.disturb = func(f *simFleet, at cs.Span) {
 			switch at {
 			case 4 * cs.Second:
-				for _, v := range f.vms[:4] {
+				for _, v := range f.vms[:test.affected] {
 					v.cutUntil = f.now.Add(returned - 4*cs.Second)
 				}
 			case returned:
-				for i := 4; i < 8; i++ {
+				for i := test.affected; i < 2*test.affected; i++ {
 					f.restart(i)
 				}
 			}
-		},
-	}
-	for seed := range uint64(3) {
-		d.seed = seed
-		c := qt.New(t)
-		f := d.play()
-		affected := make(map[cs.VMID]bool)
-		for _, v := range f.vms[:8] {
-			affected[v.tables.Self.ID] = true
 		}
-		inTouchAgain := f.now.Add(returned + contactTime - 20*cs.Second)
-		late := lateRequests(f, func(s simDispatch) bool { return affected[s.vm] && s.at < inTouchAgain })
-		c.Check(len(late) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d requests reached runners too late, %d crashes", len(late), len(f.crashes)))
-		c.Check(unjustRefusals(f), qt.Equals, 0)
+		for seed := range test.seeds {
+			d.seed = seed
+			c := qt.New(t)
+			f := d.play()
+			affected := make(map[cs.VMID]bool)
+			for _, v := range f.vms[:2*test.affected] {
+				affected[v.tables.Self.ID] = true
+			}
+			inTouchAgain := f.now.Add(returned + contactTime - 20*cs.Second)
+			late := lateRequests(f, func(s simDispatch) bool { return affected[s.vm] && s.at < inTouchAgain })
+			c.Check(len(late) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d VMs: %d requests reached runners too late, %d crashes", d.vms, len(late), len(f.crashes)))
+			c.Check(unjustRefusals(f), qt.Equals, 0)
+		}
 	}
 }
 
@@ -269,11 +277,14 @@
 // VMs from learning which part crashes runners.
 func TestMadeUpPartsDoNotHideTheCause(t *testing.T) {
 	const maxDatagram = 1500
-	largest := 0
-	made := cs.PromptPart(1 << 32)
-	d := deadlyDay{
-		vms: 21, runners: 12, perSecond: 48, deadly: []cs.PromptPart{firstPart, deadlyPart}, deadlyPerSecond: 2.4,
-		disturb: func(f *simFleet, _ cs.Span) {
+	for _, d := range []deadlyDay{
+		{vms: 21, runners: 12, perSecond: 48, deadlyPerSecond: 2.4},
+		{vms: 121, runners: 90, perSecond: 48, deadlyPerSecond: 16, length: 12 * cs.Second},
+	} {
+		largest := 0
+		made := cs.PromptPart(1 << 32)
+		d.deadly = []cs.PromptPart{firstPart, deadlyPart}
+		d.disturb = func(f *simFleet, _ cs.Span) {
 			f.observeReport = func(r gateway.Report) {
 				data, err := cbor.Marshal(r)
 				qt.Assert(t, err, qt.IsNil)
@@ -287,14 +298,14 @@
 				}
 				f.send(f.anyVM(), parts...)
 			}
-		},
+		}
+		c := qt.New(t)
+		f := d.play()
+		late := lateRequests(f, func(simDispatch) bool { return false })
+		c.Check(len(late) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d VMs: %d requests reached runners too late, %d crashes", d.vms, len(late), len(f.crashes)))
+		c.Check(unjustRefusals(f), qt.Equals, 0)
+		c.Check(largest <= maxDatagram, qt.IsTrue, qt.Commentf("%d VMs: a report of %d bytes", d.vms, largest))
 	}
-	c := qt.New(t)
-	f := d.play()
-	late := lateRequests(f, func(simDispatch) bool { return false })
-	c.Check(len(late) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d requests reached runners too late, %d crashes", len(late), len(f.crashes)))
-	c.Check(unjustRefusals(f), qt.Equals, 0)
-	c.Check(largest <= maxDatagram, qt.IsTrue, qt.Commentf("a report of %d bytes", largest))
 }
 
 // lateProbes counts the requests with the deadly part that reached runners after the given time of a day.
@@ -395,3 +406,21 @@
 		c.Check(late <= maxUnheard, qt.IsTrue, qt.Commentf("%d VMs: %d requests reached runners", vms, late))
 	}
 }
+
+// Guards against refusing sound requests, and against learning too late of the part that crashes runners, while the
+// reports of VMs are slow and some of them are lost.
+func TestQuarantineWithSlowReports(t *testing.T) {
+	for _, d := range []deadlyDay{
+		{vms: 21, runners: 12, perSecond: 48, deadlyPerSecond: 2.4, length: 24 * cs.Second},
+		{vms: 121, runners: 90, perSecond: 48, deadlyPerSecond: 16, length: 24 * cs.Second},
+	} {
+		d.deadly = []cs.PromptPart{firstPart, deadlyPart}
+		d.disturb = func(f *simFleet, _ cs.Span) { f.maxTransit, f.lost = 100*cs.Millisecond, 0.1 }
+		c := qt.New(t)
+		f := d.play()
+		late := lateRequests(f, func(simDispatch) bool { return false })
+		c.Check(len(late) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d VMs: %d requests reached runners too late, %d crashes", d.vms, len(late), len(f.crashes)))
+		c.Check(lateProbes(f, d.length, 15*cs.Second) <= 1, qt.IsTrue)
+		c.Check(unjustRefusals(f), qt.Equals, 0, qt.Commentf("%d VMs", d.vms))
+	}
+}
