Compare the crashes of parts only as far as they are known

What callers saw: a sound part is refused for as long as the quarantine lasts, although the part that causes the crashes is known: the part had been in flight beside the cause at a third of its crashes, and nothing had begun on it before.

Cause: requests without the cause are served if it explains most crashes of their other part. Of each suspect a VM keeps the 16 crashes with the lowest IDs, and reports list five. With 46 crashes in all, most of those kept of the rarer part are not among those kept of the cause, and counted against it.

Change: a crash that the cause is not known to share counts against it only up to the fifth lowest ID of its crashes, since all VMs know those; beyond it only shared crashes count.

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -424,3 +424,24 @@
 		c.Check(unjustRefusals(f), qt.Equals, 0, qt.Commentf("%d VMs", d.vms))
 	}
 }
+
+// Guards against refusing requests for a sound part that was in flight at some of the crashes, and at no others, when there
+// were more crashes than are kept for each part.
+func TestPartBesideTheCauseOfManyCrashesIsServed(t *testing.T) {
+	for seed := range uint64(2) {
+		d := deadlyDay{
+			vms: 121, runners: 90, perSecond: 20, deadly: []cs.PromptPart{laterPart, deadlyPart}, deadlyPerSecond: 8, seed: seed, length: 12 * cs.Second,
+			disturb: func(f *simFleet, at cs.Span) {
+				if at >= 4*cs.Second && f.rand.Float64() < 16*float64(simStep)/1000 {
+					f.send(f.anyVM(), laterPart+cs.PromptPart(1+f.rand.IntN(2)), deadlyPart)
+				}
+				if at >= 8*cs.Second && f.rand.Float64() < 8*float64(simStep)/1000 {
+					f.send(f.anyVM(), laterPart+cs.PromptPart(f.rand.IntN(3)))
+				}
+			},
+		}
+		c := qt.New(t)
+		f := d.play()
+		c.Check(unjustRefusals(f), qt.Equals, 0, qt.Commentf("%d crashes", len(f.crashes)))
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"strconv"
 
@@ -108,18 +109,26 @@
 }
 
 // explains reports whether a suspect was in flight at most crashes of another one, and at the last. Not at all of them,
-// since a VM may not know all crashes of each.
+// since a VM may not know all crashes of each. Of a suspect with many crashes all VMs know those with the lowest IDs, and
+// only up to there it can be told which crashes of the other one are not among them.
 func (s *Suspect) explains(other *Suspect) bool {
 	if other.LastCrashAt.Sub(s.LastCrashAt) > transitTolerance {
 		return false
 	}
-	common := 0
-	for _, c := range s.Crashes {
-		if _, ok := findCrash(other.Crashes, c.ID); ok {
+	common, compared, known := 0, 0, CrashID(math.MaxUint32)
+	if len(s.Crashes) >= MaxReportedCrashes {
+		known = s.Crashes[MaxReportedCrashes-1].ID
+	}
+	for _, c := range other.Crashes {
+		_, shared := findCrash(s.Crashes, c.ID)
+		if shared {
 			common++
 		}
+		if shared || c.ID <= known {
+			compared++
+		}
 	}
-	return 2*common > len(other.Crashes)
+	return 2*common > compared
 }
 
 // nextProbeAt returns when a request with the part may be let through. A probe counts like a crash, whether or not its outcome
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -90,6 +90,8 @@
 
 // Bounds on what is kept of suspects, whatever contents and parts callers make up.
 const (
+	// MaxReportedCrashes is the number of crashes of a suspect that a report lists, those with the lowest IDs.
+	MaxReportedCrashes = 5
 	// maxCrashesPerSuspect is the number of crashes that are kept for a suspect; more do not change a decision.
 	maxCrashesPerSuspect = 16
 	// maxSuspects is the number of suspects. Beyond it those with the fewest crashes give way.
--- a/roster/suspects.go
+++ b/roster/suspects.go
@@ -13,7 +13,6 @@
 	maxReportedContents   = 6
 	maxReportedParts      = 6
 	maxReportedAcquittals = 10
-	maxReportedCrashes    = 5
 )
 
 // hasSuspectNews reports whether this VM has learned something new of a suspect since its last report.
@@ -75,7 +74,7 @@
 			r.Begun, r.BegunAge = true, now.Sub(*begun)
 		}
 	}
-	for _, c := range s.Crashes[:min(len(s.Crashes), maxReportedCrashes)] {
+	for _, c := range s.Crashes[:min(len(s.Crashes), gateway.MaxReportedCrashes)] {
 		r.Crashes = append(r.Crashes, gateway.CrashReport{ID: c.ID, Age: now.Sub(c.At)})
 	}
 	return r
