--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -44,7 +44,7 @@
 	// MayHaveRun means that a runner may have started to run the request, so that it is only sent again if
 	// its route allows a repetition.
 	MayHaveRun bool
-	// Begun means that the response of a runner has begun: its first byte was passed to the caller.
+	// Begun means that a runner has generated the first output of a response.
 	Begun bool
 	// Stopped means that the attempt in progress has been cancelled, since this VM is about to exit.
 	Stopped bool
