Compress outputs only when the list of VMs has been read

A VM that appended before it had read the list of VMs knew no peers and compressed its records, also beside VMs of the version before, which take a compressed result for one without a text. The list of VMs and the job log are feeds of their own, and the one can be read while reads of the other fail.

TestRecordsAreNotCompressedBeforeListIsRead failed before (format 1, want 0). TestRecordsAreCompressedOnceAllVMsReadThem posts that the list has been read, as the feed does after each list; its expected formats are the same.

--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -91,8 +91,11 @@
 }
 
 // jobLogFormat returns the newest format of the job log's records that all VMs read. A VM that is known from reports only
-// reads the oldest one as far as is known.
+// reads the oldest one as far as is known, and so may others until the list of VMs has been read.
 func jobLogFormat(t *gateway.Tables) cs.JobLogFormat {
+	if !t.Feeds[gateway.FeedVMs].Loaded {
+		return cs.JobLogPlain
+	}
 	format := t.Self.JobLogFormat
 	for _, p := range t.Peers.All() {
 		format = min(format, p.VM.JobLogFormat)
--- a/batchjob/format_test.go
+++ b/batchjob/format_test.go
@@ -37,7 +37,7 @@
 			}
 			listed.Changes = append(listed.Changes, gateway.VMChange{ID: id, VM: &cs.VM{ID: id, DataCentre: "a", Incarnation: 1, JobLogFormat: format}})
 		}
-		v.inbox = append(v.inbox, listed, gateway.JobSubmitted{Query: 1, Spec: newJob("j", 1)})
+		v.inbox = append(v.inbox, listed, gateway.FeedRead{Feed: gateway.FeedVMs, Loaded: true, AsOf: startTime}, gateway.JobSubmitted{Query: 1, Spec: newJob("j", 1)})
 		for range 3 {
 			v.tick(startTime)
 		}
@@ -45,3 +45,16 @@
 		c.Check(v.appends[0].Format, qt.Equals, test.want, qt.Commentf("peers %v, reported first: %t", test.peers, reported))
 	}
 }
+
+// Guards against results without their text at VMs of an older version, when a VM appends before it has read the list of VMs.
+func TestRecordsAreNotCompressedBeforeListIsRead(t *testing.T) {
+	c := qt.New(t)
+	v := newVM("a", 0, 1, 2, 3)
+	v.Self.JobLogFormat = cs.JobLogCompressed
+	v.inbox = append(v.inbox, gateway.JobSubmitted{Query: 1, Spec: newJob("j", 1)})
+	for range 3 {
+		v.tick(startTime)
+	}
+	c.Assert(v.appends, qt.HasLen, 1)
+	c.Check(v.appends[0].Format, qt.Equals, cs.JobLogPlain)
+}
