Name the format that a VM reads in its reports

What callers would see: nothing; the store sends more than it need. A registration that is removed late, after that of the VM's next start, takes the VM from the list of its peers; known from reports again, it counted as one that reads no compressed records, until its next start, and the whole fleet stopped compressing.

TestFormatOfVMSurvivesLateRemoval failed before (0 in place of 1; here the reports of the test name the format, which they could not before).

--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -93,8 +93,8 @@
 	out.Add(a)
 }
 
-// jobLogFormat returns the newest format of the job log's records that all VMs read. A VM that is known from reports only
-// reads the oldest one as far as is known, and so may others until the list of VMs has been read.
+// jobLogFormat returns the newest format of the job log's records that all VMs read. VMs name it in their registration and in
+// their reports. Those of a version without formats read the oldest one, and there may be some until the list of VMs has been read.
 func jobLogFormat(t *gateway.Tables) cs.JobLogFormat {
 	if !t.Feeds[gateway.FeedVMs].Loaded {
 		return cs.JobLogPlain
--- a/batchjob/format_test.go
+++ b/batchjob/format_test.go
@@ -33,7 +33,7 @@
 		for i, format := range test.peers {
 			id := cs.VMID(rune('b' + i))
 			if reported {
-				v.inbox = append(v.inbox, gateway.PeerReported{Address: "10.0.0.2:1", Report: gateway.Report{From: id, Incarnation: 1, Seq: 1}})
+				v.inbox = append(v.inbox, gateway.PeerReported{Address: "10.0.0.2:1", Report: gateway.Report{From: id, Incarnation: 1, Seq: 1, JobLogFormat: format}})
 			}
 			listed.Changes = append(listed.Changes, gateway.VMChange{ID: id, VM: &cs.VM{ID: id, DataCentre: "a", Incarnation: 1, JobLogFormat: format}})
 		}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -68,6 +68,8 @@
 	Leaving bool `cbor:"x,omitempty"`
 	// StoreUnreadable means that the sender cannot read the store.
 	StoreUnreadable bool `cbor:"u,omitempty"`
+	// JobLogFormat is the newest format of job log records that the sender reads.
+	JobLogFormat cs.JobLogFormat `cbor:"v,omitempty"`
 	// Registrations tells how the sender reads the registrations of runners; nil if it cannot read them.
 	Registrations *ReadsReport `cbor:"g,omitempty"`
 	// BatchDemand is the sender's demand for batch slots (see Peer).
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -73,8 +73,6 @@
 		case p.VM.Incarnation < c.VM.Incarnation:
 			p.VM = *c.VM
 			t.LiveChanges++
-		case p.VM.Incarnation == c.VM.Incarnation: // known from reports before it was listed
-			p.VM.JobLogFormat = c.VM.JobLogFormat
 		}
 	}
 	if e.Snapshot {
@@ -133,9 +131,9 @@
 	}
 	if r.Incarnation != p.VM.Incarnation {
 		p.SentTo = nil
-		p.VM.JobLogFormat = cs.JobLogPlain // until the registration of this start is read
 	}
 	p.VM.Incarnation, p.VM.DataCentre, p.VM.Address, p.VM.Leaving = r.Incarnation, r.DataCentre, e.Address, r.Leaving
+	p.VM.JobLogFormat = r.JobLogFormat
 	p.LastReportAt, p.HeardAt, p.Seq = receivedAt, receivedAt, r.Seq
 	for _, id := range r.Ejected {
 		if runner := t.Runners.Get(id); runner != nil {
