Take the state of the job log from a peer after a start

A VM without a state refuses each query with 503, although its peers know the jobs.

Change: reports tell how old the sender's view of the job log is. The peer sends what it has applied (jobs, results in order, keys of results, progress, ends, the offset and the age) as CBOR over HTTP: one transfer at a time, else 503; pages of 256 KB, each followed by a pause as long as the page took, at least 20 ms; a receiver that stalls for 2 s is given up. Changes are read from the handed-over offset on. That ends before the chunks of a specification that the peer has read in part. AsOf is that of the peer, less the time of the transfer, so that absence is judged as before; a state that is older than the tables changes nothing.

A VM whose view is old, but which has not lost its history, takes no state: it reads the changes when it can.

Tests: TestStartedVMTakesJobLogFromPeer (two VMs, 300 results of 12 KB or less, a store that hangs on pages) fails in both cases without the hook in the feed ("the condition does not hold", 10 s). TestJobStateIsTakenFromAnotherPeer has 16 peers that are without a state, die, fall silent or send what no VM can have. Run with the race detector: the tests of package gossip named JobState, and TestStartedVMTakesJobLogFromPeer.

--- a/batchjob/apply.go
+++ b/batchjob/apply.go
@@ -74,17 +74,22 @@
 			applyChange(t, now, r.Offset, r.Change, out)
 		}
 	}
+	dropJobs(t, present, read.End, out)
+	// Records at or after read.End that were applied before are read again, since the snapshot may lack
+	// some of the jobs that they opened.
+	t.JobLog.End, t.JobLog.PartialChunks = read.End, 0
+	t.JobLog.Synced = true
+}
+
+// dropJobs removes the jobs that are not present in the state of the log at an offset, except for those opened after it.
+func dropJobs(t *gateway.Tables, present map[cs.JobID]bool, end cs.Offset, out *gateway.Actions) {
 	t.Jobs.DeleteFunc(func(id cs.JobID, j *gateway.Job) bool {
-		if present[id] || j.Opened >= read.End {
+		if present[id] || j.Opened >= end {
 			return false
 		}
 		stopJobRuns(t, j, out)
 		return true
 	})
-	// Records at or after read.End that were applied before are read again, since the snapshot may lack
-	// some of the jobs that they opened.
-	t.JobLog.End = read.End
-	t.JobLog.Synced = true
 }
 
 // applyNewRecords applies the records of an incremental read.
@@ -98,6 +103,10 @@
 		}
 		noteUnreadable(t, r)
 		t.JobLog.End = r.Offset + 1
+		t.JobLog.PartialChunks++
+		if !r.Partial {
+			t.JobLog.PartialChunks = 0
+		}
 	}
 }
 
@@ -165,9 +174,14 @@
 	if c.Index >= len(j.ItemWork) || j.ItemWork[c.Index].Phase == gateway.ItemListed {
 		return
 	}
-	j.Results = append(j.Results, c.Result)
-	stopRun(t, j, c.Index, out)
-	j.ItemWork[c.Index] = gateway.ItemWork{Phase: gateway.ItemListed, SavedEvent: j.ItemWork[c.Index].SavedEvent}
+	listResult(t, j, c.Index, c.Result, out)
+}
+
+// listResult adds the result of an item at the next position.
+func listResult(t *gateway.Tables, j *gateway.Job, i int, r gateway.Result, out *gateway.Actions) {
+	j.Results = append(j.Results, r)
+	stopRun(t, j, i, out)
+	j.ItemWork[i] = gateway.ItemWork{Phase: gateway.ItemListed, SavedEvent: j.ItemWork[i].SavedEvent}
 }
 
 // applyProgress stores the partial output that another VM saved for an item.
--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -70,6 +70,9 @@
 	answers    map[gateway.QueryID]gateway.Action
 	appends    []gateway.AppendJobs
 	reports    []gateway.Report
+	// states and statePeers are the answers to requests for the state of the job log.
+	states     []gateway.AnswerJobState
+	statePeers []gateway.AnswerStatePeer
 	// readRequests counts the requests to read the log.
 	readRequests int
 	// leftGroup means that the VM has left the group that divides the job partitions.
@@ -112,6 +115,10 @@
 			v.appends = append(v.appends, a)
 		case gateway.SendReport:
 			v.reports = append(v.reports, a.Report)
+		case gateway.AnswerJobState:
+			v.states = append(v.states, a)
+		case gateway.AnswerStatePeer:
+			v.statePeers = append(v.statePeers, a)
 		case gateway.ReadJobs:
 			v.readRequests++
 		case gateway.LeaveGroup:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,7 @@
 	runners       *platform.Runners
 	gossip        *gossip.Gossip
 	stateExchange *gossip.StateExchange
+	jobExchange   *gossip.JobStateExchange
 	noteLogger    *noteLogger
 	meter         *meter.Meter
 	forward       *forward.Traffic
@@ -100,8 +101,10 @@
 	v.meter = meter.New(v.log)
 	v.noteLogger = newNoteLogger(v.log, v.meter)
 	v.store = platform.NewStore(s.Store.Address)
+	v.jobExchange = gossip.NewJobStateExchange(gossip.JobStateConfig{Clock: clock, Post: post, Log: v.log})
 	v.feeds = platform.NewFeeds(platform.FeedsConfig{
 		Clock: clock, Store: v.store, Post: post, Log: v.log, GroupTimeout: max(groupTimeout, s.Store.MinGroupTimeout), Self: v.self, MaxRecord: s.Store.MaxRecord,
+		ObtainJobs: v.jobExchange.Obtain,
 	})
 	v.runners = platform.NewRunners(platform.RunnersConfig{Clock: clock, Post: post, Log: v.log})
 	v.forward = forward.NewTraffic(forward.TrafficConfig{
@@ -115,7 +118,10 @@
 		return errors.Wrap(err, "listen for peer reports")
 	}
 	v.stateExchange = gossip.NewStateExchange(post)
-	v.peers = &http.Server{Addr: string(v.self.Address), Handler: v.stateExchange, ReadHeaderTimeout: readHeaderTimeout.Std()}
+	peerHandler := http.NewServeMux()
+	peerHandler.Handle("/", v.stateExchange)
+	peerHandler.Handle(gossip.JobStatePath, v.jobExchange)
+	v.peers = &http.Server{Addr: string(v.self.Address), Handler: peerHandler, ReadHeaderTimeout: readHeaderTimeout.Std()}
 	ingress := platform.NewIngress(platform.IngressConfig{
 		Clock: clock, Forward: v.forward, BatchJobs: v.batchjob, View: v.loop.View, Note: v.noteLogger.logNote, Loaded: v.loop.loaded,
 		WallClock: func() cs.Instant { return cs.Instant(time.Now().UnixMilli()) },
@@ -132,7 +138,8 @@
 	v.loop.handlers = handlers{
 		forward: v.forward, batchjob: v.batchjob, runTask: v.startTask, appendJobs: v.appendJobs(clock), readJobs: v.feeds.WakeJobs,
 		leaveGroup: v.feeds.LeaveGroup,
-		sendReport: v.gossip.Send, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer, logNote: v.noteLogger.logNote, itemsCtx: v.ctx,
+		sendReport: v.gossip.Send, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer,
+		answerJobState: v.jobExchange.AnswerState, answerStatePeer: v.jobExchange.AnswerPeer, logNote: v.noteLogger.logNote, itemsCtx: v.ctx,
 		drainComplete: sync.OnceFunc(func() { close(v.drained) }),
 	}
 	return nil
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -27,6 +27,7 @@
 		forward.Admit, // before ApplyOutcomes, since a caller may disconnect in the tick in which its request arrives
 		forward.ApplyOutcomes,
 		batchjob.ApplyJobLog,
+		batchjob.ShareState,
 		batchjob.AssignPartitions,
 		batchjob.ApplyOutcomes,
 		roster.Crashes,
@@ -55,6 +56,8 @@
 	sendReport       func(gateway.SendReport)
 	requestPeerState func(context.Context, gateway.RequestPeerState)
 	answerPeerState  func(gateway.AnswerPeerState)
+	answerJobState   func(gateway.AnswerJobState)
+	answerStatePeer  func(gateway.AnswerStatePeer)
 	logNote          func(gateway.Note)
 	drainComplete    func()
 	// itemsCtx is the context in which batch items run.
@@ -146,6 +149,10 @@
 		h.runTask(func(ctx context.Context) { h.requestPeerState(ctx, a) })
 	case gateway.AnswerPeerState:
 		h.answerPeerState(a)
+	case gateway.AnswerJobState:
+		h.answerJobState(a)
+	case gateway.AnswerStatePeer:
+		h.answerStatePeer(a)
 	case gateway.Exit:
 		h.drainComplete()
 	case gateway.Note:
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -131,6 +131,17 @@
 		Query StateQueryID
 		State PeerState
 	}
+	// AnswerStatePeer answers StatePeerRequested; Address is empty if there is no such peer.
+	AnswerStatePeer struct {
+		Query   StateQueryID
+		Peer    cs.VMID
+		Address cs.Address
+	}
+	// AnswerJobState answers JobStateRequested; State is nil if this VM has none or is leaving.
+	AnswerJobState struct {
+		Query StateQueryID
+		State *JobLogState
+	}
 	// Exit lets the process exit, since the drain is complete or its time limit has passed.
 	Exit struct{}
 )
@@ -148,5 +159,7 @@
 func (SendReport) isAction()       {}
 func (RequestPeerState) isAction() {}
 func (AnswerPeerState) isAction()  {}
+func (AnswerStatePeer) isAction()  {}
+func (AnswerJobState) isAction()   {}
 func (Exit) isAction()             {}
 func (Note) isAction()             {}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -189,6 +189,20 @@
 	}
 	// PeerStateRequested requests this VM's state on behalf of a peer.
 	PeerStateRequested struct{ Query StateQueryID }
+	// StatePeerRequested requests a peer that can hand over the state of the job log, other than those that were tried.
+	StatePeerRequested struct {
+		Query StateQueryID
+		Tried []cs.VMID
+	}
+	// JobStateRequested requests the state of the job log on behalf of a peer.
+	JobStateRequested struct{ Query StateQueryID }
+	// JobStateRead brings the state of the job log that a peer has handed over. AsOf is an instant for which it holds
+	// everything that was in the log.
+	JobStateRead struct {
+		Peer  cs.VMID
+		State JobLogState
+		AsOf  cs.Instant
+	}
 	// DrainRequested requests that this VM drain and exit.
 	DrainRequested struct{}
 )
@@ -216,4 +230,7 @@
 func (PeerReported) isEvent()           {}
 func (PeerStateRead) isEvent()          {}
 func (PeerStateRequested) isEvent()     {}
+func (StatePeerRequested) isEvent()     {}
+func (JobStateRequested) isEvent()      {}
+func (JobStateRead) isEvent()           {}
 func (DrainRequested) isEvent()         {}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -239,6 +239,9 @@
 	Synced bool
 	// End is the offset after the last record applied.
 	End cs.Offset
+	// PartialChunks counts the last records before End that are chunks of a specification of which other chunks have
+	// not been read.
+	PartialChunks cs.Offset
 	// InFlight is the append whose outcome is not known yet, or nil.
 	InFlight *AppendJobs
 	// SentAt is when the append in flight was first sent.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -28,6 +28,8 @@
 	StoreUnreadable bool
 	// Registrations tells how the peer reads the registrations of runners.
 	Registrations PeerReads
+	// JobLogAsOf is the instant for which the peer has read everything in the job log, or 0 if it has not read it.
+	JobLogAsOf cs.Instant
 	// BatchDemand is the peer's demand for batch slots: the items that it could start now. Items that will be
 	// late anyway count for less.
 	BatchDemand int
@@ -68,6 +70,8 @@
 	StoreUnreadable bool `cbor:"u,omitempty"`
 	// Registrations tells how the sender reads the registrations of runners; nil if it cannot read them.
 	Registrations *ReadsReport `cbor:"g,omitempty"`
+	// JobLogAge is the age of the sender's view of the job log; nil if it has not read it.
+	JobLogAge *cs.Span `cbor:"j,omitempty"`
 	// BatchDemand is the sender's demand for batch slots (see Peer).
 	BatchDemand int `cbor:"q,omitempty"`
 	// Demands is the sender's demand for the free capacity of services.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -17,6 +17,8 @@
 	// Change is nil if the record could not be decoded, is a chunk of a job of which other chunks have not
 	// been read yet, or removes a key whose removal alone changes nothing.
 	Change JobChange
+	// Partial means that the record is a chunk of a specification of which other chunks have not been read.
+	Partial bool
 	// Unreadable is the job whose specification could not be decoded, or empty.
 	Unreadable cs.JobID
 }
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -156,6 +156,10 @@
 	if reads := r.Registrations; reads != nil {
 		p.Registrations = gateway.PeerReads{Since: now.Add(-reads.Since - e.Age), AsOf: now.Add(-reads.AsOf - e.Age)}
 	}
+	p.JobLogAsOf = 0
+	if r.JobLogAge != nil {
+		p.JobLogAsOf = receivedAt.Add(-*r.JobLogAge)
+	}
 	setPeerLoad(t, p, r.Loads, r.Demands)
 	return p
 }
--- a/roster/report.go
+++ b/roster/report.go
@@ -95,6 +95,10 @@
 	if feed := t.Feeds[gateway.FeedRunners]; feed.ReadableSince != 0 {
 		r.Registrations = &gateway.ReadsReport{Since: now.Sub(feed.ReadableSince), AsOf: feed.Age(now)}
 	}
+	if t.JobLog.Synced {
+		age := t.Feeds[gateway.FeedJobs].Age(now)
+		r.JobLogAge = &age
+	}
 	for id, demand := range t.Demands.All() {
 		if demand.Own > 0 {
 			r.Demands = append(r.Demands, gateway.DemandReport{Service: id, Demand: demand.Own})
--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -217,9 +217,11 @@
 		if err != nil {
 			return unreadable(kind, job, out), err
 		}
-		if spec != nil {
-			out.Change = gateway.JobOpened{Spec: *spec}
+		if spec == nil {
+			out.Partial = true
+			return out, nil
 		}
+		out.Change = gateway.JobOpened{Spec: *spec}
 	default:
 		return out, errors.Newf("job log record with key %q has an unknown kind or lacks its payload", key)
 	}
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -204,3 +204,21 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(got.Change, qt.DeepEquals, gateway.JobChange(want))
 }
+
+// Guards against a state of the log that is cut between the chunks of a specification, since they do not count as such.
+func TestIncompleteSpecificationIsPartial(t *testing.T) {
+	c := qt.New(t)
+	records, err := wire.EncodeJobChanges(gateway.AppendID{Writer: 3, Number: 4}, jobChanges, 2048)
+	c.Assert(err, qt.IsNil)
+	var decoder wire.JobDecoder
+	partial := 0
+	for i, r := range records {
+		decoded, err := decoder.Decode(r.Key, r.Value)
+		c.Assert(err, qt.IsNil)
+		c.Assert(decoded.Partial, qt.Equals, decoded.Change == nil, qt.Commentf("record %d", i))
+		if decoded.Partial {
+			partial++
+		}
+	}
+	c.Assert(partial, qt.Equals, len(records)-len(jobChanges))
+}
