--- a/gateway/note.go
+++ b/gateway/note.go
@@ -45,7 +45,7 @@
 	// NoteCatalogInForce: this VM uses a newer version of the catalog.
 	NoteCatalogInForce
 	// NoteStateAdopted: this VM uses the catalog and runners of a peer, since it has not been able to read
-	// the store since its start.
+	// the store since its start, or the state of the feed named, up to an offset.
 	NoteStateAdopted
 	// NoteRunnerAdded: a runner was registered, or registered again after a restart or with another address.
 	NoteRunnerAdded
