--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -141,6 +141,17 @@
 	// Exit lets the process exit, since the drain is complete or its time limit has passed. The answers that are still
 	// being written must be complete at By.
 	Exit struct{ By cs.Instant }
+	// AnswerStatePeer answers StatePeerRequested; Address is empty if there is no such peer.
+	AnswerStatePeer struct {
+		Query   StateQueryID
+		Peer    cs.VMID
+		Address cs.Address
+	}
+	// AnswerJobState answers JobStateRequested; State is nil if this VM has none or is leaving.
+	AnswerJobState struct {
+		Query StateQueryID
+		State *JobLogState
+	}
 )
 
 func (Dispatch) isAction()         {}
@@ -157,5 +168,7 @@
 func (SendReport) isAction()       {}
 func (RequestPeerState) isAction() {}
 func (AnswerPeerState) isAction()  {}
+func (AnswerStatePeer) isAction()  {}
+func (AnswerJobState) isAction()   {}
 func (Exit) isAction()             {}
 func (Note) isAction()             {}
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -275,3 +275,21 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(decoded.Change.(gateway.JobResultAppended).Result.Text, qt.Equals, outputOf(20))
 }
+
+// Guards against a state of the log that is cut between the chunks of a specification, since they do not count as such.
+func TestIncompleteSpecificationIsPartial(t *testing.T) {
+	c := qt.New(t)
+	records, err := wire.EncodeJobChanges(gateway.AppendID{Writer: 3, Number: 4}, jobChanges, cs.JobLogPlain, 2048)
+	c.Assert(err, qt.IsNil)
+	var decoder wire.JobDecoder
+	partial := 0
+	for i, r := range records {
+		decoded, err := decoder.Decode(r.Key, r.Value)
+		c.Assert(err, qt.IsNil)
+		c.Assert(decoded.Partial, qt.Equals, decoded.Change == nil, qt.Commentf("record %d", i))
+		if decoded.Partial {
+			partial++
+		}
+	}
+	c.Assert(partial, qt.Equals, len(records)-len(jobChanges))
+}
