Hand over no progress of an item whose result waits to be appended

Cause: when a result is proposed, its output moves to the proposal and the number of the last event stays with the item. The state named that number without the output, so that the next owner asked the runner to go on after the last event, and completed the item with nothing.

Change: the progress of such an item is not handed over. TestProgressOfProposedResultIsNotHandedOver failed before and passes.

--- a/batchjob/share.go
+++ b/batchjob/share.go
@@ -70,8 +70,10 @@
 		}
 		for i := range j.ItemWork {
 			if w := &j.ItemWork[i]; w.SavedEvent > 0 {
-				saved := gateway.SavedProgress{Index: i, SavedEvent: w.SavedEvent, Progress: w.Progress}
-				saved.Progress.Text = slices.Clip(saved.Progress.Text)
+				saved := gateway.SavedProgress{Index: i, SavedEvent: w.SavedEvent}
+				if w.Phase != gateway.ItemProposed { // the output has moved to the proposal of the result
+					saved.Progress = gateway.Progress{Text: slices.Clip(w.Text), LastEvent: w.LastEvent}
+				}
 				state.Saved = append(state.Saved, saved)
 			}
 		}
--- a/batchjob/share_test.go
+++ b/batchjob/share_test.go
@@ -237,3 +237,33 @@
 	c.Assert(ask("good1", "good2"), qt.Equals, cs.VMID("old"))
 	c.Assert(ask("good1", "good2", "old"), qt.Equals, cs.VMID(""))
 }
+
+// Guards against a result without its beginning (MIXED): the output of an item whose result waits to be appended is with the
+// proposal, and only the number of its last event with the item. A VM that takes over the item went on after that event.
+func TestProgressOfProposedResultIsNotHandedOver(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	a := newVM("a", 0, 1, 2, 3)
+	submit(a, l, newJob("j", 1), 1, startTime)
+	l.append(gateway.AppendJobs{AppendID: gateway.AppendID{Writer: 9, Number: 1}, ExpectedEnd: cs.NoOffset, Changes: []gateway.JobChange{
+		gateway.ProgressSaved{Job: "j", Item: "j-0", Index: 0, Progress: gateway.Progress{Text: []byte("a\nb"), LastEvent: 2}},
+	}})
+	now := startTime.Add(2 * cs.Second)
+	a.readLog(l, now)
+	a.inbox = append(a.inbox, gateway.PartitionsAssigned{Partitions: []int{0, 1, 2, 3}})
+	a.tick(now)
+	c.Assert(a.started, qt.HasLen, 1)
+	run := a.started[0]
+	a.inbox = append(a.inbox, gateway.ItemRunEnded{
+		Key: run.Key, Attempt: run.Attempt, Outcome: gateway.ItemCompleted{}, Text: []byte("c"), LastEvent: run.LastEvent + 1,
+	})
+	a.tick(now)
+	c.Assert(a.appends, qt.HasLen, 1) // with the result, and without an outcome
+
+	b := newVM("b")
+	b.JobLog.Synced = false
+	adopt(c, b, a, now)
+	work := b.Jobs.Get("j").ItemWork[0]
+	c.Check(work.SavedEvent, qt.Equals, cs.EventID(2))
+	c.Check(work.LastEvent, qt.Equals, cs.EventID(0), qt.Commentf("output %q", work.Text))
+}
--- a/gateway/joblogstate.go
+++ b/gateway/joblogstate.go
@@ -31,7 +31,8 @@
 // SavedProgress is the partial output of an item whose progress is in the job log.
 type SavedProgress struct {
 	Index int `cbor:"n"`
-	// SavedEvent is the last event in the log. Progress may be that of a later run, or be empty if the item has a result.
+	// SavedEvent is the last event in the log. Progress may be that of a later run, or be empty if the item has a result or
+	// its result waits to be appended.
 	SavedEvent cs.EventID `cbor:"s"`
 	Progress   Progress   `cbor:"p"`
 }
