Let a few VMs of each data centre follow the job log

Change: the first VMs of each data centre (four, by memory and rendezvous hashing) follow the log and own its partitions. The others pass calls about jobs to a follower and read nothing. A follower that dies or leaves is replaced; one that has become superfluous resigns after 10 s.

--- a/batchjob/apply.go
+++ b/batchjob/apply.go
@@ -10,6 +10,9 @@
 
 // ApplyJobLog updates the jobs of this VM with the records read from the job log and with its own appends.
 func ApplyJobLog(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+	if t.JobLog.Role == gateway.JobLogNone {
+		return // a read that had begun before this VM stopped following the log
+	}
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case gateway.JobsRead:
--- a/batchjob/share.go
+++ b/batchjob/share.go
@@ -26,6 +26,9 @@
 		case gateway.JobStateRequested:
 			out.Add(gateway.AnswerJobState{Query: e.Query, State: jobLogState(t, now)})
 		case gateway.JobStateRead:
+			if t.JobLog.Role == gateway.JobLogNone {
+				continue
+			}
 			adoptState(t, now, e, out)
 		default:
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,12 +87,13 @@
 	v.self = cs.VM{
 		ID: s.VM, DataCentre: s.DataCentre, Address: s.addressOf(s.Listen.PeerPort),
 		Incarnation:  cs.Incarnation(clock.Now())<<20 | cs.Incarnation(rand.Uint64N(1<<20)),
-		JobLogFormat: wire.NewestJobLogFormat,
+		JobLogFormat: wire.NewestJobLogFormat, Memory: cs.Bytes(s.MemoryMB) << 20,
 	}
 	limitMemory(s.MemoryMB)
 	tables := gateway.New(gateway.Config{
 		Grace: s.Grace, RegistrationGrace: registrationGrace, ResultRetention: s.ResultRetention, PartitionCount: s.Store.PartitionCount,
-		MaxAppend: s.Store.MaxAppend, MaxOutput: wire.MaxOutput(s.Store.MaxRecord),
+		JobLogFollowers: s.JobLogFollowers,
+		MaxAppend:       s.Store.MaxAppend, MaxOutput: wire.MaxOutput(s.Store.MaxRecord),
 	}, v.self, clock.Now(), rand.Uint64())
 	v.loop = newLoop(clock, tables)
 	return v, v.buildComponents(clock)
@@ -107,7 +108,7 @@
 	v.jobExchange = gossip.NewJobStateExchange(gossip.JobStateConfig{Clock: clock, Post: post, Log: v.log})
 	v.feeds = platform.NewFeeds(platform.FeedsConfig{
 		Clock: clock, Store: v.store, Post: post, Log: v.log, GroupTimeout: max(groupTimeout, s.Store.MinGroupTimeout), Self: v.self, MaxRecord: s.Store.MaxRecord,
-		ObtainJobs: v.jobExchange.Obtain,
+		ObtainJobs: v.jobExchange.Obtain, WaitForRole: true,
 	})
 	v.runners = platform.NewRunners(platform.RunnersConfig{Clock: clock, Post: post, Log: v.log})
 	v.forward = forward.NewTraffic(forward.TrafficConfig{
@@ -124,11 +125,12 @@
 	peerHandler := http.NewServeMux()
 	peerHandler.Handle("/", v.stateExchange)
 	peerHandler.Handle(gossip.JobStatePath, v.jobExchange)
-	v.peers = &http.Server{Addr: string(v.self.Address), Handler: peerHandler, ReadHeaderTimeout: readHeaderTimeout.Std()}
 	v.ingress = platform.NewIngress(platform.IngressConfig{
 		Clock: clock, Forward: v.forward, BatchJobs: v.batchjob, View: v.loop.View, Note: v.noteLogger.logNote, Loaded: v.loop.loaded,
 		WallClock: func() cs.Instant { return cs.Instant(time.Now().UnixMilli()) },
 	})
+	peerHandler.Handle(platform.ForwardedPath, v.ingress.Forwarded())
+	v.peers = &http.Server{Addr: string(v.self.Address), Handler: peerHandler, ReadHeaderTimeout: readHeaderTimeout.Std()}
 	v.callerConns = newCallerConns()
 	v.callers = &http.Server{
 		Addr: string(s.Listen.Callers), Handler: v.ingress, ReadHeaderTimeout: readHeaderTimeout.Std(), IdleTimeout: callerIdleTimeout.Std(),
@@ -142,7 +144,7 @@
 	}
 	v.loop.handlers = handlers{
 		forward: v.forward, batchjob: v.batchjob, runTask: v.startTask, appendJobs: v.appendJobs(clock), readJobs: v.feeds.WakeJobs,
-		leaveGroup: v.feeds.LeaveGroup,
+		leaveGroup: v.feeds.LeaveGroup, setJobLogRole: v.feeds.SetJobLogRole,
 		sendReport: v.gossip.Send, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer,
 		answerJobState: v.jobExchange.AnswerState, answerStatePeer: v.jobExchange.AnswerPeer, logNote: v.noteLogger.logNote, itemsCtx: v.ctx,
 		drainComplete: func(e gateway.Exit) { v.drained <- e }, // a drain completes once
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -26,6 +26,7 @@
 		roster.Drain,
 		forward.Admit, // before ApplyOutcomes, since a caller may disconnect in the tick in which its request arrives
 		forward.ApplyOutcomes,
+		batchjob.FollowJobLog,
 		batchjob.ApplyJobLog,
 		batchjob.ShareState,
 		batchjob.AssignPartitions,
@@ -54,6 +55,7 @@
 	readJobs   func()
 	// leaveGroup ends the membership in the batch consumer group.
 	leaveGroup       func()
+	setJobLogRole    func(gateway.JobLogRole)
 	sendReport       func(gateway.SendReport)
 	requestPeerState func(context.Context, gateway.RequestPeerState)
 	answerPeerState  func(gateway.AnswerPeerState)
@@ -138,12 +140,16 @@
 		h.runTask(func(ctx context.Context) { h.appendJobs(ctx, a) })
 	case gateway.LeaveGroup:
 		h.leaveGroup()
+	case gateway.SetJobLogRole:
+		h.setJobLogRole(a.Role)
 	case gateway.ReadJobs:
 		h.readJobs()
 	case gateway.AnswerJob:
 		h.batchjob.Answer(a.Query, a)
 	case gateway.AnswerResults:
 		h.batchjob.Answer(a.Query, a)
+	case gateway.AnswerJobPeer:
+		h.batchjob.Answer(a.Query, a)
 	case gateway.AnswerBody:
 		h.batchjob.Answer(a.Query, a)
 	case gateway.SendReport:
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -26,8 +26,14 @@
 	ResultRetention cs.Span `json:"resultLife"`
 	// MemoryMB is the memory of the VM in megabytes; a process that exceeds it is killed.
 	MemoryMB int `json:"memoryMB"`
+	// JobLogFollowers is the number of VMs of each data centre that follow the job log; if it is missing,
+	// defaultJobLogFollowers.
+	JobLogFollowers int `json:"jobLogFollowers"`
 }
 
+// defaultJobLogFollowers lets half of a data centre's followers fail while VMs restart in turn.
+const defaultJobLogFollowers = 4
+
 // Listen holds the addresses and ports on which an entry VM listens.
 type Listen struct {
 	// Callers is the address for callers, and Ready the address for the platform's readiness checks.
@@ -68,6 +74,9 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return Settings{}, setting.Errors{{Message: "is not valid: " + err.Error()}}
 	}
+	if s.JobLogFollowers == 0 {
+		s.JobLogFollowers = defaultJobLogFollowers
+	}
 	if errs := s.validate(); len(errs) > 0 {
 		return Settings{}, errs
 	}
@@ -98,6 +107,7 @@
 		"listen.peerPort": int64(s.Listen.PeerPort), "store.partitions": int64(s.Store.PartitionCount),
 		"store.maxRecord": int64(s.Store.MaxRecord), "store.maxAppend": int64(s.Store.MaxAppend),
 		"grace": int64(s.Grace), "resultLife": int64(s.ResultRetention), "memoryMB": int64(s.MemoryMB),
+		"jobLogFollowers": int64(s.JobLogFollowers),
 	} {
 		if n <= 0 {
 			addError(path, "must be positive")
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -93,6 +93,9 @@
 	}
 	// LeaveGroup ends this VM's membership in the batch group and so gives up its partitions.
 	LeaveGroup struct{}
+	// SetJobLogRole starts or stops the reads of the job log and the membership in the batch group, by which this VM gets
+	// partitions.
+	SetJobLogRole struct{ Role JobLogRole }
 	// ReadJobs requests that the job log be read at once instead of at the next poll.
 	ReadJobs struct{}
 )
@@ -113,6 +116,12 @@
 		Results []Result
 		Refusal *cs.Refusal
 	}
+	// AnswerJobPeer answers JobPeerRequested; Address is empty if there is no such peer.
+	AnswerJobPeer struct {
+		Query   QueryID
+		Peer    cs.VMID
+		Address cs.Address
+	}
 	// AnswerBody answers ItemBodyRequested.
 	AnswerBody struct {
 		Query   QueryID
@@ -161,6 +170,8 @@
 func (StopItem) isAction()         {}
 func (AppendJobs) isAction()       {}
 func (LeaveGroup) isAction()       {}
+func (SetJobLogRole) isAction()    {}
+func (AnswerJobPeer) isAction()    {}
 func (ReadJobs) isAction()         {}
 func (AnswerJob) isAction()        {}
 func (AnswerResults) isAction()    {}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -148,6 +148,11 @@
 		Job   cs.JobID
 		Item  cs.ItemID
 	}
+	// JobPeerRequested requests a peer that can answer a call about jobs, other than those that were tried.
+	JobPeerRequested struct {
+		Query QueryID
+		Tried []cs.VMID
+	}
 	// QueryCancelled reports that the caller of a query no longer waits.
 	QueryCancelled struct{ Query QueryID }
 )
@@ -223,6 +228,7 @@
 func (JobEndRequested) isEvent()        {}
 func (ResultsRequested) isEvent()       {}
 func (ItemBodyRequested) isEvent()      {}
+func (JobPeerRequested) isEvent()       {}
 func (QueryCancelled) isEvent()         {}
 func (ItemRunEnded) isEvent()           {}
 func (RunnerLimitRead) isEvent()        {}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -235,6 +235,10 @@
 // JobLog is the state of this VM as a reader and writer of the job log. A VM has at most one append in
 // flight.
 type JobLog struct {
+	Role JobLogRole
+	Rank FollowerRank
+	// SurplusSince is when this VM was found to come after the VMs that follow the log, or 0.
+	SurplusSince cs.Instant
 	// Synced means that a snapshot of the log has been applied, so that the tables hold its state at End.
 	Synced bool
 	// End is the offset after the last record applied.
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -30,6 +30,10 @@
 	NoteJobEnded
 	// NoteQueryRefused: a request for results or for the body of an item was refused.
 	NoteQueryRefused
+	// NoteJobCallForwarded: a call about a job was passed to a peer that follows the job log.
+	NoteJobCallForwarded
+	// NoteJobLogRoleChanged: this VM has begun to follow the job log, or has stopped.
+	NoteJobLogRoleChanged
 	// NoteItemStarted: a run of a batch item was started on a runner.
 	NoteItemStarted
 	// NoteItemStopped: a run was preempted to free its slot for an online request.
@@ -126,7 +130,7 @@
 // own, so that the lines of normal traffic do not displace them.
 func (n Note) Urgent() bool {
 	switch n.Kind {
-	case NoteRequestSent, NoteRequestAnswered, NoteItemStarted, NoteItemStopped, NoteItemListed:
+	case NoteRequestSent, NoteRequestAnswered, NoteJobCallForwarded, NoteItemStarted, NoteItemStopped, NoteItemListed:
 		return false
 	default:
 		return true
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefuseditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubtedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubtedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 137, 148, 160, 170, 181, 193, 207, 219, 230, 243, 256, 269, 282, 295, 308, 323, 339, 360, 376, 394, 403, 411, 419, 431, 443, 455, 466}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 226, 240, 252, 263, 276, 289, 302, 315, 328, 341, 356, 372, 393, 409, 427, 436, 444, 452, 464, 476, 488, 499}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefuseditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubtedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubtedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -34,36 +34,38 @@
 	_ = x[NoteJobRefused-(7)]
 	_ = x[NoteJobEnded-(8)]
 	_ = x[NoteQueryRefused-(9)]
-	_ = x[NoteItemStarted-(10)]
-	_ = x[NoteItemStopped-(11)]
-	_ = x[NoteItemReturned-(12)]
-	_ = x[NoteItemListed-(13)]
-	_ = x[NoteItemGivenUp-(14)]
-	_ = x[NoteAppendFailed-(15)]
-	_ = x[NoteCatalogInForce-(16)]
-	_ = x[NoteStateAdopted-(17)]
-	_ = x[NoteRunnerAdded-(18)]
-	_ = x[NoteRunnerLeaving-(19)]
-	_ = x[NoteRunnerMissing-(20)]
-	_ = x[NoteRunnerRemoved-(21)]
-	_ = x[NoteRunnerAvoided-(22)]
-	_ = x[NoteRunnerDoubted-(23)]
-	_ = x[NoteRunnerLimited-(24)]
-	_ = x[NoteRunnerUnlimited-(25)]
-	_ = x[NoteContentSuspected-(26)]
-	_ = x[NotePromptPartQuarantined-(27)]
-	_ = x[NotePromptPartProbed-(28)]
-	_ = x[NotePromptPartReleased-(29)]
-	_ = x[NotePeerFound-(30)]
-	_ = x[NotePeerLost-(31)]
-	_ = x[NoteFeedLost-(32)]
-	_ = x[NoteFeedRegained-(33)]
-	_ = x[NotePartsChanged-(34)]
-	_ = x[NoteDrainChanged-(35)]
-	_ = x[NoteTickDelayed-(36)]
+	_ = x[NoteJobCallForwarded-(10)]
+	_ = x[NoteJobLogRoleChanged-(11)]
+	_ = x[NoteItemStarted-(12)]
+	_ = x[NoteItemStopped-(13)]
+	_ = x[NoteItemReturned-(14)]
+	_ = x[NoteItemListed-(15)]
+	_ = x[NoteItemGivenUp-(16)]
+	_ = x[NoteAppendFailed-(17)]
+	_ = x[NoteCatalogInForce-(18)]
+	_ = x[NoteStateAdopted-(19)]
+	_ = x[NoteRunnerAdded-(20)]
+	_ = x[NoteRunnerLeaving-(21)]
+	_ = x[NoteRunnerMissing-(22)]
+	_ = x[NoteRunnerRemoved-(23)]
+	_ = x[NoteRunnerAvoided-(24)]
+	_ = x[NoteRunnerDoubted-(25)]
+	_ = x[NoteRunnerLimited-(26)]
+	_ = x[NoteRunnerUnlimited-(27)]
+	_ = x[NoteContentSuspected-(28)]
+	_ = x[NotePromptPartQuarantined-(29)]
+	_ = x[NotePromptPartProbed-(30)]
+	_ = x[NotePromptPartReleased-(31)]
+	_ = x[NotePeerFound-(32)]
+	_ = x[NotePeerLost-(33)]
+	_ = x[NoteFeedLost-(34)]
+	_ = x[NoteFeedRegained-(35)]
+	_ = x[NotePartsChanged-(36)]
+	_ = x[NoteDrainChanged-(37)]
+	_ = x[NoteTickDelayed-(38)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -76,33 +78,35 @@
 	_NoteKindName[96:106]:  NoteJobRefused,
 	_NoteKindName[106:114]: NoteJobEnded,
 	_NoteKindName[114:126]: NoteQueryRefused,
-	_NoteKindName[126:137]: NoteItemStarted,
-	_NoteKindName[137:148]: NoteItemStopped,
-	_NoteKindName[148:160]: NoteItemReturned,
-	_NoteKindName[160:170]: NoteItemListed,
-	_NoteKindName[170:181]: NoteItemGivenUp,
-	_NoteKindName[181:193]: NoteAppendFailed,
-	_NoteKindName[193:207]: NoteCatalogInForce,
-	_NoteKindName[207:219]: NoteStateAdopted,
-	_NoteKindName[219:230]: NoteRunnerAdded,
-	_NoteKindName[230:243]: NoteRunnerLeaving,
-	_NoteKindName[243:256]: NoteRunnerMissing,
-	_NoteKindName[256:269]: NoteRunnerRemoved,
-	_NoteKindName[269:282]: NoteRunnerAvoided,
-	_NoteKindName[282:295]: NoteRunnerDoubted,
-	_NoteKindName[295:308]: NoteRunnerLimited,
-	_NoteKindName[308:323]: NoteRunnerUnlimited,
-	_NoteKindName[323:339]: NoteContentSuspected,
-	_NoteKindName[339:360]: NotePromptPartQuarantined,
-	_NoteKindName[360:376]: NotePromptPartProbed,
-	_NoteKindName[376:394]: NotePromptPartReleased,
-	_NoteKindName[394:403]: NotePeerFound,
-	_NoteKindName[403:411]: NotePeerLost,
-	_NoteKindName[411:419]: NoteFeedLost,
-	_NoteKindName[419:431]: NoteFeedRegained,
-	_NoteKindName[431:443]: NotePartsChanged,
-	_NoteKindName[443:455]: NoteDrainChanged,
-	_NoteKindName[455:466]: NoteTickDelayed,
+	_NoteKindName[126:142]: NoteJobCallForwarded,
+	_NoteKindName[142:159]: NoteJobLogRoleChanged,
+	_NoteKindName[159:170]: NoteItemStarted,
+	_NoteKindName[170:181]: NoteItemStopped,
+	_NoteKindName[181:193]: NoteItemReturned,
+	_NoteKindName[193:203]: NoteItemListed,
+	_NoteKindName[203:214]: NoteItemGivenUp,
+	_NoteKindName[214:226]: NoteAppendFailed,
+	_NoteKindName[226:240]: NoteCatalogInForce,
+	_NoteKindName[240:252]: NoteStateAdopted,
+	_NoteKindName[252:263]: NoteRunnerAdded,
+	_NoteKindName[263:276]: NoteRunnerLeaving,
+	_NoteKindName[276:289]: NoteRunnerMissing,
+	_NoteKindName[289:302]: NoteRunnerRemoved,
+	_NoteKindName[302:315]: NoteRunnerAvoided,
+	_NoteKindName[315:328]: NoteRunnerDoubted,
+	_NoteKindName[328:341]: NoteRunnerLimited,
+	_NoteKindName[341:356]: NoteRunnerUnlimited,
+	_NoteKindName[356:372]: NoteContentSuspected,
+	_NoteKindName[372:393]: NotePromptPartQuarantined,
+	_NoteKindName[393:409]: NotePromptPartProbed,
+	_NoteKindName[409:427]: NotePromptPartReleased,
+	_NoteKindName[427:436]: NotePeerFound,
+	_NoteKindName[436:444]: NotePeerLost,
+	_NoteKindName[444:452]: NoteFeedLost,
+	_NoteKindName[452:464]: NoteFeedRegained,
+	_NoteKindName[464:476]: NotePartsChanged,
+	_NoteKindName[476:488]: NoteDrainChanged,
+	_NoteKindName[488:499]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -116,33 +120,35 @@
 	_NoteKindLowerName[96:106]:  NoteJobRefused,
 	_NoteKindLowerName[106:114]: NoteJobEnded,
 	_NoteKindLowerName[114:126]: NoteQueryRefused,
-	_NoteKindLowerName[126:137]: NoteItemStarted,
-	_NoteKindLowerName[137:148]: NoteItemStopped,
-	_NoteKindLowerName[148:160]: NoteItemReturned,
-	_NoteKindLowerName[160:170]: NoteItemListed,
-	_NoteKindLowerName[170:181]: NoteItemGivenUp,
-	_NoteKindLowerName[181:193]: NoteAppendFailed,
-	_NoteKindLowerName[193:207]: NoteCatalogInForce,
-	_NoteKindLowerName[207:219]: NoteStateAdopted,
-	_NoteKindLowerName[219:230]: NoteRunnerAdded,
-	_NoteKindLowerName[230:243]: NoteRunnerLeaving,
-	_NoteKindLowerName[243:256]: NoteRunnerMissing,
-	_NoteKindLowerName[256:269]: NoteRunnerRemoved,
-	_NoteKindLowerName[269:282]: NoteRunnerAvoided,
-	_NoteKindLowerName[282:295]: NoteRunnerDoubted,
-	_NoteKindLowerName[295:308]: NoteRunnerLimited,
-	_NoteKindLowerName[308:323]: NoteRunnerUnlimited,
-	_NoteKindLowerName[323:339]: NoteContentSuspected,
-	_NoteKindLowerName[339:360]: NotePromptPartQuarantined,
-	_NoteKindLowerName[360:376]: NotePromptPartProbed,
-	_NoteKindLowerName[376:394]: NotePromptPartReleased,
-	_NoteKindLowerName[394:403]: NotePeerFound,
-	_NoteKindLowerName[403:411]: NotePeerLost,
-	_NoteKindLowerName[411:419]: NoteFeedLost,
-	_NoteKindLowerName[419:431]: NoteFeedRegained,
-	_NoteKindLowerName[431:443]: NotePartsChanged,
-	_NoteKindLowerName[443:455]: NoteDrainChanged,
-	_NoteKindLowerName[455:466]: NoteTickDelayed,
+	_NoteKindLowerName[126:142]: NoteJobCallForwarded,
+	_NoteKindLowerName[142:159]: NoteJobLogRoleChanged,
+	_NoteKindLowerName[159:170]: NoteItemStarted,
+	_NoteKindLowerName[170:181]: NoteItemStopped,
+	_NoteKindLowerName[181:193]: NoteItemReturned,
+	_NoteKindLowerName[193:203]: NoteItemListed,
+	_NoteKindLowerName[203:214]: NoteItemGivenUp,
+	_NoteKindLowerName[214:226]: NoteAppendFailed,
+	_NoteKindLowerName[226:240]: NoteCatalogInForce,
+	_NoteKindLowerName[240:252]: NoteStateAdopted,
+	_NoteKindLowerName[252:263]: NoteRunnerAdded,
+	_NoteKindLowerName[263:276]: NoteRunnerLeaving,
+	_NoteKindLowerName[276:289]: NoteRunnerMissing,
+	_NoteKindLowerName[289:302]: NoteRunnerRemoved,
+	_NoteKindLowerName[302:315]: NoteRunnerAvoided,
+	_NoteKindLowerName[315:328]: NoteRunnerDoubted,
+	_NoteKindLowerName[328:341]: NoteRunnerLimited,
+	_NoteKindLowerName[341:356]: NoteRunnerUnlimited,
+	_NoteKindLowerName[356:372]: NoteContentSuspected,
+	_NoteKindLowerName[372:393]: NotePromptPartQuarantined,
+	_NoteKindLowerName[393:409]: NotePromptPartProbed,
+	_NoteKindLowerName[409:427]: NotePromptPartReleased,
+	_NoteKindLowerName[427:436]: NotePeerFound,
+	_NoteKindLowerName[436:444]: NotePeerLost,
+	_NoteKindLowerName[444:452]: NoteFeedLost,
+	_NoteKindLowerName[452:464]: NoteFeedRegained,
+	_NoteKindLowerName[464:476]: NotePartsChanged,
+	_NoteKindLowerName[476:488]: NoteDrainChanged,
+	_NoteKindLowerName[488:499]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -156,33 +162,35 @@
 	_NoteKindName[96:106],
 	_NoteKindName[106:114],
 	_NoteKindName[114:126],
-	_NoteKindName[126:137],
-	_NoteKindName[137:148],
-	_NoteKindName[148:160],
-	_NoteKindName[160:170],
+	_NoteKindName[126:142],
+	_NoteKindName[142:159],
+	_NoteKindName[159:170],
 	_NoteKindName[170:181],
 	_NoteKindName[181:193],
-	_NoteKindName[193:207],
-	_NoteKindName[207:219],
-	_NoteKindName[219:230],
-	_NoteKindName[230:243],
-	_NoteKindName[243:256],
-	_NoteKindName[256:269],
-	_NoteKindName[269:282],
-	_NoteKindName[282:295],
-	_NoteKindName[295:308],
-	_NoteKindName[308:323],
-	_NoteKindName[323:339],
-	_NoteKindName[339:360],
-	_NoteKindName[360:376],
-	_NoteKindName[376:394],
-	_NoteKindName[394:403],
-	_NoteKindName[403:411],
-	_NoteKindName[411:419],
-	_NoteKindName[419:431],
-	_NoteKindName[431:443],
-	_NoteKindName[443:455],
-	_NoteKindName[455:466],
+	_NoteKindName[193:203],
+	_NoteKindName[203:214],
+	_NoteKindName[214:226],
+	_NoteKindName[226:240],
+	_NoteKindName[240:252],
+	_NoteKindName[252:263],
+	_NoteKindName[263:276],
+	_NoteKindName[276:289],
+	_NoteKindName[289:302],
+	_NoteKindName[302:315],
+	_NoteKindName[315:328],
+	_NoteKindName[328:341],
+	_NoteKindName[341:356],
+	_NoteKindName[356:372],
+	_NoteKindName[372:393],
+	_NoteKindName[393:409],
+	_NoteKindName[409:427],
+	_NoteKindName[427:436],
+	_NoteKindName[436:444],
+	_NoteKindName[444:452],
+	_NoteKindName[452:464],
+	_NoteKindName[464:476],
+	_NoteKindName[476:488],
+	_NoteKindName[488:499],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -72,6 +72,8 @@
 	StoreUnreadable bool `cbor:"u,omitempty"`
 	// JobLogFormat is the newest format of job log records that the sender reads.
 	JobLogFormat cs.JobLogFormat `cbor:"v,omitempty"`
+	// Memory is the memory of the sender.
+	Memory cs.Bytes `cbor:"z,omitempty"`
 	// Registrations tells how the sender reads the registrations of runners; nil if it cannot read them.
 	Registrations *ReadsReport `cbor:"g,omitempty"`
 	// JobLogAge is the age of the sender's view of the job log; nil if it has not read it.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -64,8 +64,12 @@
 
 // New returns empty tables. The seed determines the random choices of the systems.
 func New(c Config, self cs.VM, now cs.Instant, seed uint64) *Tables {
+	role := JobLogFollower
+	if c.JobLogFollowers > 0 {
+		role = JobLogNone
+	}
 	return &Tables{
-		Config: c, Self: self, Started: now, Pace: defaultPace, JobLog: JobLog{Epoch: 1}, Rand: rand.New(rand.NewPCG(seed, 1)),
+		Config: c, Self: self, Started: now, Pace: defaultPace, JobLog: JobLog{Epoch: 1, Role: role}, Rand: rand.New(rand.NewPCG(seed, 1)),
 		Runners:        fleet.NewTable[cs.RunnerID, Runner](),
 		Departures:     fleet.NewTable[cs.RunnerID, Departure](),
 		EmptiedAt:      fleet.NewTable[cs.ServiceID, cs.Instant](),
@@ -101,6 +105,8 @@
 	ResultRetention cs.Span
 	// PartitionCount is the number of partitions by which jobs are distributed over the VMs.
 	PartitionCount int
+	// JobLogFollowers is the number of VMs of each data centre that follow the job log; 0 means that all do.
+	JobLogFollowers int
 	// MaxAppend is the maximum size of one append to the job log.
 	MaxAppend cs.Bytes
 	// MaxOutput is the maximum size of the output of an item, which must fit into a record of the job log;
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -17,6 +17,8 @@
 	Ready bool
 	// Leaving means that this VM is draining and asks callers to close their connections.
 	Leaving bool
+	// ForwardsJobCalls means that this VM does not follow the job log and passes calls about jobs to one that does.
+	ForwardsJobCalls bool
 	// ReceivePause is how long received reports may wait for others, so that one tick applies them all.
 	ReceivePause cs.Span
 }
@@ -27,6 +29,6 @@
 	loaded := t.Catalog != nil && t.RunnersLoaded()
 	return View{
 		Catalog: t.Catalog, CatalogAsOf: t.Feeds[FeedCatalog].AsOf, Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
-		ReceivePause: t.receivePause(),
+		ReceivePause: t.receivePause(), ForwardsJobCalls: t.JobLog.Role == JobLogNone || !t.JobLog.Synced,
 	}
 }
--- a/roster/feeds.go
+++ b/roster/feeds.go
@@ -15,6 +15,9 @@
 	for _, e := range t.Events {
 		switch e := e.(type) {
 		case gateway.FeedRead:
+			if isIgnored(t, e.Feed) {
+				continue
+			}
 			f := t.Feeds[e.Feed]
 			if f.FailingSince != 0 {
 				n := gateway.Note{Kind: gateway.NoteFeedRegained, Feed: e.Feed.String(), Age: now.Sub(f.FailingSince)}
@@ -31,6 +34,9 @@
 			f.Loaded = f.Loaded || e.Loaded
 			f.AsOf = max(f.AsOf, e.AsOf)
 		case gateway.FeedFailed:
+			if isIgnored(t, e.Feed) {
+				continue
+			}
 			f := t.Feeds[e.Feed]
 			if f.FailingSince == 0 {
 				f.FailingSince, f.FailedAt = now, now
@@ -42,6 +48,11 @@
 	}
 }
 
+// isIgnored reports whether a read of a feed began before this VM stopped following it.
+func isIgnored(t *gateway.Tables, name gateway.Feed) bool {
+	return name == gateway.FeedJobs && t.JobLog.Role == gateway.JobLogNone
+}
+
 // recordRecovery records that reads of a feed succeed again. A failure that was too short for a registration to expire does
 // not end the series of successful reads.
 func recordRecovery(f *gateway.FeedState, now cs.Instant) {
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -133,7 +133,7 @@
 		p.SentTo = nil
 	}
 	p.VM.Incarnation, p.VM.DataCentre, p.VM.Address, p.VM.Leaving = r.Incarnation, r.DataCentre, e.Address, r.Leaving
-	p.VM.JobLogFormat = r.JobLogFormat
+	p.VM.JobLogFormat, p.VM.Memory = r.JobLogFormat, r.Memory
 	p.LastReportAt, p.HeardAt, p.Seq = receivedAt, receivedAt, r.Seq
 	for _, id := range r.Ejected {
 		if runner := t.Runners.Get(id); runner != nil {
--- a/roster/report.go
+++ b/roster/report.go
@@ -79,7 +79,7 @@
 	r := gateway.Report{
 		From: t.Self.ID, Incarnation: t.Self.Incarnation, DataCentre: t.Self.DataCentre, Seq: t.Gossip.Seq,
 		Loads: loads, Leaving: t.Drain.Phase != fleet.DrainNone, StoreUnreadable: t.StoreUnreadable(),
-		BatchDemand: t.Partitions.BatchDemand, JobLogFormat: t.Self.JobLogFormat,
+		BatchDemand: t.Partitions.BatchDemand, JobLogFormat: t.Self.JobLogFormat, Memory: t.Self.Memory,
 	}
 	for id, runner := range t.Runners.All() {
 		if runner.Failures > 0 && now < runner.EjectedUntil {
--- a/vm.go
+++ b/vm.go
@@ -9,6 +9,8 @@
 	Leaving     bool         `cbor:"l" json:"leaving"`
 	// JobLogFormat is the newest format of job log records that the VM reads.
 	JobLogFormat JobLogFormat `cbor:"f,omitempty" json:"jobLogFormat,omitempty"`
+	// Memory is the memory of the VM.
+	Memory Bytes `cbor:"m,omitempty" json:"memory,omitempty"`
 }
 
 // JobLogFormat is a version of the records of the job log. A VM reads all versions up to its own.
