--- a/batchjob/slots.go
+++ b/batchjob/slots.go
@@ -18,7 +18,8 @@
 		}
 		for _, reply := range received.Message.Replies {
 			if request := s.BatchRequests.Get(reply.ID); request != nil && request.Runner == reply.Runner {
-				endBatchRequest(t, reply.ID, *request)
+				releaseBatchRequest(t, *request)
+				s.BatchRequests.Delete(reply.ID)
 				if r := t.Runners.Get(reply.Runner); reply.Granted {
 					s.BatchGrants = append(s.BatchGrants, reply.Runner)
 				} else if r != nil {
@@ -27,20 +28,20 @@
 			}
 		}
 	}
-	for id, request := range s.BatchRequests.All() {
+	s.BatchRequests.DeleteFunc(func(_ gateway.SlotRequestID, request *gateway.BatchRequest) bool {
 		if now.Sub(request.At) < gateway.SlotReplyTimeout {
-			continue
+			return false
 		}
 		if r := t.Runners.Get(request.Runner); r != nil {
 			t.RecordSlotTimeout(r, now)
 		}
-		endBatchRequest(t, id, *request)
-	}
+		releaseBatchRequest(t, *request)
+		return true
+	})
 }
 
-// endBatchRequest removes a request for a slot, which no longer counts at the runner.
-func endBatchRequest(t *gateway.Tables, id gateway.SlotRequestID, request gateway.BatchRequest) {
-	t.Slots.BatchRequests.Delete(id)
+// releaseBatchRequest ends the count of a request for a slot in the load of the runner.
+func releaseBatchRequest(t *gateway.Tables, request gateway.BatchRequest) {
 	if r := t.Runners.Get(request.Runner); r != nil && r.Batch > 0 {
 		r.Batch--
 	}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -102,6 +102,8 @@
 	counts  struct{ sends, rejected, answered, refused int }
 	// waits are the times from the arrival of requests until they were sent to the runners that answered them.
 	waits []cs.Span
+	// sentTwice counts the sends of requests that were in flight at a runner already.
+	sentTwice int
 	// batch is the batch load, or nil.
 	batch *simBatch
 
@@ -295,6 +297,13 @@
 		return
 	}
 	f.counts.sends++
+	for _, other := range f.runners {
+		for b := range other.inFlight {
+			if b.vm == v && b.id == d.ID {
+				f.sentTwice++
+			}
+		}
+	}
 	if f.full > 0 && r.load() >= f.full {
 		f.counts.rejected++
 		f.at(simStep, func() { a.end(gateway.OutcomeNotRun{Reason: "full"}) })
