Report the loads of runners by their allocators

Cause: each VM reported its load at each runner to all others, up to eight times a second; at 295 VMs that was 0.13 MB a second and VM.

Change: VMs tell what they hold to the allocator only, which reports the sum. Groups exchange digests of these sums every 150 ms and whole reports every 500 ms unless there is news. Requests for slots no longer count in what a VM holds; the allocator counts its grants until they show there.

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -11,6 +11,8 @@
 
 // Limits on starting items on runners.
 const (
+	// deniedTime is how long no slot is requested of a runner that has denied one.
+	deniedTime = 120 * cs.Millisecond
 	// roundInterval is the time between two rounds of starts. It lets peers learn of the starts of one
 	// round before the next, so that VMs do not fill the same slots.
 	roundInterval = 30 * cs.Millisecond
@@ -140,7 +142,7 @@
 
 // batchSlots returns the number of free slots of a runner that batch items may take.
 func batchSlots(t *gateway.Tables, r *gateway.Runner, now cs.Instant) int {
-	if !r.Usable(now) || r.OnProbation(now) || t.Reach(r.Spec.DataCentre, now) != gateway.ReachGood || !runsBatchItems(t, r.Spec.Service) {
+	if !r.Usable(now) || r.OnProbation(now) || now.Sub(r.DeniedAt) < deniedTime || t.Reach(r.Spec.DataCentre, now) != gateway.ReachGood || !runsBatchItems(t, r.Spec.Service) {
 		return 0
 	}
 	free := max(int(r.Spec.Slots-gateway.ReservedOnlineSlots-r.Load()), 0)
@@ -160,7 +162,7 @@
 		return true
 	}
 	for _, r := range t.Runners.All() {
-		if r.Spec.Service == id && !r.Limit.Named && r.Usable(now) && r.Online+r.PeerOnline < r.Spec.Slots {
+		if r.Spec.Service == id && !r.Limit.Named && r.Usable(now) && r.OnlineLoad() < r.Spec.Slots {
 			return false
 		}
 	}
--- a/batchjob/slots.go
+++ b/batchjob/slots.go
@@ -18,7 +18,7 @@
 		}
 		for _, reply := range received.Message.Replies {
 			if request := s.BatchRequests.Get(reply.ID); request != nil && request.Runner == reply.Runner {
-				releaseBatchRequest(t, *request)
+				t.EndSlotRequest(reply.Runner, gateway.SlotBatch)
 				s.BatchRequests.Delete(reply.ID)
 				if r := t.Runners.Get(reply.Runner); reply.Granted {
 					s.BatchGrants = append(s.BatchGrants, reply.Runner)
@@ -35,18 +35,11 @@
 		if r := t.Runners.Get(request.Runner); r != nil {
 			t.RecordSlotTimeout(r, now)
 		}
-		releaseBatchRequest(t, *request)
+		t.EndSlotRequest(request.Runner, gateway.SlotBatch)
 		return true
 	})
 }
 
-// releaseBatchRequest ends the count of a request for a slot in the load of the runner.
-func releaseBatchRequest(t *gateway.Tables, request gateway.BatchRequest) {
-	if r := t.Runners.Get(request.Runner); r != nil && r.Batch > 0 {
-		r.Batch--
-	}
-}
-
 // useGrants starts the most urgent items in the slots granted, and returns the others. A slot for which there is no item is
 // given back with the next message to its allocator.
 func useGrants(t *gateway.Tables, waiting []candidate, now cs.Instant, out *gateway.Actions) []candidate {
@@ -76,13 +69,11 @@
 	if !t.HasAllocator(r, now) {
 		return startItem(t, k, r, now, out)
 	}
-	r.Batch++
 	id, granted := t.RequestSlot(r, gateway.SlotBatch, now, out)
 	if id != 0 {
 		t.Slots.BatchRequests.Insert(id, gateway.BatchRequest{Runner: r.Spec.ID, At: now})
 		return true
 	}
-	r.Batch--
 	if !granted {
 		r.DeniedAt = now
 		return true // counts as a start, so that a round ends
--- a/entry/exchange_test.go
+++ b/entry/exchange_test.go
@@ -104,6 +104,7 @@
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
 			c := qt.New(t)
 			f := newBusyFleet(1, vms)
+			f.withoutAllocators = true // which VMs tell their loads instead of all others
 			for i, v := range f.vms[:8] {
 				batch := cs.Slots(2 + i)
 				v.tables.Runners.Get("r0").Batch = batch
@@ -134,6 +135,7 @@
 		}
 	}
 	c.Check(lost, qt.Equals, 0)
+	f.withoutAllocators = true // which VMs tell their loads instead of all others
 	for _, v := range f.vms[12:20] {
 		v.tables.Runners.Get("r0").Batch = 3
 		playRequests(f, cs.Second)
--- a/forward/capacity.go
+++ b/forward/capacity.go
@@ -45,7 +45,7 @@
 	n := 0
 	for _, r := range t.Runners.All() {
 		if r.Spec.Service == id && !r.Limit.Named && r.Usable(now) && t.Reach(r.Spec.DataCentre, now) != gateway.ReachCut {
-			n += int(max(r.Spec.Slots+maxQueuedPerRunner-r.Online-r.PeerOnline, 0))
+			n += int(max(r.Spec.Slots+maxQueuedPerRunner-r.OnlineLoad(), 0))
 		}
 	}
 	return n
--- a/forward/outcomes.go
+++ b/forward/outcomes.go
@@ -62,6 +62,11 @@
 	if f.Phase == gateway.ForwardWaiting {
 		return
 	}
+	if f.Phase == gateway.ForwardRequesting {
+		f.Phase = gateway.ForwardWaiting
+		t.EndSlotRequest(f.Runner, gateway.SlotOnline)
+		return
+	}
 	f.Phase = gateway.ForwardWaiting
 	if r := t.Runners.Get(f.Runner); r != nil && r.Online > 0 {
 		r.Online--
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -28,7 +28,7 @@
 		if !r.WithinLimit(now) || onlyLimited && !r.Limit.Named && !t.HasAllocator(r, now) || slices.Contains(f.DeniedBy, id) {
 			continue
 		}
-		online := r.Online + r.PeerOnline
+		online := r.OnlineLoad()
 		if online >= r.Spec.Slots+maxQueued {
 			continue
 		}
@@ -37,6 +37,12 @@
 			continue
 		}
 		cost := cost(t, r, now) + t.Rand.Float64()*jitter
+		if jitter > tieBreakJitter && t.HasAllocator(r, now) {
+			cost += t.Rand.Float64() * allocatedJitter
+			if r.Load() >= r.Spec.Slots {
+				cost += allocatedJitter // full runners stay behind those with free slots
+			}
+		}
 		if r.Spec.DataCentre != t.Self.DataCentre {
 			cost += max(remotePenalty, jitter/3) // local runners stay preferred whatever the jitter
 		}
@@ -74,6 +80,9 @@
 	tieBreakJitter = 0.12
 	// maxJitter is the largest such bound. With a larger one the loads would hardly matter.
 	maxJitter = 0.6
+	// allocatedJitter is the upper bound of a further random amount for runners with an allocator, which denies a slot where the
+	// load is higher than it seemed: a choice among many costs less than a collision.
+	allocatedJitter = 1.0
 	// remotePenalty is added for a runner in another data centre: its load must be lower than that
 	// of a local runner by this share to be picked instead.
 	remotePenalty = 0.1
@@ -108,7 +117,7 @@
 	slots := float64(r.Spec.Slots)
 	total := float64(r.Load()) / slots
 	if r.Load() >= r.Spec.Slots {
-		total = fullPenalty + float64(r.Online+r.PeerOnline)/slots
+		total = fullPenalty + float64(r.OnlineLoad())/slots
 	}
 	if r.MissingSince != 0 {
 		total += missingPenalty
--- a/forward/slots.go
+++ b/forward/slots.go
@@ -38,13 +38,11 @@
 			}
 			return true
 		}
-		r.Online++
 		id, granted := t.RequestSlot(r, slotUse(f, r, now), now, out)
 		if id != 0 {
 			f.Phase, f.Runner, f.SlotRequest, f.RequestedAt = gateway.ForwardRequesting, r.Spec.ID, id, now
 			return true
 		}
-		r.Online--
 		if granted {
 			dispatchTo(t, f, r, now, out)
 			return true
@@ -61,10 +59,10 @@
 // slotUse returns what a slot of a runner is requested for. While runners seem to have free slots, a request gets one of those.
 // One that can no longer meet its target is not queued at a runner.
 func slotUse(f *gateway.Forward, r *gateway.Runner, now cs.Instant) gateway.SlotUse {
-	switch denials := len(f.DeniedBy); { // the load counts this request
-	case denials < maxFreeRequests && r.Load() <= r.Spec.Slots:
+	switch denials := len(f.DeniedBy); {
+	case denials < maxFreeRequests && r.Load() < r.Spec.Slots:
 		return gateway.SlotFree
-	case (denials > maxFreeRequests || r.Online+r.PeerOnline > r.Spec.Slots) && canMeetTarget(f, now):
+	case (denials > maxFreeRequests || r.OnlineLoad() >= r.Spec.Slots) && canMeetTarget(f, now):
 		return gateway.SlotQueued
 	default:
 		return gateway.SlotOnline
--- a/gateway/departure.go
+++ b/gateway/departure.go
@@ -181,6 +181,7 @@
 		next := Runner{Spec: spec}
 		if r != nil {
 			next.Online, next.Batch = r.Online, r.Batch // these attempts still end and release their slots
+			next.RequestedOnline, next.RequestedBatch = r.RequestedOnline, r.RequestedBatch
 		}
 		r = t.Runners.Insert(spec.ID, next)
 		out.Note(Note{Kind: NoteRunnerAdded, Runner: spec.ID, Outcome: string(spec.Address), Reason: string(spec.Service)})
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -71,8 +71,11 @@
 	Incarnation cs.Incarnation  `cbor:"i"`
 	DataCentre  cs.DataCentreID `cbor:"d"`
 	// Seq is the sequence number of the report within the process.
-	Seq   uint64       `cbor:"n"`
-	Loads []RunnerLoad `cbor:"l,omitempty"`
+	Seq uint64 `cbor:"n"`
+	// Loads are those of the sender at runners that have no allocator, and Allocated those of all VMs at the runners of which
+	// the sender, or in a digest a VM of its group, is the allocator.
+	Loads     []RunnerLoad `cbor:"l,omitempty"`
+	Allocated []RunnerLoad `cbor:"a,omitempty"`
 	// Leaving means that the sender is draining.
 	Leaving bool `cbor:"x,omitempty"`
 	// StoreUnreadable means that the sender cannot read the store.
@@ -119,9 +122,11 @@
 	if r.From == "" {
 		return errors.New("report without a sender")
 	}
-	for _, l := range r.Loads {
-		if l.Online < 0 || l.Batch < 0 || l.Online > maxReportedLoad || l.Batch > maxReportedLoad {
-			return errors.Newf("load out of range: %d and %d requests", l.Online, l.Batch)
+	for _, loads := range [][]RunnerLoad{r.Loads, r.Allocated} {
+		for _, l := range loads {
+			if l.Online < 0 || l.Batch < 0 || l.Online > maxReportedLoad || l.Batch > maxReportedLoad {
+				return errors.Newf("load out of range: %d and %d requests", l.Online, l.Batch)
+			}
 		}
 	}
 	if r.BatchDemand < 0 || r.BatchDemand > maxReportedDemand {
@@ -218,8 +223,11 @@
 	// Seq is the sequence number of the last report.
 	Seq    uint64
 	SentAt cs.Instant
-	// Sent is the load in the last report. A load that differs from it is reported sooner.
-	Sent []RunnerLoad
+	// Sent is the load in the last report, and SentAllocated that of the runners of this VM. Loads that differ from them are
+	// reported sooner.
+	Sent, SentAllocated []RunnerLoad
+	// RemoteAt is when this VM last reported to VMs of other data centres itself.
+	RemoteAt cs.Instant
 	// RelayedAt is when this VM last relayed the reports of its group, and RelayDue when it does so again.
 	RelayedAt, RelayDue cs.Instant
 	// GroupChanged means that the load of a VM of the group has changed since then, or that there is other news.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -15,10 +15,13 @@
 	MissingSince cs.Instant
 	// Online and Batch count the requests that this VM has in flight on the runner.
 	Online, Batch cs.Slots
-	// PeerOnline and PeerBatch are the sums of the counts that other VMs last reported.
+	// PeerOnline and PeerBatch are the sums of the counts that other VMs last reported. VMs report those at runners with an
+	// allocator to the allocator only; see Allocation.
 	PeerOnline, PeerBatch cs.Slots
 	// Allocation is the VM that grants the runner's slots.
 	Allocation Allocation
+	// RequestedOnline and RequestedBatch are those of Online and Batch for which a slot was requested that is not granted yet.
+	RequestedOnline, RequestedBatch cs.Slots
 	// DeniedAt is when this VM was last denied a slot, or 0.
 	DeniedAt cs.Instant
 	// BatchEndsAt is when the last of this VM's items there is expected to end.
@@ -44,7 +47,12 @@
 func (r *Runner) Leaving() bool { return r.Spec.Leaving || r.Announced }
 
 // Load returns the requests in flight on the runner: those of this VM and those that peers last reported.
-func (r *Runner) Load() cs.Slots { return r.Online + r.Batch + r.PeerOnline + r.PeerBatch }
+func (r *Runner) Load() cs.Slots {
+	return r.OnlineLoad() + r.Batch + max(r.PeerBatch, r.Allocation.Batch)
+}
+
+// OnlineLoad returns the online requests in flight on the runner.
+func (r *Runner) OnlineLoad() cs.Slots { return r.Online + max(r.PeerOnline, r.Allocation.Online) }
 
 const (
 	// probationPeriod is how long a runner stays on probation after its ejection or after a lost connection,
--- a/gateway/slots.go
+++ b/gateway/slots.go
@@ -40,10 +40,11 @@
 	Incarnation cs.Incarnation
 	// Seq is the sequence number of the message within the process.
 	Seq uint64
-	// Holdings is all that the sender holds at the runners of which it takes the receiver for the allocator, including what it
-	// requests; HasHoldings tells an empty list from none.
+	// Holdings is all that the sender holds at the runners of which it takes the receiver for the allocator, with the slots
+	// granted by replies to the requests before Outstanding; HasHoldings tells an empty list from none.
 	HasHoldings bool
 	Holdings    []SlotHolding
+	Outstanding SlotRequestID
 	Requests    []SlotRequest
 	Replies     []SlotReply
 	Preemptions []SlotPreemption
@@ -119,19 +120,36 @@
 	PreemptedAt cs.Instant
 }
 
+// GrantKey identifies a row of Slots.Grants: a request of a VM.
+type GrantKey struct {
+	VM cs.VMID
+	ID SlotRequestID
+}
+
+// Grant is a slot that this VM has granted to another one, which has not told yet that it holds it.
+type Grant struct {
+	Runner cs.RunnerID
+	Use    SlotUse
+	At     cs.Instant
+}
+
 // Allocation is the allocator of a runner, as this VM sees it.
 type Allocation struct {
 	// VM is the allocator, or empty if no VM of the data centre is heard.
 	VM cs.VMID
 	// Since is when this VM became the allocator, or 0.
 	Since cs.Instant
-	// Online and Batch are the sums of Slots.Holdings, if this VM is the allocator.
+	// Online and Batch are what other VMs hold at the runner: the sums of Slots.Holdings and Slots.Grants if this VM is the
+	// allocator, and otherwise as the allocator last reported.
 	Online, Batch cs.Slots
+	// PriorOnline and PriorBatch are those that the allocator before this VM last reported.
+	PriorOnline, PriorBatch cs.Slots
 }
 
 // Slots is what this VM knows and does as an allocator of slots and as a VM that requests them.
 type Slots struct {
 	Holdings *fleet.Table[HoldingKey, Holding]
+	Grants   *fleet.Table[GrantKey, Grant]
 	// Seq numbers the messages sent, and LastID the requests.
 	Seq    uint64
 	LastID SlotRequestID
@@ -179,6 +197,8 @@
 	// which a holding has ended, since the VM has.
 	HoldingInterval = 300 * cs.Millisecond
 	holdingTimeout  = 1200 * cs.Millisecond
+	// grantTimeout is how long a granted slot counts if the VM does not tell that it holds it.
+	grantTimeout = 100 * cs.Millisecond
 	// preemptionTimeout is how long a VM may take to stop a run.
 	preemptionTimeout = 150 * cs.Millisecond
 	// assignAllocatorsInterval is the least time between two assignments of allocators.
@@ -193,7 +213,7 @@
 // newSlots returns the state of a VM that allocates no slots.
 func newSlots() Slots {
 	return Slots{
-		Holdings: fleet.NewTable[HoldingKey, Holding](), BatchRequests: fleet.NewTable[SlotRequestID, BatchRequest](),
+		Holdings: fleet.NewTable[HoldingKey, Holding](), Grants: fleet.NewTable[GrantKey, Grant](), BatchRequests: fleet.NewTable[SlotRequestID, BatchRequest](),
 		Outbox: make(map[cs.VMID]*SlotMessage), Announced: make(map[cs.VMID]Announcement),
 	}
 }
@@ -226,9 +246,10 @@
 		if vm == r.Allocation.VM {
 			continue
 		}
+		prior := r.Allocation
 		r.Allocation = Allocation{VM: vm}
 		if vm == t.Self.ID {
-			r.Allocation.Since = now
+			r.Allocation.Since, r.Allocation.PriorOnline, r.Allocation.PriorBatch = now, prior.Online, prior.Batch
 			t.sumHoldings(r)
 		}
 	}
@@ -261,6 +282,20 @@
 			r.Allocation.Batch += h.Batch
 		}
 	}
+	for _, g := range t.Slots.Grants.All() {
+		if g.Runner == r.Spec.ID {
+			r.count(g.Use, 1)
+		}
+	}
+}
+
+// count adds a number of slots of a use to what other VMs hold.
+func (r *Runner) count(use SlotUse, n cs.Slots) {
+	if use == SlotBatch {
+		r.Allocation.Batch += n
+	} else {
+		r.Allocation.Online += n
+	}
 }
 
 // HasAllocator reports whether this VM must have a slot of a runner granted before it sends to it. The limits that runners name
@@ -283,11 +318,19 @@
 }
 
 // RequestSlot requests a slot of a runner, which has an allocator. It returns 0 and whether the slot is granted if this VM is
-// the allocator, and otherwise the ID of the request that is sent. The caller counts the request in the runner's load first.
+// the allocator, and otherwise the ID of the request that is sent. Such a request counts in the runner's load until
+// EndSlotRequest is called.
 func (t *Tables) RequestSlot(r *Runner, use SlotUse, now cs.Instant, out *Actions) (SlotRequestID, bool) {
 	if r.Allocation.VM == t.Self.ID {
 		return 0, t.grantSlot(r, use, now, out)
 	}
+	if use == SlotBatch {
+		r.Batch++
+		r.RequestedBatch++
+	} else {
+		r.Online++
+		r.RequestedOnline++
+	}
 	t.Slots.LastID++
 	m := t.slotMessage(r.Allocation.VM)
 	m.Requests = append(m.Requests, SlotRequest{Runner: r.Spec.ID, ID: t.Slots.LastID, Use: use})
@@ -295,6 +338,20 @@
 	return t.Slots.LastID, false
 }
 
+// EndSlotRequest ends the count of a request in the runner's load, since it has a reply or gets none in time.
+func (t *Tables) EndSlotRequest(id cs.RunnerID, use SlotUse) {
+	r := t.Runners.Get(id)
+	switch {
+	case r == nil:
+	case use == SlotBatch && r.RequestedBatch > 0:
+		r.Batch--
+		r.RequestedBatch--
+	case use != SlotBatch && r.RequestedOnline > 0:
+		r.Online--
+		r.RequestedOnline--
+	}
+}
+
 // slotMessage returns the message that is sent to a VM at the end of the tick.
 func (t *Tables) slotMessage(to cs.VMID) *SlotMessage {
 	m := t.Slots.Outbox[to]
@@ -309,36 +366,38 @@
 func (t *Tables) allocatedLoad(r *Runner, now cs.Instant) (online, batch cs.Slots) {
 	online, batch = r.Online+r.Allocation.Online, r.Batch+r.Allocation.Batch
 	if !t.IsSettledAllocator(r, now) {
-		online, batch = max(online, r.Online+r.PeerOnline), max(batch, r.Batch+r.PeerBatch)
+		online = max(online, r.Online+r.PeerOnline, r.Online+r.Allocation.PriorOnline)
+		batch = max(batch, r.Batch+r.PeerBatch, r.Batch+r.Allocation.PriorBatch)
 	}
 	return online, batch
 }
 
-// grantSlot decides on a request for a slot, which is counted in the load already. For an online request without a free slot
-// an item is preempted.
+// grantSlot decides on a request for a slot, which is not counted in the load. For an online request without a free slot an
+// item is preempted.
 func (t *Tables) grantSlot(r *Runner, use SlotUse, now cs.Instant, out *Actions) bool {
 	online, batch := t.allocatedLoad(r, now)
 	limit := r.Spec.Slots
 	switch use {
 	case SlotBatch:
-		return online+batch <= limit-ReservedOnlineSlots
+		return online+batch < limit-ReservedOnlineSlots
 	case SlotFree:
-		return online+batch <= limit
+		return online+batch < limit
 	case SlotQueued:
 		limit += QueuedPerRunner
 	case SlotOnline:
 	}
-	if online > limit {
+	if online >= limit {
 		return false
 	}
-	t.PreemptExcess(r, now, out)
+	t.PreemptExcess(r, 1, now, out)
 	return true
 }
 
-// PreemptExcess preempts as many items as a runner, of which this VM is the allocator, has requests beyond its slots.
-func (t *Tables) PreemptExcess(r *Runner, now cs.Instant, out *Actions) {
+// PreemptExcess preempts as many items as a runner, of which this VM is the allocator, has requests beyond its slots once it
+// gets some more online requests.
+func (t *Tables) PreemptExcess(r *Runner, more cs.Slots, now cs.Instant, out *Actions) {
 	online, batch := t.allocatedLoad(r, now)
-	if excess := online + batch - r.Spec.Slots; excess > 0 && batch > 0 {
+	if excess := online + more + batch - r.Spec.Slots; excess > 0 && batch > 0 {
 		t.preempt(r, excess, now, out)
 	}
 }
@@ -393,8 +452,10 @@
 	}
 }
 
-// ApplyHoldings replaces what a VM holds at the runners of this VM.
-func (t *Tables) ApplyHoldings(from cs.VMID, holdings []SlotHolding, now cs.Instant) {
+// ApplyHoldings replaces what a VM holds at the runners of this VM, including the slots granted to its requests before
+// outstanding.
+func (t *Tables) ApplyHoldings(from cs.VMID, holdings []SlotHolding, outstanding SlotRequestID, now cs.Instant) {
+	t.Slots.Grants.DeleteFunc(func(k GrantKey, g *Grant) bool { return k.VM == from && k.ID < outstanding && t.endGrant(g) })
 	for _, r := range t.Runners.All() {
 		if r.Allocation.VM != t.Self.ID {
 			continue
@@ -430,35 +491,52 @@
 	h.SlotHolding, h.At = next, now
 }
 
-// DecideSlots decides on the requests of a VM, whose holdings include them.
+// endGrant ends the count of a grant, and returns true.
+func (t *Tables) endGrant(g *Grant) bool {
+	if r := t.Runners.Get(g.Runner); r != nil && r.Allocation.VM == t.Self.ID {
+		r.count(g.Use, -1)
+	}
+	return true
+}
+
+// DecideSlots decides on the requests of a VM.
 func (t *Tables) DecideSlots(from cs.VMID, requests []SlotRequest, now cs.Instant, out *Actions) {
 	for _, request := range requests {
 		r := t.Runners.Get(request.Runner)
 		granted := r != nil && r.Allocation.VM == t.Self.ID && !r.Leaving() && t.grantSlot(r, request.Use, now, out)
-		if !granted && r != nil && r.Allocation.VM == t.Self.ID {
-			t.releaseRequest(r, from, request.Use)
+		if granted {
+			t.Slots.Grants.Insert(GrantKey{VM: from, ID: request.ID}, Grant{Runner: request.Runner, Use: request.Use, At: now})
+			r.count(request.Use, 1)
 		}
 		m := t.slotMessage(from)
 		m.Replies = append(m.Replies, SlotReply{Runner: request.Runner, ID: request.ID, Granted: granted})
 	}
 }
 
-// releaseRequest takes a refused request out of what a VM holds.
-func (t *Tables) releaseRequest(r *Runner, from cs.VMID, use SlotUse) {
-	h := t.Slots.Holdings.Get(HoldingKey{Runner: r.Spec.ID, VM: from})
-	switch {
-	case h == nil:
-	case use == SlotBatch && h.Batch > 0:
-		h.Batch--
-		r.Allocation.Batch--
-	case use != SlotBatch && h.Online > 0:
-		h.Online--
-		r.Allocation.Online--
+// AllocatedLoads returns what all VMs hold at the runners of which this VM is the allocator.
+func (t *Tables) AllocatedLoads(now cs.Instant) []RunnerLoad {
+	var loads []RunnerLoad
+	for id, r := range t.Runners.All() {
+		if r.Allocation.VM == t.Self.ID {
+			online, batch := t.allocatedLoad(r, now)
+			loads = append(loads, RunnerLoad{Runner: id, Online: online, Batch: batch})
+		}
+	}
+	return loads
+}
+
+// ApplyAllocatedLoads applies the loads of runners that their allocators have told.
+func (t *Tables) ApplyAllocatedLoads(loads []RunnerLoad) {
+	for _, l := range loads {
+		if r := t.Runners.Get(l.Runner); r != nil && r.Allocation.VM != "" && r.Allocation.VM != t.Self.ID {
+			r.Allocation.Online, r.Allocation.Batch = max(l.Online-r.Online, 0), max(l.Batch-r.Batch, 0)
+		}
 	}
 }
 
 // ExpireHoldings removes the holdings of VMs that no longer send messages.
 func (t *Tables) ExpireHoldings(now cs.Instant) {
+	t.Slots.Grants.DeleteFunc(func(_ GrantKey, g *Grant) bool { return now.Sub(g.At) > grantTimeout && t.endGrant(g) })
 	t.Slots.Holdings.DeleteFunc(func(k HoldingKey, h *Holding) bool {
 		if now.Sub(h.At) <= holdingTimeout {
 			return false
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -109,7 +109,7 @@
 
 // differs reports whether VMs outside the group should soon learn what a VM of the group reports after its last report.
 func differs(last, r gateway.Report) bool {
-	return last.Leaving != r.Leaving || last.BatchDemand != r.BatchDemand || len(r.Ejected)+len(r.Refusing)+len(r.Limits) > 0 ||
+	return last.Leaving != r.Leaving || len(r.Ejected)+len(r.Refusing)+len(r.Limits) > 0 ||
 		!slices.Equal(last.Loads, r.Loads) || !slices.Equal(last.Demands, r.Demands) || !slices.Equal(last.ProbeClaims, r.ProbeClaims)
 }
 
@@ -163,6 +163,7 @@
 		p.JobLogAsOf = receivedAt.Add(-*r.JobLogAge)
 	}
 	setPeerLoad(t, p, r.Loads, r.Demands)
+	t.ApplyAllocatedLoads(r.Allocated)
 	return p
 }
 
--- a/roster/report.go
+++ b/roster/report.go
@@ -12,6 +12,13 @@
 	// fullReportInterval is the time between two reports that list all limits, suspects and departures, for peers that have
 	// started or were cut off since there was news of them.
 	fullReportInterval = cs.Second
+	// allocatedInterval is the least time between two reports for changes of the loads at this VM's runners, among VMs that
+	// all report to each other.
+	allocatedInterval = 50 * cs.Millisecond
+	// digestInterval is the time between two digests of the loads at the runners of a group, which are sent to other groups.
+	digestInterval = 150 * cs.Millisecond
+	// quietRelayInterval is the time between two relays without news. A VM counts as dead after more than three of them.
+	quietRelayInterval = 500 * cs.Millisecond
 	// maxRelayedRows bounds the rows of the relayed reports of one datagram, so that it holds a few thousand bytes.
 	maxRelayedRows = 100
 )
@@ -20,7 +27,7 @@
 // relays the reports of the group to other VMs.
 func Report(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	gossip := &t.Gossip
-	loads := localLoads(t)
+	loads, allocated := localLoads(t, now), t.AllocatedLoads(now)
 	idleInterval := max(gateway.MaxReportInterval, t.ReportInterval())
 	due := gossip.SentAt.Add(idleInterval)
 	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) || hasDepartureNews(t) {
@@ -28,30 +35,43 @@
 		gossip.GroupChanged = true
 	}
 	relayInterval, relayDue := t.RelayInterval(), gossip.RelayDue
+	if relayInterval == 0 && !slices.Equal(allocated, gossip.SentAllocated) {
+		due = min(due, gossip.SentAt.Add(max(t.ReportInterval(), allocatedInterval)))
+	}
 	if !gossip.GroupChanged {
-		relayDue = max(relayDue, gossip.RelayedAt.Add(gateway.MaxReportInterval))
+		relayDue = max(relayDue, gossip.RelayedAt.Add(quietRelayInterval))
 	}
 	reports, relays := now >= due, relayInterval > 0 && now >= relayDue
+	remote := relays || relayInterval > 0 && now >= gossip.RemoteAt.Add(digestInterval)
 	full := reports && now.Sub(gossip.FullAt) >= fullReportInterval || relays && now.Sub(gossip.FullRelayAt) >= fullReportInterval
-	if reports || relays {
+	if reports || remote {
 		gossip.Seq++
 		r := newReport(t, now, loads, full)
+		r.Allocated = allocated
 		routes := t.UpdateRoutes(now)
 		if reports {
 			sendReport(t, r, routes.Group, out)
-			gossip.SentAt, gossip.Sent = now, loads
+			gossip.SentAt, gossip.Sent, gossip.SentAllocated = now, loads, allocated
 			if full {
 				gossip.FullAt = now
 			}
 			due = now.Add(idleInterval)
 		}
-		if relays {
+		if remote {
+			gossip.RemoteAt = now
+			digest := r
+			digest.Allocated = slices.Concat(allocated, groupAllocated(t))
 			if len(routes.Remote) > 0 {
 				sendReport(t, r, routes.Remote, out)
 			}
+			if !relays && len(routes.Relay) > 0 {
+				sendReport(t, digest, routes.Relay, out)
+			}
+		}
+		if relays {
 			relayReports(t, now, r, routes.Relay, out)
 			gossip.RelayedAt, gossip.RelayDue, gossip.GroupChanged = now, now.Add(t.NextRelay()), false
-			relayDue = now.Add(max(t.NextRelay(), gateway.MaxReportInterval))
+			relayDue = now.Add(max(t.NextRelay(), quietRelayInterval))
 			if full {
 				gossip.FullRelayAt = now
 			}
@@ -60,6 +80,7 @@
 	out.WakeAt(due)
 	if relayInterval > 0 {
 		out.WakeAt(relayDue)
+		out.WakeAt(gossip.RemoteAt.Add(digestInterval))
 	}
 }
 
@@ -127,16 +148,27 @@
 	sendReport(t, own, to, out)
 }
 
+// groupAllocated returns the loads of runners that the VMs of this VM's group last reported.
+func groupAllocated(t *gateway.Tables) []gateway.RunnerLoad {
+	var loads []gateway.RunnerLoad
+	for id, p := range t.Peers.All() {
+		if p.LastReportAt != 0 && t.InOwnGroup(id) {
+			loads = append(loads, p.Last.Allocated...)
+		}
+	}
+	return loads
+}
+
 // rowCount returns the number of rows of a report, which determines its size.
 func rowCount(r gateway.Report) int {
-	return 1 + len(r.Loads) + len(r.Ejected) + len(r.Refusing) + len(r.Limits) + len(r.Departures) + len(r.Demands) + len(r.ProbeClaims)
+	return 1 + len(r.Loads) + len(r.Allocated) + len(r.Ejected) + len(r.Refusing) + len(r.Limits) + len(r.Departures) + len(r.Demands) + len(r.ProbeClaims)
 }
 
-// localLoads returns the number of this VM's requests in flight on each runner that has any.
-func localLoads(t *gateway.Tables) []gateway.RunnerLoad {
+// localLoads returns the number of this VM's requests in flight on each runner that has any and has no allocator.
+func localLoads(t *gateway.Tables, now cs.Instant) []gateway.RunnerLoad {
 	var loads []gateway.RunnerLoad
 	for id, r := range t.Runners.All() {
-		if r.Online+r.Batch > 0 {
+		if r.Online+r.Batch > 0 && !t.HasAllocator(r, now) {
 			loads = append(loads, gateway.RunnerLoad{Runner: id, Online: r.Online, Batch: r.Batch})
 		}
 	}
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -31,7 +31,7 @@
 	}
 	for _, r := range t.Runners.All() {
 		if t.IsSettledAllocator(r, now) {
-			t.PreemptExcess(r, now, out) // VMs also send without a grant, when this one does not reply in time
+			t.PreemptExcess(r, 0, now, out) // VMs also send without a grant, when this one does not reply in time
 		}
 	}
 }
@@ -47,7 +47,7 @@
 	}
 	if m.HasHoldings && (m.Incarnation > p.SlotIncarnation || m.Incarnation == p.SlotIncarnation && m.Seq > p.SlotSeq) {
 		p.SlotIncarnation, p.SlotSeq = m.Incarnation, m.Seq
-		t.ApplyHoldings(m.From, m.Holdings, now)
+		t.ApplyHoldings(m.From, m.Holdings, m.Outstanding, now)
 	}
 	t.DecideSlots(m.From, m.Requests, now, out)
 }
@@ -74,9 +74,10 @@
 func ownHoldings(t *gateway.Tables, now cs.Instant) map[cs.VMID][]gateway.SlotHolding {
 	holdings := make(map[cs.VMID][]gateway.SlotHolding)
 	for id, r := range t.Runners.All() {
-		if vm := r.Allocation.VM; vm != "" && vm != t.Self.ID && r.Online+r.Batch > 0 {
+		online, batch := r.Online-r.RequestedOnline, r.Batch-r.RequestedBatch
+		if vm := r.Allocation.VM; vm != "" && vm != t.Self.ID && online+batch > 0 {
 			holdings[vm] = append(holdings[vm], gateway.SlotHolding{
-				Runner: id, Online: r.Online, Batch: r.Batch, Remaining: max(r.BatchEndsAt.Sub(now), 0),
+				Runner: id, Online: online, Batch: batch, Remaining: max(r.BatchEndsAt.Sub(now), 0),
 			})
 		}
 	}
@@ -109,11 +110,33 @@
 		m = &gateway.SlotMessage{}
 		s.Outbox[vm] = m
 	}
-	m.HasHoldings, m.Holdings = true, current
+	m.HasHoldings, m.Holdings, m.Outstanding = true, current, t.Slots.LastID+1
+	if outstanding, ok := firstOutstanding(t, vm); ok {
+		m.Outstanding = outstanding
+	}
 	s.Announced[vm] = gateway.Announcement{At: now, Holdings: current}
 	send(t, vm, out)
 }
 
+// firstOutstanding returns the ID of the first request to an allocator without a reply.
+func firstOutstanding(t *gateway.Tables, vm cs.VMID) (gateway.SlotRequestID, bool) {
+	first, found := gateway.SlotRequestID(0), false
+	look := func(runner cs.RunnerID, id gateway.SlotRequestID) {
+		if r := t.Runners.Get(runner); r != nil && r.Allocation.VM == vm && (!found || id < first) {
+			first, found = id, true
+		}
+	}
+	for _, f := range t.Forwards.All() {
+		if f.Phase == gateway.ForwardRequesting {
+			look(f.Runner, f.SlotRequest)
+		}
+	}
+	for id, request := range t.Slots.BatchRequests.All() {
+		look(request.Runner, id)
+	}
+	return first, found
+}
+
 // send sends the message for a VM.
 func send(t *gateway.Tables, vm cs.VMID, out *gateway.Actions) {
 	m := t.Slots.Outbox[vm]
