--- a/roster/report.go
+++ b/roster/report.go
@@ -42,7 +42,7 @@
 		relayDue = max(relayDue, gossip.RelayedAt.Add(quietRelayInterval))
 	}
 	reports, relays := now >= due, relayInterval > 0 && now >= relayDue
-	remote := relays || relayInterval > 0 && now >= gossip.RemoteAt.Add(digestInterval)
+	remote := relays || relayInterval > 0 && now >= gossip.RemoteAt.Add(max(digestInterval, t.NextRelay()))
 	full := reports && now.Sub(gossip.FullAt) >= fullReportInterval || relays && now.Sub(gossip.FullRelayAt) >= fullReportInterval
 	if reports || remote {
 		gossip.Seq++
@@ -80,7 +80,7 @@
 	out.WakeAt(due)
 	if relayInterval > 0 {
 		out.WakeAt(relayDue)
-		out.WakeAt(gossip.RemoteAt.Add(digestInterval))
+		out.WakeAt(gossip.RemoteAt.Add(max(digestInterval, t.NextRelay())))
 	}
 }
 
