--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -94,6 +94,8 @@
 
 	// dataCentres are those of the VMs and runners, in turn.
 	dataCentres []cs.DataCentreID
+	// jobLogFollowers is the number of VMs of each data centre that follow the job log; 0 means that all do.
+	jobLogFollowers int
 	// withoutAllocators runs the VMs without the systems that share the slots of runners.
 	withoutAllocators bool
 	// full is the load at which runners refuse requests, or 0, and service the time of a response.
@@ -123,13 +125,24 @@
 
 // newSimFleet returns a fleet in which each VM knows all others and all runners.
 func newSimFleet(seed uint64, vms, runners int) *simFleet {
-	return newSimFleetIn([]cs.DataCentreID{"a"}, seed, vms, runners)
+	return newSimFleetWith(simFleetConfig{dataCentres: []cs.DataCentreID{"a"}, seed: seed, vms: vms, runners: runners})
 }
 
-// newSimFleetIn returns a fleet in several data centres.
-func newSimFleetIn(dataCentres []cs.DataCentreID, seed uint64, vms, runners int) *simFleet {
+// simFleetConfig describes a fleet.
+type simFleetConfig struct {
+	// dataCentres are those of the VMs and runners, in turn.
+	dataCentres  []cs.DataCentreID
+	seed         uint64
+	vms, runners int
+	// jobLogFollowers is the number of VMs of each data centre that follow the job log; 0 means that all do.
+	jobLogFollowers int
+}
+
+// newSimFleetWith returns a fleet in which each VM knows all others and all runners.
+func newSimFleetWith(cfg simFleetConfig) *simFleet {
+	vms, runners, dataCentres, seed := cfg.vms, cfg.runners, cfg.dataCentres, cfg.seed
 	f := &simFleet{
-		dataCentres: dataCentres, service: runnerService,
+		dataCentres: dataCentres, service: runnerService, jobLogFollowers: cfg.jobLogFollowers,
 		now: 1_000_000, rand: rand.New(rand.NewPCG(seed, 2)), timeline: make(map[cs.Instant][]func()),
 		route: cs.Route{
 			Name: "ask", Kind: cs.RouteStreaming, Resumable: true, MaxAttempts: 2, Target: 300, GapTarget: 300, Timeout: 5 * cs.Second,
@@ -152,7 +165,7 @@
 func (f *simFleet) newVM(i int, incarnation cs.Incarnation) *simVM {
 	self := cs.VM{ID: cs.VMID(fmt.Sprintf("vm%03d", i)), DataCentre: f.dataCentres[i%len(f.dataCentres)], Incarnation: incarnation, Address: cs.Address(fmt.Sprintf("vm%d:1", i))}
 	v := &simVM{
-		tables: gateway.New(gateway.Config{RegistrationGrace: 2500}, self, f.now, f.rand.Uint64()), requests: make(map[gateway.ForwardID][]cs.PromptPart),
+		tables: gateway.New(gateway.Config{RegistrationGrace: 2500, JobLogFollowers: f.jobLogFollowers}, self, f.now, f.rand.Uint64()), requests: make(map[gateway.ForwardID][]cs.PromptPart),
 		arrived: make(map[gateway.ForwardID]cs.Instant),
 	}
 	v.tables.Catalog = cs.NewCatalog(1, []cs.Route{f.route}, nil, cs.CallerLimits{})
--- a/entry/peaks_test.go
+++ b/entry/peaks_test.go
@@ -150,7 +150,7 @@
 
 // newPeakFleet returns a fleet in six data centres that knows all of its VMs.
 func newPeakFleet(vms int, withoutAllocators bool) *simFleet {
-	f := newSimFleetIn([]cs.DataCentreID{"a", "b", "c", "d", "e", "f"}, 1, vms, vms*2/3)
+	f := newSimFleetWith(simFleetConfig{dataCentres: []cs.DataCentreID{"a", "b", "c", "d", "e", "f"}, seed: 1, vms: vms, runners: vms * 2 / 3})
 	f.withoutAllocators = withoutAllocators
 	mark := cs.Route{
 		Name: "mark", Kind: cs.RouteBatch, MaxAttempts: 3, Target: 1200, Completion: 18 * cs.Second,
