--- a/batchjob/preempt.go
+++ b/batchjob/preempt.go
@@ -17,11 +17,8 @@
 	stopRuns(t, t.Slots.OwnPreemptions, now, out)
 	t.Slots.OwnPreemptions = nil
 	for id, r := range t.Runners.All() {
-		if t.HasAllocator(r, now) {
-			continue
-		}
 		excess := r.Load() - r.Spec.Slots
-		if r.Batch == 0 || excess <= 0 {
+		if r.Batch == 0 || excess <= 0 || t.HasAllocator(r, now) {
 			continue
 		}
 		for peer, p := range t.Peers.All() {
