Preempt the least urgent items, follow the job log at all VMs of small data centres

Cause: the allocator preempted the items with the longest time left, so that items due soon were stopped as well; and while VMs restarted in turn, other VMs of a small data centre began and stopped following the job log, upon which partitions were dealt anew.

Change: VMs tell when their least urgent item at a runner is due. Six VMs of a data centre follow. Digests are sent only when loads have changed, and loads only by allocators that know them (TestVMsWithoutRequestsRelayRarely, TestMadeUpPartsDoNotHideTheCause failed). Test VMs get ports of their own: TestSettingsReload failed once on a port that another test had taken.

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -240,7 +240,7 @@
 	w := &j.ItemWork[k.Index]
 	w.Phase, w.Runner, w.Started = gateway.ItemRunning, r.Spec.ID, now
 	w.Attempt++
-	r.BatchEndsAt = max(r.BatchEndsAt, now.Add(remainingTime(t, w)))
+	recordDue(t, j, w, r, now)
 	sentBefore := slices.Contains(w.SentTo, r.Spec.ID)
 	if !sentBefore {
 		w.SentTo = append(w.SentTo, r.Spec.ID)
@@ -256,6 +256,21 @@
 	return true
 }
 
+// lateDueTime is the time until a late item counts as due, after all that can be in time.
+const lateDueTime = cs.Minute
+
+// recordDue records when an item that was started on a runner is due.
+func recordDue(t *gateway.Tables, j *gateway.Job, w *gateway.ItemWork, r *gateway.Runner, now cs.Instant) {
+	u := urgencyOf(t, j, w, now)
+	if u.late {
+		u.dueTime = now.Add(lateDueTime)
+	}
+	if r.Batch == 1 { // which counts the item
+		r.BatchDueAt = 0
+	}
+	r.BatchDueAt = max(r.BatchDueAt, u.dueTime)
+}
+
 // remainingOutput returns the size limit of the output of a run that continues the output so far, or 0 if there
 // is no limit.
 func remainingOutput(t *gateway.Tables, w *gateway.ItemWork) cs.Bytes {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -71,12 +72,28 @@
 		`{"service":%q,"address":%q,"zone":"a","slots":8,"state":"ready","born":1}`, service, serve(s.C, e)))
 }
 
-// freePort returns a port on which nothing listens.
+// Ports below the range from which the system takes those of connections and of listeners that name none, so that no other
+// test of this process, and no connection, takes a port between the choice and its use.
+const (
+	firstTestPort = 12_000
+	testPorts     = 8_000
+)
+
+var portsChosen atomic.Int64
+
+// freePort returns a port on which nothing listens. It returns another one each time.
 func freePort(c *qt.C) int {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	for range testPorts {
+		port := firstTestPort + (os.Getpid()*61+int(portsChosen.Add(1)))%testPorts
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		c.Assert(l.Close(), qt.IsNil)
+		return port
+	}
+	c.Fatal("no free port")
+	return 0
 }
 
 // entryVM is an entry VM with its addresses and its log.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -31,8 +31,9 @@
 	JobLogFollowers int `json:"jobLogFollowers"`
 }
 
-// defaultJobLogFollowers lets half of a data centre's followers fail while VMs restart in turn.
-const defaultJobLogFollowers = 4
+// defaultJobLogFollowers is the size of a small data centre: where all VMs follow the job log, partitions are dealt anew only
+// once when a VM restarts.
+const defaultJobLogFollowers = 6
 
 // Listen holds the addresses and ports on which an entry VM listens.
 type Listen struct {
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -226,6 +226,8 @@
 	// Sent is the load in the last report, and SentAllocated that of the runners of this VM. Loads that differ from them are
 	// reported sooner.
 	Sent, SentAllocated []RunnerLoad
+	// SentDigest are the loads at the runners of the group in the last digest.
+	SentDigest []RunnerLoad
 	// RemoteAt is when this VM last reported to VMs of other data centres itself.
 	RemoteAt cs.Instant
 	// RelayedAt is when this VM last relayed the reports of its group, and RelayDue when it does so again.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -24,8 +24,8 @@
 	RequestedOnline, RequestedBatch cs.Slots
 	// DeniedAt is when this VM was last denied a slot, or 0.
 	DeniedAt cs.Instant
-	// BatchEndsAt is when the last of this VM's items there is expected to end.
-	BatchEndsAt cs.Instant
+	// BatchDueAt is when the least urgent of the items that this VM has started there is due.
+	BatchDueAt cs.Instant
 	// Limit is the limit on requests that the runner names.
 	Limit RunnerLimit
 	// EjectedUntil is the end of the ejection after a failure that this VM saw, and PeerEjectedUntil the end
--- a/gateway/slots.go
+++ b/gateway/slots.go
@@ -55,8 +55,8 @@
 	_             struct{} `cbor:",toarray"`
 	Runner        cs.RunnerID
 	Online, Batch cs.Slots
-	// Remaining is the estimated time until the longest of the items ends.
-	Remaining cs.Span
+	// DueIn is the time until the least urgent of the items is due; one that will be late is due after all others.
+	DueIn cs.Span
 }
 
 // SlotRequest requests a slot of a runner.
@@ -88,8 +88,8 @@
 		return errors.New("slot message without a sender")
 	}
 	for _, h := range m.Holdings {
-		if h.Online < 0 || h.Batch < 0 || h.Online > maxReportedLoad || h.Batch > maxReportedLoad || h.Remaining < 0 {
-			return errors.Newf("holding out of range: %d and %d requests for %d ms", h.Online, h.Batch, h.Remaining)
+		if h.Online < 0 || h.Batch < 0 || h.Online > maxReportedLoad || h.Batch > maxReportedLoad || h.DueIn < 0 {
+			return errors.Newf("holding out of range: %d and %d requests, due in %d ms", h.Online, h.Batch, h.DueIn)
 		}
 	}
 	for _, r := range m.Requests {
@@ -247,7 +247,7 @@
 			continue
 		}
 		prior := r.Allocation
-		r.Allocation = Allocation{VM: vm}
+		r.Allocation = Allocation{VM: vm, Online: prior.Online, Batch: prior.Batch}
 		if vm == t.Self.ID {
 			r.Allocation.Since, r.Allocation.PriorOnline, r.Allocation.PriorBatch = now, prior.Online, prior.Batch
 			t.sumHoldings(r)
@@ -402,13 +402,13 @@
 	}
 }
 
-// preempt tells the VMs with the items that have the longest time left to stop as many runs as there are too many requests.
+// preempt tells the VMs with the least urgent items to stop as many runs as there are too many requests.
 func (t *Tables) preempt(r *Runner, excess cs.Slots, now cs.Instant, out *Actions) {
 	type victim struct {
-		vm        cs.VMID
-		runs      cs.Slots
-		remaining cs.Span
-		holding   *Holding
+		vm      cs.VMID
+		runs    cs.Slots
+		dueIn   cs.Span
+		holding *Holding
 	}
 	var victims []victim
 	for k, h := range t.Slots.Holdings.All() {
@@ -420,7 +420,7 @@
 		}
 		excess -= h.Preempted
 		if runs := h.Batch - h.Preempted; runs > 0 {
-			victims = append(victims, victim{vm: k.VM, runs: runs, remaining: h.Remaining, holding: h})
+			victims = append(victims, victim{vm: k.VM, runs: runs, dueIn: h.DueIn, holding: h})
 		}
 	}
 	for _, p := range t.Slots.OwnPreemptions {
@@ -429,9 +429,9 @@
 		}
 	}
 	if r.Batch > 0 {
-		victims = append(victims, victim{vm: t.Self.ID, runs: r.Batch})
+		victims = append(victims, victim{vm: t.Self.ID, runs: r.Batch, dueIn: r.BatchDueAt.Sub(now)})
 	}
-	slices.SortFunc(victims, func(a, b victim) int { return cmp.Or(cmp.Compare(b.remaining, a.remaining), cmp.Compare(a.vm, b.vm)) })
+	slices.SortFunc(victims, func(a, b victim) int { return cmp.Or(cmp.Compare(b.dueIn, a.dueIn), cmp.Compare(a.vm, b.vm)) })
 	for i := range victims {
 		if excess <= 0 {
 			return
@@ -513,11 +513,11 @@
 	}
 }
 
-// AllocatedLoads returns what all VMs hold at the runners of which this VM is the allocator.
+// AllocatedLoads returns what all VMs hold at the runners of which this VM is the allocator, and knows it.
 func (t *Tables) AllocatedLoads(now cs.Instant) []RunnerLoad {
 	var loads []RunnerLoad
 	for id, r := range t.Runners.All() {
-		if r.Allocation.VM == t.Self.ID {
+		if t.IsSettledAllocator(r, now) {
 			online, batch := t.allocatedLoad(r, now)
 			loads = append(loads, RunnerLoad{Runner: id, Online: online, Batch: batch})
 		}
--- a/roster/report.go
+++ b/roster/report.go
@@ -42,7 +42,13 @@
 		relayDue = max(relayDue, gossip.RelayedAt.Add(quietRelayInterval))
 	}
 	reports, relays := now >= due, relayInterval > 0 && now >= relayDue
-	remote := relays || relayInterval > 0 && now >= gossip.RemoteAt.Add(max(digestInterval, t.NextRelay()))
+	digest := slices.Concat(allocated, groupAllocated(t))
+	hasNewLoads := relayInterval > 0 && !slices.Equal(digest, gossip.SentDigest)
+	remoteDue := gossip.RemoteAt.Add(gateway.MaxReportInterval)
+	if hasNewLoads {
+		remoteDue = gossip.RemoteAt.Add(max(digestInterval, t.NextRelay()))
+	}
+	remote := relays || relayInterval > 0 && now >= remoteDue
 	full := reports && now.Sub(gossip.FullAt) >= fullReportInterval || relays && now.Sub(gossip.FullRelayAt) >= fullReportInterval
 	if reports || remote {
 		gossip.Seq++
@@ -58,14 +64,15 @@
 			due = now.Add(idleInterval)
 		}
 		if remote {
-			gossip.RemoteAt = now
-			digest := r
-			digest.Allocated = slices.Concat(allocated, groupAllocated(t))
+			gossip.RemoteAt, gossip.SentDigest = now, digest
+			remoteDue = now.Add(gateway.MaxReportInterval)
 			if len(routes.Remote) > 0 {
 				sendReport(t, r, routes.Remote, out)
 			}
-			if !relays && len(routes.Relay) > 0 {
-				sendReport(t, digest, routes.Relay, out)
+			if !relays && hasNewLoads && len(routes.Relay) > 0 {
+				withDigest := r
+				withDigest.Allocated = digest
+				sendReport(t, withDigest, routes.Relay, out)
 			}
 		}
 		if relays {
@@ -80,7 +87,7 @@
 	out.WakeAt(due)
 	if relayInterval > 0 {
 		out.WakeAt(relayDue)
-		out.WakeAt(gossip.RemoteAt.Add(max(digestInterval, t.NextRelay())))
+		out.WakeAt(remoteDue)
 	}
 }
 
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -77,7 +77,7 @@
 		online, batch := r.Online-r.RequestedOnline, r.Batch-r.RequestedBatch
 		if vm := r.Allocation.VM; vm != "" && vm != t.Self.ID && online+batch > 0 {
 			holdings[vm] = append(holdings[vm], gateway.SlotHolding{
-				Runner: id, Online: online, Batch: batch, Remaining: max(r.BatchEndsAt.Sub(now), 0),
+				Runner: id, Online: online, Batch: batch, DueIn: max(r.BatchDueAt.Sub(now), 0),
 			})
 		}
 	}
