--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -141,14 +141,13 @@
 // arrive within a pause are posted together, so that they wake the loop once; slot messages are posted at once.
 func (g *Gossip) Run(ctx context.Context) error {
 	buffer := make([]byte, maxReportBytes)
-	var reports []gateway.Event
-	var pauseEnd time.Time // zero if no report waits
+	batch := reportBatch{conn: g.conn}
 	for {
 		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
 		switch {
 		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
 			return ctx.Err()
-		case errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, os.ErrDeadlineExceeded): // the pause has ended
 		case err != nil:
 			g.cfg.Log.Warn().Err(err).Msg("receiving load reports failed")
 			continue
@@ -158,39 +157,63 @@
 			switch {
 			case e == nil:
 			case isReport:
-				reports = append(reports, e)
+				if err := batch.add(e, g.cfg.Pause()); err != nil {
+					return err
+				}
 			default:
 				if err := g.cfg.Post(ctx, e); err != nil {
 					return err
 				}
 			}
 		}
-		pause := g.cfg.Pause()
-		if len(reports) > 0 && pauseEnd.IsZero() && pause > 0 {
-			pauseEnd = time.Now().Add(pause.Std())
-			if err := g.conn.SetReadDeadline(pauseEnd); err != nil {
-				return err
-			}
-		}
-		if len(reports) == 0 || !pauseEnd.IsZero() && time.Now().Before(pauseEnd) && len(reports) < maxReportsAtOnce {
+		if !batch.isDue() {
 			continue
 		}
-		for _, e := range reports {
+		for _, e := range batch.reports {
 			if err := g.cfg.Post(ctx, e); err != nil {
 				return err
 			}
 		}
-		clear(reports)
-		reports = reports[:0]
-		if !pauseEnd.IsZero() {
-			pauseEnd = time.Time{}
-			if err := g.conn.SetReadDeadline(time.Time{}); err != nil {
-				return err
-			}
+		if err := batch.reset(); err != nil {
+			return err
 		}
 	}
 }
 
+// reportBatch collects the reports that arrive within a pause.
+type reportBatch struct {
+	conn    *net.UDPConn
+	reports []gateway.Event
+	// end is the end of the pause, or zero if there is none.
+	end time.Time
+}
+
+// add adds a report. The first one starts the pause, at the end of which reads fail.
+func (b *reportBatch) add(e gateway.Event, pause cs.Span) error {
+	b.reports = append(b.reports, e)
+	if len(b.reports) > 1 || pause == 0 {
+		return nil
+	}
+	b.end = time.Now().Add(pause.Std())
+	return b.conn.SetReadDeadline(b.end)
+}
+
+// isDue reports whether the reports must be posted.
+func (b *reportBatch) isDue() bool {
+	return len(b.reports) > 0 && (len(b.reports) >= maxReportsAtOnce || !time.Now().Before(b.end))
+}
+
+// reset removes the reports and ends the pause.
+func (b *reportBatch) reset() error {
+	clear(b.reports)
+	b.reports = b.reports[:0]
+	if b.end.IsZero() {
+		return nil
+	}
+	b.end = time.Time{}
+	return b.conn.SetReadDeadline(time.Time{})
+}
+
 // cborArray is the major type of an array in the first byte of an encoding (RFC 8949, section 3.1). Slot messages are arrays,
 // and reports are maps.
 const cborArray = 4
--- a/roster/report.go
+++ b/roster/report.go
@@ -23,74 +23,103 @@
 	maxRelayedRows = 100
 )
 
-// Report sends this VM's load to the VMs of its group when it has changed, and at a longer interval when it has not, and
-// relays the reports of the group to other VMs.
+// reportTimes are the times at which reports are due.
+type reportTimes struct {
+	// group is that of a report to the VMs of this VM's group, which is all VMs if there are few.
+	group cs.Instant
+	// remote is that of a report to VMs of other data centres and of a digest, and relay that of a relay; 0 if there is one group.
+	remote, relay cs.Instant
+}
+
+// Report sends this VM's report to the VMs of its group when it has changed, and at a longer interval when it has not, and
+// relays the reports of the group and digests of the loads at their runners to other VMs.
 func Report(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	gossip := &t.Gossip
 	loads, allocated := localLoads(t, now), t.AllocatedLoads(now)
-	idleInterval := max(gateway.MaxReportInterval, t.ReportInterval())
-	due := gossip.SentAt.Add(idleInterval)
-	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) || hasDepartureNews(t) {
-		due = gossip.SentAt.Add(t.ReportInterval())
-		gossip.GroupChanged = true
-	}
-	relayInterval, relayDue := t.RelayInterval(), gossip.RelayDue
-	if relayInterval == 0 && !slices.Equal(allocated, gossip.SentAllocated) {
-		due = min(due, gossip.SentAt.Add(max(t.ReportInterval(), allocatedInterval)))
+	due := timesOfReports(t, loads, allocated)
+	var digest []gateway.RunnerLoad
+	if due.remote != 0 && now >= min(due.remote, due.relay) {
+		digest = slices.Concat(allocated, groupAllocated(t))
+		if slices.Equal(digest, gossip.SentDigest) {
+			due.remote = max(due.remote, gossip.RemoteAt.Add(gateway.MaxReportInterval))
+		}
 	}
-	if !gossip.GroupChanged {
-		relayDue = max(relayDue, gossip.RelayedAt.Add(quietRelayInterval))
-	}
-	reports, relays := now >= due, relayInterval > 0 && now >= relayDue
-	digest := slices.Concat(allocated, groupAllocated(t))
-	hasNewLoads := relayInterval > 0 && !slices.Equal(digest, gossip.SentDigest)
-	remoteDue := gossip.RemoteAt.Add(gateway.MaxReportInterval)
-	if hasNewLoads {
-		remoteDue = gossip.RemoteAt.Add(max(digestInterval, t.NextRelay()))
-	}
-	remote := relays || relayInterval > 0 && now >= remoteDue
-	full := reports && now.Sub(gossip.FullAt) >= fullReportInterval || relays && now.Sub(gossip.FullRelayAt) >= fullReportInterval
-	if reports || remote {
+	toGroup, relays := now >= due.group, due.relay != 0 && now >= due.relay
+	toRemote := due.remote != 0 && now >= due.remote || relays
+	if toGroup || toRemote {
+		full := toGroup && now.Sub(gossip.FullAt) >= fullReportInterval || relays && now.Sub(gossip.FullRelayAt) >= fullReportInterval
 		gossip.Seq++
 		r := newReport(t, now, loads, full)
 		r.Allocated = allocated
 		routes := t.UpdateRoutes(now)
-		if reports {
-			sendReport(t, r, routes.Group, out)
-			gossip.SentAt, gossip.Sent, gossip.SentAllocated = now, loads, allocated
-			if full {
-				gossip.FullAt = now
-			}
-			due = now.Add(idleInterval)
+		if toGroup {
+			sendToGroup(t, now, r, routes.Group, out)
 		}
-		if remote {
-			gossip.RemoteAt, gossip.SentDigest = now, digest
-			remoteDue = now.Add(gateway.MaxReportInterval)
-			if len(routes.Remote) > 0 {
-				sendReport(t, r, routes.Remote, out)
-			}
-			if !relays && hasNewLoads && len(routes.Relay) > 0 {
-				withDigest := r
-				withDigest.Allocated = digest
-				sendReport(t, withDigest, routes.Relay, out)
-			}
+		if toRemote {
+			sendDigest(t, now, r, digest, relays, out)
 		}
 		if relays {
 			relayReports(t, now, r, routes.Relay, out)
 			gossip.RelayedAt, gossip.RelayDue, gossip.GroupChanged = now, now.Add(t.NextRelay()), false
-			relayDue = now.Add(max(t.NextRelay(), quietRelayInterval))
 			if full {
 				gossip.FullRelayAt = now
 			}
 		}
+		due = timesOfReports(t, loads, allocated)
 	}
-	out.WakeAt(due)
-	if relayInterval > 0 {
-		out.WakeAt(relayDue)
-		out.WakeAt(remoteDue)
+	out.WakeAt(due.group)
+	if due.relay != 0 {
+		out.WakeAt(due.relay)
+		out.WakeAt(due.remote)
 	}
 }
 
+// timesOfReports returns when the next reports are due.
+func timesOfReports(t *gateway.Tables, loads, allocated []gateway.RunnerLoad) reportTimes {
+	gossip := &t.Gossip
+	times := reportTimes{group: gossip.SentAt.Add(max(gateway.MaxReportInterval, t.ReportInterval()))}
+	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) || hasDepartureNews(t) {
+		times.group = gossip.SentAt.Add(t.ReportInterval())
+		gossip.GroupChanged = true
+	}
+	if t.RelayInterval() == 0 {
+		if !slices.Equal(allocated, gossip.SentAllocated) {
+			times.group = min(times.group, gossip.SentAt.Add(max(t.ReportInterval(), allocatedInterval)))
+		}
+		return times
+	}
+	times.relay, times.remote = gossip.RelayDue, gossip.RemoteAt.Add(max(digestInterval, t.NextRelay()))
+	if !gossip.GroupChanged {
+		times.relay = max(times.relay, gossip.RelayedAt.Add(quietRelayInterval))
+	}
+	times.relay = max(times.relay, 1) // a relay that was never sent is due
+	return times
+}
+
+// sendToGroup sends a report to the VMs of this VM's group.
+func sendToGroup(t *gateway.Tables, now cs.Instant, r gateway.Report, to []cs.VMID, out *gateway.Actions) {
+	gossip := &t.Gossip
+	sendReport(t, r, to, out)
+	gossip.SentAt, gossip.Sent, gossip.SentAllocated = now, r.Loads, r.Allocated
+	if now.Sub(gossip.FullAt) >= fullReportInterval {
+		gossip.FullAt = now
+	}
+}
+
+// sendDigest reports to VMs of other data centres, and sends the loads at the runners of the group to other groups unless a
+// relay brings them as well.
+func sendDigest(t *gateway.Tables, now cs.Instant, r gateway.Report, digest []gateway.RunnerLoad, relays bool, out *gateway.Actions) {
+	gossip, routes := &t.Gossip, &t.Gossip.Routes
+	if len(routes.Remote) > 0 {
+		sendReport(t, r, routes.Remote, out)
+	}
+	if !relays && len(routes.Relay) > 0 && !slices.Equal(digest, gossip.SentDigest) {
+		r.Allocated = digest
+		sendReport(t, r, routes.Relay, out)
+	}
+	gossip.RemoteAt, gossip.SentDigest = now, digest
+}
+
 // sendReport sends a report to peers.
 func sendReport(t *gateway.Tables, r gateway.Report, to []cs.VMID, out *gateway.Actions) {
 	addresses := make([]cs.Address, 0, len(to))
