Apply each slot message once

Cause: a request for a slot that the network delivered twice, or late, was granted again, and its slot counted twice at the runner for as long as the process ran (the row of the grant was replaced, its count was not).

Change: messages with requests always carry the holdings, and one that is not later than the last one is ignored as a whole.

Test: TestRepeatedMessageCountsOnce failed first. With it tests of the limits of grants and of the item that is preempted.

--- a/slot/slot.go
+++ b/slot/slot.go
@@ -36,7 +36,8 @@
 	}
 }
 
-// receive applies one message. Holdings that arrive out of order are ignored.
+// receive applies one message. Holdings and requests that arrive out of order, or once more, are ignored: the VM that sent them
+// goes on without a reply.
 func receive(t *gateway.Tables, m gateway.SlotMessage, now cs.Instant, out *gateway.Actions) {
 	p := t.Peers.Get(m.From)
 	if p == nil || m.Incarnation < p.VM.Incarnation {
@@ -45,10 +46,12 @@
 	if len(m.Replies) > 0 {
 		p.SlotTimeouts = 0
 	}
-	if m.HasHoldings && (m.Incarnation > p.SlotIncarnation || m.Incarnation == p.SlotIncarnation && m.Seq > p.SlotSeq) {
-		p.SlotIncarnation, p.SlotSeq = m.Incarnation, m.Seq
-		t.ApplyHoldings(m.From, m.Holdings, m.Outstanding, now)
+	isLater := m.Incarnation > p.SlotIncarnation || m.Incarnation == p.SlotIncarnation && m.Seq > p.SlotSeq
+	if !m.HasHoldings || !isLater {
+		return
 	}
+	p.SlotIncarnation, p.SlotSeq = m.Incarnation, m.Seq
+	t.ApplyHoldings(m.From, m.Holdings, m.Outstanding, now)
 	t.DecideSlots(m.From, m.Requests, now, out)
 }
 
@@ -65,8 +68,12 @@
 			announce(t, vm, nil, now, out)
 		}
 	}
-	for vm := range s.Outbox { // replies and preemptions for VMs at whose runners this VM holds nothing
-		send(t, vm, out)
+	for vm, m := range s.Outbox { // for VMs at whose runners this VM holds nothing
+		if len(m.Requests) > 0 {
+			announce(t, vm, nil, now, out)
+		} else {
+			send(t, vm, out)
+		}
 	}
 }
 
