--- a/entry/extremes_test.go
+++ b/entry/extremes_test.go
@@ -41,8 +41,9 @@
 	return gateway.Report{
 		From: []cs.VMID{"vm000", "vm001", "other"}[x.IntN(3)], Incarnation: cs.Incarnation(x.int64()),
 		DataCentre: []cs.DataCentreID{"a", "b", ""}[x.IntN(3)], Seq: uint64(x.int64()),
-		Loads:   []gateway.RunnerLoad{{Runner: x.runner(), Online: x.load(), Batch: x.load()}},
-		Leaving: x.IntN(2) == 0, StoreUnreadable: x.IntN(2) == 0, BatchDemand: x.demand(),
+		Loads: []gateway.RunnerLoad{{Runner: x.runner(), Online: x.load(), Batch: x.load()}}, Memory: cs.Bytes(x.int64()),
+		Allocated: []gateway.RunnerLoad{{Runner: x.runner(), Online: x.load(), Batch: x.load()}},
+		Leaving:   x.IntN(2) == 0, StoreUnreadable: x.IntN(2) == 0, BatchDemand: x.demand(),
 		Demands: []gateway.DemandReport{{Service: "s", Demand: x.demand()}}, Ejected: []cs.RunnerID{x.runner()},
 		Refusing: []gateway.RefusingRunner{{Runner: x.runner(), Age: x.age()}},
 		Limits: []gateway.LimitReport{{
@@ -52,6 +53,18 @@
 	}
 }
 
+// slots returns a slot message that SlotMessage.Validate accepts, with other numbers of any size.
+func (x extremes) slots() gateway.SlotMessage {
+	return gateway.SlotMessage{
+		From: []cs.VMID{"vm000", "vm001", "other"}[x.IntN(3)], Incarnation: cs.Incarnation(x.int64()), Seq: uint64(x.int64()),
+		HasHoldings: x.IntN(4) > 0, Outstanding: gateway.SlotRequestID(x.int64()),
+		Holdings:    []gateway.SlotHolding{{Runner: x.runner(), Online: x.load(), Batch: x.load(), DueIn: max(x.age(), 0)}},
+		Requests:    []gateway.SlotRequest{{Runner: x.runner(), ID: gateway.SlotRequestID(x.int64()), Use: gateway.SlotUse(x.IntN(4))}},
+		Replies:     []gateway.SlotReply{{Runner: x.runner(), ID: gateway.SlotRequestID(x.IntN(50)), Granted: x.IntN(2) == 0}},
+		Preemptions: []gateway.SlotPreemption{{Runner: x.runner(), Runs: x.load()}},
+	}
+}
+
 // Guards against numbers in the reports of peers that end a VM, or make its control loop run without a pause.
 func TestExtremeNumbersInReportsEndNoVM(t *testing.T) {
 	c := qt.New(t)
@@ -79,6 +92,9 @@
 				report := x.report()
 				c.Assert(report.Validate(), qt.IsNil)
 				events = append(events, gateway.PeerReported{Address: "10.0.0.9:1", Report: report})
+				message := x.slots()
+				c.Assert(message.Validate(), qt.IsNil)
+				events = append(events, gateway.SlotsReceived{Message: message})
 			}
 			var out gateway.Actions
 			tables.Events, events = events, nil
