--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -194,7 +194,7 @@
 	})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteRequestSent, Request: f.Request, Route: f.Route.Name, Runner: r.Spec.ID, Attempt: f.Attempt,
-		Version: f.Version, Load: load, Duration: now.Sub(f.Arrived), Age: t.Feeds[gateway.FeedRunners].Age(now),
+		Version: f.Version, Load: load, Peer: f.Allocator, Duration: now.Sub(f.Arrived), Age: t.Feeds[gateway.FeedRunners].Age(now),
 	})
 }
 
--- a/forward/slots.go
+++ b/forward/slots.go
@@ -25,6 +25,7 @@
 			return true
 		}
 	}
+	f.Allocator = ""
 	onlyAllocated := !mayDispatch(t, f.Service, now, out)
 	for len(f.DeniedBy) < maxSlotRequests {
 		r := pickRunner(t, f, now, onlyAllocated)
@@ -44,6 +45,7 @@
 			return true
 		}
 		if granted {
+			f.Allocator = t.Self.ID
 			dispatchTo(t, f, r, now, out)
 			return true
 		}
@@ -86,9 +88,11 @@
 			continue
 		}
 		releaseSlot(t, f)
-		if replies[i].Granted {
-			f.GrantedBy = f.Runner
-		} else if r := t.Runners.Get(f.Runner); r != nil {
+		switch r := t.Runners.Get(f.Runner); {
+		case r == nil:
+		case replies[i].Granted:
+			f.GrantedBy, f.Allocator = f.Runner, r.Allocation.VM
+		default:
 			deny(f, r, now)
 		}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -42,6 +42,8 @@
 	RequestedAt cs.Instant
 	// GrantedBy is the runner of which the request has a slot that it has not used yet, or empty.
 	GrantedBy cs.RunnerID
+	// Allocator is the VM that granted the slot of the current attempt, or empty.
+	Allocator cs.VMID
 	// DeniedBy lists the runners of which a slot was denied since the last pause.
 	DeniedBy []cs.RunnerID
 	// SentAt is when the request was last sent.
