--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,3 +113,48 @@
 	code, _, _ := s.call(others[0], http.MethodPost, "/mark/x", "lost", fmt.Sprintf(oneItemJob, "lost-i"))
 	s.Assert(code == http.StatusBadGateway || code == http.StatusGatewayTimeout, qt.IsTrue, qt.Commentf("status %d", code))
 }
+
+// Guards against a call that was passed to another VM and is cut off when the VM that took it stops: it must be answered before
+// the process exits.
+func TestDrainWaitsForForwardedCalls(t *testing.T) {
+	s := newCluster(t)
+	fleet := s.startFleet(3, 1)
+	s.eventually(func() bool { f, _ := followers(fleet); return len(f) >= 1 })
+	_, others := followers(fleet)
+	m := others[0]
+	s.store.Put("keyed.servers", "i-0", nil) // without runners the job stays open and has no results
+	s.store.Put("keyed.servers", "i-1", nil)
+	s.eventually(func() bool {
+		code, _, _ := s.call(m, http.MethodPost, "/mark/x", "open", fmt.Sprintf(oneItemJob, "open-i"))
+		return code == http.StatusAccepted
+	})
+	type result struct {
+		code int
+		err  error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		req, err := http.NewRequest(http.MethodGet, "http://"+m.callersAddr+"/lots/open?after=1", nil)
+		if err != nil {
+			answered <- result{err: err}
+			return
+		}
+		req.Host = "h.example"
+		req.Header.Set("Wait-Ms", "5000")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answered <- result{err: err}
+			return
+		}
+		_, err = io.ReadAll(resp.Body)
+		answered <- result{code: resp.StatusCode, err: err}
+		_ = resp.Body.Close()
+	}()
+	time.Sleep(200 * time.Millisecond)
+	m.signals <- syscall.SIGTERM
+	r := <-answered
+	s.Assert(r.err, qt.IsNil)
+	s.Assert(r.code, qt.Equals, http.StatusOK)
+	s.Assert(<-m.runErr, qt.IsNil)
+	m.runErr = nil
+}
