--- a/gateway/slots.go
+++ b/gateway/slots.go
@@ -4,107 +4,10 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
-
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
-// Each runner has an allocator: one VM of its data centre, chosen by rendezvous hashing, that grants the runner's slots. VMs ask
-// it before they send, and tell it what they hold there. The reports of peers are older than that, and VMs that choose by them
-// alone collide on the runners that seemed to be free. Without an allocator that responds, VMs choose by the reports.
-
-// SlotUse is what a slot is requested for.
-type SlotUse uint8
-
-// The uses of a slot.
-const (
-	// SlotFree is an online request that is to get a free slot; there may be one at another runner.
-	SlotFree SlotUse = iota
-	// SlotOnline is an online request for which an item may be preempted.
-	SlotOnline
-	// SlotQueued is an online request that may also wait at the runner for a slot.
-	SlotQueued
-	// SlotBatch is an item of a batch job.
-	SlotBatch
-)
-
-// SlotRequestID identifies a request for a slot within the process.
-type SlotRequestID uint64
-
-// SlotMessage is a message between a VM and an allocator. A message that is lost is made up for by a later one.
-type SlotMessage struct {
-	_           struct{} `cbor:",toarray"`
-	From        cs.VMID
-	Incarnation cs.Incarnation
-	// Seq is the sequence number of the message within the process.
-	Seq uint64
-	// Holdings is all that the sender holds at the runners of which it takes the receiver for the allocator, with the slots
-	// granted by replies to the requests before Outstanding; HasHoldings tells an empty list from none.
-	HasHoldings bool
-	Holdings    []SlotHolding
-	Outstanding SlotRequestID
-	Requests    []SlotRequest
-	Replies     []SlotReply
-	Preemptions []SlotPreemption
-}
-
-// SlotHolding is what a VM holds at a runner.
-type SlotHolding struct {
-	_             struct{} `cbor:",toarray"`
-	Runner        cs.RunnerID
-	Online, Batch cs.Slots
-	// DueIn is the time until the least urgent of the items is due; one that will be late is due after all others.
-	DueIn cs.Span
-}
-
-// SlotRequest requests a slot of a runner.
-type SlotRequest struct {
-	_      struct{} `cbor:",toarray"`
-	Runner cs.RunnerID
-	ID     SlotRequestID
-	Use    SlotUse
-}
-
-// SlotReply answers a SlotRequest.
-type SlotReply struct {
-	_       struct{} `cbor:",toarray"`
-	Runner  cs.RunnerID
-	ID      SlotRequestID
-	Granted bool
-}
-
-// SlotPreemption tells a VM to stop runs of items at a runner, to make room for online requests.
-type SlotPreemption struct {
-	_      struct{} `cbor:",toarray"`
-	Runner cs.RunnerID
-	Runs   cs.Slots
-}
-
-// Validate returns an error unless a VM can have sent the message.
-func (m *SlotMessage) Validate() error {
-	if m.From == "" {
-		return errors.New("slot message without a sender")
-	}
-	for _, h := range m.Holdings {
-		if h.Online < 0 || h.Batch < 0 || h.Online > maxReportedLoad || h.Batch > maxReportedLoad || h.DueIn < 0 {
-			return errors.Newf("holding out of range: %d and %d requests, due in %d ms", h.Online, h.Batch, h.DueIn)
-		}
-	}
-	for _, r := range m.Requests {
-		if r.Use > SlotBatch {
-			return errors.Newf("unknown use of a slot: %d", r.Use)
-		}
-	}
-	for _, p := range m.Preemptions {
-		if p.Runs < 0 || p.Runs > maxReportedLoad {
-			return errors.Newf("preemption out of range: %d runs", p.Runs)
-		}
-	}
-	return nil
-}
-
 // HoldingKey identifies a row of Slots.Holdings.
 type HoldingKey struct {
 	Runner cs.RunnerID
@@ -133,19 +36,6 @@
 	At     cs.Instant
 }
 
-// Allocation is the allocator of a runner, as this VM sees it.
-type Allocation struct {
-	// VM is the allocator, or empty if no VM of the data centre is heard.
-	VM cs.VMID
-	// Since is when this VM became the allocator, or 0.
-	Since cs.Instant
-	// Online and Batch are what other VMs hold at the runner: the sums of Slots.Holdings and Slots.Grants if this VM is the
-	// allocator, and otherwise as the allocator last reported.
-	Online, Batch cs.Slots
-	// PriorOnline and PriorBatch are those that the allocator before this VM last reported.
-	PriorOnline, PriorBatch cs.Slots
-}
-
 // Slots is what this VM knows and does as an allocator of slots and as a VM that requests them.
 type Slots struct {
 	Holdings *fleet.Table[HoldingKey, Holding]
@@ -216,61 +106,6 @@
 	}
 }
 
-// AssignAllocators determines the allocator of each runner, if VMs or runners have changed.
-func (t *Tables) AssignAllocators(now cs.Instant, out *Actions) {
-	s := &t.Slots
-	if s.assignedAt != 0 && s.liveChanges == t.LiveChanges && s.runners == t.Runners.Len() && s.revision == t.RunnerChanges {
-		return
-	}
-	if due := s.assignedAt.Add(assignAllocatorsInterval); s.assignedAt != 0 && now < due {
-		out.WakeAt(due)
-		return
-	}
-	s.assignedAt, s.liveChanges, s.runners, s.revision = now, t.LiveChanges, t.Runners.Len(), t.RunnerChanges
-	candidates := make(map[cs.DataCentreID][]allocatorCandidate)
-	add := func(vm cs.VM) {
-		candidates[vm.DataCentre] = append(candidates[vm.DataCentre], allocatorCandidate{vm.ID, xxhash.Sum64String(string(vm.ID))})
-	}
-	if t.Drain.Phase == fleet.DrainNone {
-		add(t.Self)
-	}
-	for _, p := range t.Peers.All() {
-		if p.LastReportAt != 0 && !p.VM.Leaving {
-			add(p.VM)
-		}
-	}
-	for id, r := range t.Runners.All() {
-		vm := firstByRendezvous(xxhash.Sum64String(string(id)), candidates[r.Spec.DataCentre])
-		if vm == r.Allocation.VM {
-			continue
-		}
-		prior := r.Allocation
-		r.Allocation = Allocation{VM: vm, Online: prior.Online, Batch: prior.Batch}
-		if vm == t.Self.ID {
-			r.Allocation.Since, r.Allocation.PriorOnline, r.Allocation.PriorBatch = now, prior.Online, prior.Batch
-			t.sumHoldings(r)
-		}
-	}
-}
-
-// allocatorCandidate is a VM that may be an allocator, with the hash of its ID.
-type allocatorCandidate struct {
-	vm   cs.VMID
-	hash uint64
-}
-
-// firstByRendezvous returns the candidate with the highest weight for the hash of a key, or an empty ID.
-func firstByRendezvous(key uint64, candidates []allocatorCandidate) cs.VMID {
-	var first cs.VMID
-	highest := uint64(0)
-	for _, c := range candidates {
-		if weight := hashPair(key, c.hash); first == "" || weight > highest || weight == highest && c.vm > first {
-			first, highest = c.vm, weight
-		}
-	}
-	return first
-}
-
 // sumHoldings recomputes the sums of what other VMs hold at a runner.
 func (t *Tables) sumHoldings(r *Runner) {
 	r.Allocation.Online, r.Allocation.Batch = 0, 0
@@ -296,25 +131,6 @@
 	}
 }
 
-// HasAllocator reports whether this VM must have a slot of a runner granted before it sends to it. The limits that runners name
-// are shared in another way.
-func (t *Tables) HasAllocator(r *Runner, now cs.Instant) bool {
-	if r.Limit.Named || r.Allocation.VM == "" {
-		return false
-	}
-	if r.Allocation.VM == t.Self.ID {
-		return t.IsSettledAllocator(r, now)
-	}
-	p := t.Peers.Get(r.Allocation.VM)
-	return p != nil && now >= p.AllocatorSilentUntil
-}
-
-// IsSettledAllocator reports whether this VM is the allocator of a runner and knows the holdings of all VMs. Until then it uses
-// the runner by what peers report, like a VM that has no allocator.
-func (t *Tables) IsSettledAllocator(r *Runner, now cs.Instant) bool {
-	return r.Allocation.VM == t.Self.ID && now.Sub(r.Allocation.Since) >= allocatorSettleTime
-}
-
 // RequestSlot requests a slot of a runner, which has an allocator. It returns 0 and whether the slot is granted if this VM is
 // the allocator, and otherwise the ID of the request that is sent. Such a request counts in the runner's load until
 // EndSlotRequest is called.
@@ -509,27 +325,6 @@
 	}
 }
 
-// AllocatedLoads returns what all VMs hold at the runners of which this VM is the allocator, and knows it.
-func (t *Tables) AllocatedLoads(now cs.Instant) []RunnerLoad {
-	var loads []RunnerLoad
-	for id, r := range t.Runners.All() {
-		if t.IsSettledAllocator(r, now) {
-			online, batch := t.allocatedLoad(r, now)
-			loads = append(loads, RunnerLoad{Runner: id, Online: online, Batch: batch})
-		}
-	}
-	return loads
-}
-
-// ApplyAllocatedLoads applies the loads of runners that their allocators have told.
-func (t *Tables) ApplyAllocatedLoads(loads []RunnerLoad) {
-	for _, l := range loads {
-		if r := t.Runners.Get(l.Runner); r != nil && r.Allocation.VM != "" && r.Allocation.VM != t.Self.ID {
-			r.Allocation.Online, r.Allocation.Batch = max(l.Online-r.Online, 0), max(l.Batch-r.Batch, 0)
-		}
-	}
-}
-
 // ExpireHoldings removes the holdings of VMs that no longer send messages.
 func (t *Tables) ExpireHoldings(now cs.Instant) {
 	t.Slots.Grants.DeleteFunc(func(_ GrantKey, g *Grant) bool { return now.Sub(g.At) > grantTimeout && t.endGrant(g) })
@@ -544,23 +339,3 @@
 		return true
 	})
 }
-
-// RecordSlotTimeout records that the allocator of a runner has not replied in time.
-func (t *Tables) RecordSlotTimeout(r *Runner, now cs.Instant) {
-	p := t.Peers.Get(r.Allocation.VM)
-	if p == nil {
-		return
-	}
-	if p.SlotTimeouts++; p.SlotTimeouts >= maxSlotTimeouts {
-		p.AllocatorSilentUntil, p.SlotTimeouts = now.Add(allocatorSilence), 0
-	}
-}
-
-// Affinity returns a number from 0 to 1 that is the same for this VM and a runner at all times, and another one for each pair.
-// VMs that prefer runners by it spread over all of them, and each uses its connections to few runners again.
-func (t *Tables) Affinity(r *Runner) float64 {
-	if r.affinity == 0 {
-		r.affinity = (float64(hashPair(xxhash.Sum64String(string(r.Spec.ID)), xxhash.Sum64String(string(t.Self.ID)))>>11) + 1) / (1 << 53)
-	}
-	return r.affinity
-}
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -40,8 +40,8 @@
 // goes on without a reply.
 func receive(t *gateway.Tables, m gateway.SlotMessage, now cs.Instant, out *gateway.Actions) {
 	p := t.Peers.Get(m.From)
-	if p == nil || m.Incarnation < p.VM.Incarnation {
-		return // its address is not known, or the process has ended
+	if p == nil || m.Incarnation != p.VM.Incarnation {
+		return // its address is not known, the process has ended, or its first report has not arrived
 	}
 	if len(m.Replies) > 0 {
 		p.SlotTimeouts = 0
