Show that items are not run after the loss of the VMs of a zone

One of three VMs, the only one in the zone of the model runners, is removed.

batchSlots requires ReachGood, which a data centre without reporting VMs never has again. The stand-in of the store now lets memberships of groups expire.

--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	s := &Stage{Store: standin.NewStore(), Trouble: os.Getenv("TROUBLE") != "0", dir: dir, start: time.Now(), record: record}
-	s.StoreAddress, err = Serve("127.0.0.1", storeLimits{s.Store})
+	s.StoreAddress, err = Serve("127.0.0.1", &store{standin: s.Store})
 	return s, err
 }
 
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -1,10 +1,10 @@
 package stage
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/crocusstile/crocusstile/standin"
 )
@@ -12,39 +12,54 @@
 // MaxCallBytes is the largest total size of the records of one append, as the settings name it.
 const MaxCallBytes = 2097152
 
-// storeLimits rejects what exceeds the limits of the store that its settings name, and passes everything else on.
-type storeLimits struct{ store *standin.Store }
+// store is the project's stand-in, with the limit on the size of appends that the settings name, and with groups whose members
+// expire.
+type store struct {
+	standin *standin.Store
+	groups  groups
+}
 
 // ServeHTTP handles one call.
-func (l storeLimits) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	if r.URL.Path == "/log-append" && recordBytes(body) > MaxCallBytes {
-		r.Body = io.NopCloser(strings.NewReader(""))
-		l.reject(w, r)
-		return
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	switch {
+	case r.URL.Path == "/log-append" && recordBytes(body) > MaxCallBytes:
+		s.whileUp(w, r, func() { w.WriteHeader(http.StatusRequestEntityTooLarge) })
+	case r.URL.Path == "/log-join" || r.URL.Path == "/log-leave":
+		s.whileUp(w, r, func() {
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			s.groups.ServeHTTP(w, r)
+		})
+	default:
+		s.standin.ServeHTTP(w, r)
 	}
-	r.Body = io.NopCloser(strings.NewReader(string(body)))
-	l.store.ServeHTTP(w, r)
 }
 
-// reject answers an append that is too large with 413, or as the store answers every call while it is down.
-func (l storeLimits) reject(w http.ResponseWriter, r *http.Request) {
-	r.URL.Path = "/too-large" // for which the store has 404 while it is up, and its outage otherwise
-	l.store.ServeHTTP(&tooLarge{w}, r)
+// whileUp handles a call while the stand-in is up; otherwise the stand-in answers as its mode says. It has 404 for unknown paths
+// while it is up.
+func (s *store) whileUp(w http.ResponseWriter, r *http.Request, handle func()) {
+	probe := r.Clone(r.Context())
+	probe.URL.Path = "/up"
+	s.standin.ServeHTTP(&upWriter{ResponseWriter: w, handle: handle}, probe)
 }
 
-// tooLarge replaces the status 404.
-type tooLarge struct{ http.ResponseWriter }
+// upWriter handles a call in place of the status 404.
+type upWriter struct {
+	http.ResponseWriter
+	handle func()
+}
 
 // WriteHeader sends the status.
-func (t *tooLarge) WriteHeader(status int) {
+func (u *upWriter) WriteHeader(status int) {
 	if status == http.StatusNotFound {
-		status = http.StatusRequestEntityTooLarge
+		u.handle()
+		return
 	}
-	t.ResponseWriter.WriteHeader(status)
+	u.ResponseWriter.WriteHeader(status)
 }
 
 // recordBytes returns the total size of the records of an append.
