--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -39,6 +39,7 @@
 	// Trouble is false if the case runs without its disruption.
 	Trouble bool
 
+	store  *store
 	dir    string
 	start  time.Time
 	mu     sync.Mutex
@@ -65,7 +66,8 @@
 		return nil, err
 	}
 	s := &Stage{Store: standin.NewStore(), Trouble: os.Getenv("TROUBLE") != "0", dir: dir, start: time.Now(), record: record}
-	s.StoreAddress, err = Serve("127.0.0.1", &store{standin: s.Store})
+	s.store = newStore(s.Store)
+	s.StoreAddress, err = Serve("127.0.0.1", s.store)
 	return s, err
 }
 
@@ -122,6 +124,8 @@
 	Ports    []int
 	GraceS   int
 	MemoryMB int
+	// Store is where the VM reaches the store, or empty for StoreAddress.
+	Store string
 }
 
 var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
@@ -132,11 +136,15 @@
 	if err != nil {
 		return nil, err
 	}
+	storeAddress := c.Store
+	if storeAddress == "" {
+		storeAddress = s.StoreAddress
+	}
 	values := map[string]string{
 		"node": c.Name, "zone": c.Zone, "ip": c.IP,
 		"listen.front": fmt.Sprintf("%s:%d", c.IP, c.Ports[0]), "listen.ready": fmt.Sprintf("%s:%d", c.IP, c.Ports[1]),
 		"internal_ports.0": fmt.Sprint(c.Ports[2]), "internal_ports.1": fmt.Sprint(c.Ports[3]),
-		"platform.address": s.StoreAddress, "platform.parts": "8", "platform.record_bytes": "262144",
+		"platform.address": storeAddress, "platform.parts": "8", "platform.record_bytes": "262144",
 		"platform.max_call_bytes": fmt.Sprint(MaxCallBytes), "platform.ttl_min_ms": "1000",
 		"bounds.grace_s": fmt.Sprint(c.GraceS), "bounds.status_ttl_s": "120", "limits.memory_mb": fmt.Sprint(c.MemoryMB),
 	}
