--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,50 +1,46 @@
-// Command 1 is a case of the review: a batch job that is too large for one append, submitted as the store falls silent, ends all
-// later appends of the VM that it was submitted to.
+// Command 1 is a case of the review: after the loss of the only VM of a zone, the items of batch jobs are not sent to the runners
+// of that zone any more.
 package main
 
 import (
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/crocusstile/crocusstile/review/stage"
-	"github.com/crocusstile/crocusstile/standin"
 )
 
 const (
 	host = "digest.example"
-	zone = "mitte-a"
-	// silence is how long the store answers no call.
-	silence = 4 * time.Second
 	// contact and finish are bounds of the deployment: contact_ms and finish_s.
 	contact = 3 * time.Second
 	finish  = 18 * time.Second
 	// submitTimeout is how long a client waits for the answer to a submission.
 	submitTimeout = 4 * time.Second
-	// ordinaryJobs is the number of jobs that are submitted after the disruption, each with ordinaryItems items of itemBytes and
-	// itemEvents.
-	ordinaryJobs  = 16
-	ordinaryItems = 4
+	jobs          = 6
+	items         = 4
 	itemBytes     = 15000
 	itemEvents    = 40
-	// largeItems is the number of items of the large job and largeBytes the size of their bodies. Its submission has less than
-	// max_body_bytes, 4,194,304.
-	largeItems = 3
-	largeBytes = 870000
-	maxBody    = 4194304
 )
 
 func config() []byte {
 	c, _ := json.Marshal(map[string]any{ // cannot fail
 		"version": 3,
 		"routes": []any{map[string]any{
+			"name": "record", "host": host, "path_prefix": "/record/", "kind": "idempotent", "timeout_ms": 1500, "target_latency_ms": 300,
+			"priority": 2, "service": "records", "max_attempts": 3,
+		}, map[string]any{
 			"name": "digest", "host": host, "path_prefix": "/digest/", "kind": "batch", "timeout_ms": 15000, "target_latency_ms": 500,
 			"gap_target_ms": 400, "priority": 2, "service": "models", "max_attempts": 3, "resumable": true,
 			"completion_target_ms": 18000, "retention_s": 60, "max_count": 2300000,
 		}},
-		"services": []any{map[string]any{"name": "models", "health_path": "/health", "max_conns": 498, "engine": map[string]any{"kv_cache_tokens": 147261}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBody, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
+		"services": []any{
+			map[string]any{"name": "models", "health_path": "/health", "max_conns": 498, "engine": map[string]any{"kv_cache_tokens": 147261}},
+			map[string]any{"name": "records", "health_path": "/health", "max_conns": 208},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
 	})
 	return c
 }
@@ -54,104 +50,80 @@
 func run(s *stage.Stage) (int, error) {
 	s.Store.Put("keyed.op", "config", config())
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		if _, err := s.AddRunner(id, "models", zone, 10*time.Millisecond); err != nil {
+		if _, err := s.AddRunner(id, "models", "mitte-b", 10*time.Millisecond); err != nil {
 			return 0, err
 		}
 	}
-	ips := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}
-	ports, err := stage.FreePorts(4, ips...)
+	if _, err := s.AddRunner("i-4", "records", "mitte-a", 10*time.Millisecond); err != nil {
+		return 0, err
+	}
+	vms, err := startVMs(s)
 	if err != nil {
 		return 0, err
 	}
-	var vms []*stage.VM
-	for i, ip := range ips {
-		vm, err := s.StartVM(stage.Settings{Name: fmt.Sprintf("front-%s-%d", zone, i+1), Zone: zone, IP: ip, Ports: ports, GraceS: 8, MemoryMB: 164})
-		if err != nil {
+	time.Sleep(2 * time.Second) // the VMs divide the partitions
+	if accepted := submit(s, vms[0], "before", 1); len(accepted) == 0 || waitForResults(s, vms[0], accepted, 5*time.Second) > 0 {
+		return 0, fmt.Errorf("the job before the disruption is not done")
+	}
+	if s.Trouble {
+		s.Logf("%s is removed for good", vms[2].Name)
+		if err := vms[2].Signal(syscall.SIGKILL); err != nil {
 			return 0, err
 		}
-		vms = append(vms, vm)
 	}
-	time.Sleep(2 * time.Second) // the VMs divide the partitions
-	if err := checkOrdinaryJob(s, vms); err != nil {
-		return 0, err
-	}
-	submitLargeJob(s, vms)
 	time.Sleep(contact)
-	accepted := submitOrdinaryJobs(s, vms[1])
-	time.Sleep(finish)
-	return verdict(s, vms, accepted), nil
-}
-
-// checkOrdinaryJob submits a job before the disruption and returns an error unless it is done.
-func checkOrdinaryJob(s *stage.Stage, vms []*stage.VM) error {
-	if r := s.Submit(vms[0], host, "first", stage.Items("first", ordinaryItems, itemBytes, itemEvents), submitTimeout); r.Status != http.StatusAccepted {
-		return fmt.Errorf("the first job was answered with %d", r.Status)
+	accepted := submit(s, vms[0], "after", jobs)
+	if len(accepted) == 0 {
+		return 0, fmt.Errorf("no job was accepted")
 	}
-	for range 50 {
-		time.Sleep(100 * time.Millisecond)
-		if listed, _ := s.Results(vms[1], host, "first"); len(listed.Results) == ordinaryItems {
-			s.Logf("client: all %d results of the first job are listed", ordinaryItems)
-			return nil
-		}
+	if missing := waitForResults(s, vms[0], accepted, finish); missing > 0 {
+		s.Logf("LOST: %.0f s after the last submission %d items of accepted jobs are not listed, and all runners are idle", finish.Seconds(), missing)
+		return stage.RuleBroken, nil
 	}
-	return fmt.Errorf("the first job is not done")
+	return stage.RuleHeld, nil
 }
 
-// submitLargeJob submits a job that is larger than one append may be to the first VM, as the store falls silent, and again to
-// another one after its return, as clients do.
-func submitLargeJob(s *stage.Stage, vms []*stage.VM) {
-	back := time.Now()
-	if s.Trouble {
-		s.Logf("the store falls silent")
-		s.Store.SetMode(standin.StoreHangs)
-		back = back.Add(silence)
-		time.Sleep(200 * time.Millisecond)
+// startVMs starts two VMs in one zone and one in another.
+func startVMs(s *stage.Stage) ([]*stage.VM, error) {
+	ips, zones := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}, []string{"mitte-a", "mitte-a", "mitte-b"}
+	ports, err := stage.FreePorts(4, ips...)
+	if err != nil {
+		return nil, err
 	}
-	large := stage.Items("large", largeItems, largeBytes, itemEvents)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.Submit(vms[0], host, "large", large, submitTimeout)
-	}()
-	time.Sleep(time.Until(back))
-	s.Store.SetMode(standin.StoreNormal)
-	if s.Trouble {
-		s.Logf("the store is back")
+	var vms []*stage.VM
+	for i, ip := range ips {
+		vm, err := s.StartVM(stage.Settings{Name: fmt.Sprintf("front-%s-%d", zones[i], i+1), Zone: zones[i], IP: ip, Ports: ports, GraceS: 8, MemoryMB: 164})
+		if err != nil {
+			return nil, err
+		}
+		vms = append(vms, vm)
 	}
-	<-done
-	s.Submit(vms[1], host, "large", large, submitTimeout)
+	return vms, nil
 }
 
-// submitOrdinaryJobs submits jobs of the usual size to a VM and returns those that it has accepted.
-func submitOrdinaryJobs(s *stage.Stage, vm *stage.VM) []string {
+// submit submits n jobs and returns those that were accepted.
+func submit(s *stage.Stage, vm *stage.VM, name string, n int) []string {
 	var accepted []string
-	for i := range ordinaryJobs {
-		job := fmt.Sprintf("job-%d", i)
-		if r := s.Submit(vm, host, job, stage.Items(job, ordinaryItems, itemBytes, itemEvents), submitTimeout); r.Status == http.StatusAccepted {
+	for i := range n {
+		job := fmt.Sprintf("%s-%d", name, i)
+		if r := s.Submit(vm, host, job, stage.Items(job, items, itemBytes, itemEvents), submitTimeout); r.Status == http.StatusAccepted {
 			accepted = append(accepted, job)
 		}
 	}
 	return accepted
 }
 
-// verdict returns whether an item of an accepted job is not listed at any VM.
-func verdict(s *stage.Stage, vms []*stage.VM, accepted []string) int {
-	code := stage.RuleHeld
-	for _, job := range accepted {
-		best := 0
-		for _, vm := range vms {
-			listed, status := s.Results(vm, host, job)
-			s.Logf("client: %s at %s: status %d, %d of %d results", job, vm.Name, status, len(listed.Results), ordinaryItems)
-			best = max(best, len(listed.Results))
+// waitForResults reads the results of jobs for a time and returns how many are missing at its end.
+func waitForResults(s *stage.Stage, vm *stage.VM, accepted []string, limit time.Duration) int {
+	for end := time.Now().Add(limit); ; time.Sleep(500 * time.Millisecond) {
+		missing := 0
+		for _, job := range accepted {
+			listed, _ := s.Results(vm, host, job)
+			missing += items - len(listed.Results)
 		}
-		if best < ordinaryItems {
-			s.Logf("LOST: %.0f s after the last submission %d of %d items of %s are listed nowhere", finish.Seconds(), ordinaryItems-best, ordinaryItems, job)
-			code = stage.RuleBroken
+		if missing == 0 || time.Now().After(end) {
+			s.Logf("client: %d of %d results are listed", items*len(accepted)-missing, items*len(accepted))
+			return missing
 		}
 	}
-	if len(accepted) == 0 {
-		s.Logf("no job was accepted")
-		return stage.NotRun
-	}
-	return code
 }
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,139 +1,169 @@
-// Command 5 is a case of the review: two VMs of a zone that lost the history of the store hand each other their old states of the job
-// log for good.
+// Command 5 is a case of the review: a VM that was told to stop admits a stream that it then breaks off.
 package main
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/crocusstile/crocusstile/review/stage"
 )
 
 const (
-	host = "digest.example"
-	// contact and finish are bounds of the deployment: contact_ms and finish_s.
-	contact = 3 * time.Second
-	finish  = 18 * time.Second
-	// cut is how long one cut lasts, and cuts the number of cuts, one right after the other.
-	cut  = 12 * time.Second
-	cuts = 2
-	// submitTimeout is how long a client waits for the answer to a submission.
-	submitTimeout = 4 * time.Second
-	// jobs is the number of jobs that are submitted after the disruption, and interval the time between two jobs before.
-	jobs       = 16
-	interval   = 500 * time.Millisecond
-	items      = 4
-	itemBytes  = 15000
-	itemEvents = 40
+	host  = "lesson.example"
+	zone  = "mitte-a"
+	grace = 8
+	// budgetMs is the time budget of a request and the timeout of its route.
+	budgetMs = 5000
+	// shortEvents and longEvents are the lengths of answers. The pause between two events is well below the 400 ms that the
+	// route allows.
+	shortEvents, longEvents = 8, 44
+	pause                   = 100 * time.Millisecond
 )
 
+// late are the times after SIGTERM at which requests are sent on channels that are open.
+var late = []time.Duration{3200 * time.Millisecond, 3500 * time.Millisecond, 3700 * time.Millisecond, 3920 * time.Millisecond}
+
 func config() []byte {
 	c, _ := json.Marshal(map[string]any{ // cannot fail
 		"version": 3,
 		"routes": []any{map[string]any{
-			"name": "digest", "host": host, "path_prefix": "/digest/", "kind": "batch", "timeout_ms": 15000, "target_latency_ms": 500,
-			"gap_target_ms": 400, "priority": 2, "service": "models", "max_attempts": 3, "resumable": true,
-			"completion_target_ms": 18000, "retention_s": 60, "max_count": 2300000,
+			"name": "hint", "host": host, "path_prefix": "/hint/", "kind": "streaming", "timeout_ms": budgetMs,
+			"target_latency_ms": 300, "gap_target_ms": 400, "priority": 0, "service": "tutor", "max_attempts": 1, "resumable": false,
 		}},
-		"services": []any{map[string]any{"name": "models", "health_path": "/health", "max_conns": 498, "engine": map[string]any{"kv_cache_tokens": 147261}}},
+		"services": []any{map[string]any{"name": "tutor", "health_path": "/health", "max_conns": 500, "engine": map[string]any{"kv_cache_tokens": 147261}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
 	})
 	return c
 }
 
+// channel is a client's channel, which is kept for several requests.
+type channel struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func open(address string) (*channel, error) {
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &channel{conn, bufio.NewReader(conn)}, nil
+}
+
+// outcome is what the client saw of one request.
+type outcome struct {
+	status, events int
+	took           time.Duration
+	err            error
+}
+
+// send sends one request and reads the whole answer.
+func (c *channel) send(id string, events int) outcome {
+	begin := time.Now()
+	body := "posture of the lift"
+	_, err := fmt.Fprintf(c.conn, "POST /hint/a HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nModel: m\r\nToken-Count: 350,%d\r\nPrompt-Prefix: 5c1e07a2:100,e4402b7d:250\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		host, id, events, budgetMs, len(body), body)
+	if err != nil {
+		return outcome{err: err}
+	}
+	_ = c.conn.SetReadDeadline(begin.Add((budgetMs + 500) * time.Millisecond)) // fails only on a closed connection
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return outcome{err: err, took: time.Since(begin)}
+	}
+	defer func() { _ = resp.Body.Close() }() // the answer was read, or is broken
+	data, err := io.ReadAll(resp.Body)
+	return outcome{resp.StatusCode, bytes.Count(data, []byte("\n\n")), time.Since(begin), err}
+}
+
+func (o outcome) String() string {
+	return fmt.Sprintf("status %d, %d events, %.3f s, error %v", o.status, o.events, o.took.Seconds(), o.err)
+}
+
 func main() { stage.Main(run) }
 
 func run(s *stage.Stage) (int, error) {
 	s.Store.Put("keyed.op", "config", config())
-	for i, zone := range []string{"mitte-a", "mitte-a", "mitte-b", "mitte-b"} {
-		if _, err := s.AddRunner(fmt.Sprintf("i-%d", i+1), "models", zone, 10*time.Millisecond); err != nil {
+	for _, id := range []string{"i-1", "i-2"} {
+		if _, err := s.AddRunner(id, "tutor", zone, pause); err != nil {
 			return 0, err
 		}
 	}
-	path, err := s.NewPath()
+	ports, err := stage.FreePorts(4, "127.0.0.1")
 	if err != nil {
 		return 0, err
 	}
-	vms, err := startVMs(s, path)
+	vm, err := s.StartVM(stage.Settings{Name: "front-mitte-a-1", Zone: zone, IP: "127.0.0.1", Ports: ports, GraceS: grace, MemoryMB: 164})
 	if err != nil {
 		return 0, err
 	}
-	time.Sleep(2 * time.Second) // the VMs divide the partitions
-	before := submitFor(s, vms[0], "before", 4*time.Second)
-	if len(before) == 0 || waitForResults(s, vms[0], before, 5*time.Second) > 0 {
-		return 0, fmt.Errorf("the jobs before the disruption are not done")
-	}
-	if s.Trouble {
-		s.Logf("the VMs of mitte-b are cut off from the store, %d times for %.0f s", cuts, cut.Seconds())
-		path.Cut()
+	channels, err := warmUp(s, vm)
+	if err != nil {
+		return 0, err
 	}
-	submitFor(s, vms[0], "during", cuts*cut)
+	stopped := time.Now()
 	if s.Trouble {
-		path.Heal()
-		s.Logf("the VMs of mitte-b reach the store again")
-	}
-	time.Sleep(contact)
-	accepted := submitFor(s, vms[0], "after", jobs*interval)
-	if len(accepted) == 0 {
-		return 0, fmt.Errorf("no job was accepted")
-	}
-	if missing := waitForResults(s, vms[0], accepted, finish); missing > 0 {
-		s.Logf("LOST: %.0f s after the last submission %d items of accepted jobs are not listed", finish.Seconds(), missing)
-		return stage.RuleBroken, nil
+		s.Logf("SIGTERM to %s", vm.Name)
+		if err := vm.Signal(syscall.SIGTERM); err != nil {
+			return 0, err
+		}
+		kill := time.AfterFunc(grace*time.Second, func() { _ = vm.Signal(syscall.SIGKILL) }) // as the platform does
+		defer kill.Stop()
 	}
-	return stage.RuleHeld, nil
+	return sendLate(s, channels, stopped), nil
 }
 
-// startVMs starts two VMs in each of two zones. Those of the second one reach the store by the given path.
-func startVMs(s *stage.Stage, path *stage.Path) ([]*stage.VM, error) {
-	ips, zones := []string{"127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"}, []string{"mitte-a", "mitte-a", "mitte-b", "mitte-b"}
-	ports, err := stage.FreePorts(4, ips...)
-	if err != nil {
-		return nil, err
-	}
-	var vms []*stage.VM
-	for i, ip := range ips {
-		c := stage.Settings{Name: fmt.Sprintf("front-%s-%d", zones[i], i+1), Zone: zones[i], IP: ip, Ports: ports, GraceS: 8, MemoryMB: 164}
-		if zones[i] == "mitte-b" {
-			c.Store = path.Address
-		}
-		vm, err := s.StartVM(c)
-		if err != nil {
+// warmUp sends short requests, as most are, on the channels that are used again after the SIGTERM.
+func warmUp(s *stage.Stage, vm *stage.VM) ([]*channel, error) {
+	channels := make([]*channel, len(late))
+	for i := range channels {
+		var err error
+		if channels[i], err = open(vm.Callers); err != nil {
 			return nil, err
 		}
-		vms = append(vms, vm)
 	}
-	return vms, nil
-}
-
-// submitFor submits jobs for a time and returns those that were accepted.
-func submitFor(s *stage.Stage, vm *stage.VM, name string, duration time.Duration) []string {
-	var accepted []string
-	for i := range int(duration / interval) {
-		job := fmt.Sprintf("%s-%d", name, i)
-		if r := s.Submit(vm, host, job, stage.Items(job, items, itemBytes, itemEvents), submitTimeout); r.Status == http.StatusAccepted {
-			accepted = append(accepted, job)
+	for round := range 6 {
+		for i, c := range channels {
+			id := fmt.Sprintf("short-%d-%d", round, i)
+			o := c.send(id, shortEvents)
+			s.Logf("client: %s: %v", id, o)
+			if o.err != nil || o.status != http.StatusOK || o.events != shortEvents {
+				return nil, fmt.Errorf("%s before the disruption: %v", id, o)
+			}
 		}
-		time.Sleep(interval)
 	}
-	return accepted
+	return channels, nil
 }
 
-// waitForResults reads the results of jobs for a time and returns how many are missing at its end.
-func waitForResults(s *stage.Stage, vm *stage.VM, accepted []string, limit time.Duration) int {
-	for end := time.Now().Add(limit); ; time.Sleep(500 * time.Millisecond) {
-		missing, open := 0, ""
-		for _, job := range accepted {
-			listed, _ := s.Results(vm, host, job)
-			if n := items - len(listed.Results); n > 0 {
-				missing, open = missing+n, open+" "+job
-			}
-		}
-		if missing == 0 || time.Now().After(end) {
-			s.Logf("client: %d of %d results are listed; open jobs:%s", items*len(accepted)-missing, items*len(accepted), open)
-			return missing
+// sendLate sends one long request on each channel and returns whether an answer was broken off.
+func sendLate(s *stage.Stage, channels []*channel, stopped time.Time) int {
+	outcomes := make([]outcome, len(channels))
+	var all sync.WaitGroup
+	for i, c := range channels {
+		all.Go(func() {
+			time.Sleep(time.Until(stopped.Add(late[i])))
+			id := fmt.Sprintf("late-%d", i)
+			s.Logf("client: %s is sent %.2f s after the SIGTERM", id, time.Since(stopped).Seconds())
+			outcomes[i] = c.send(id, longEvents)
+			s.Logf("client: %s: %v", id, outcomes[i])
+		})
+	}
+	all.Wait()
+	code := stage.RuleHeld
+	for i, o := range outcomes {
+		cut := o.err != nil && o.took < budgetMs*time.Millisecond
+		if cut {
+			s.Logf("LOST: late-%d was passed on to a sound runner and its channel ended after %d of %d events, %.3f s after it was sent", i, o.events, longEvents, o.took.Seconds())
+			code = stage.RuleBroken
 		}
 	}
+	return code
 }
