Forget the load that the last allocator of a runner has told

Callers saw: after all VMs of a data centre had stopped while its runners were busy, the other VMs took these runners for full for good, and sent them neither requests nor items.

Cause: AssignAllocators kept the loads that the allocator had reported when no VM of the data centre was left to be the next one, and ApplyAllocatedLoads replaces them only for a runner with an allocator.

Change: without a successor the reported loads are dropped. The VMs report their own loads to all peers from then on, as for every runner without an allocator.

TestLoadToldByLastAllocatorIsForgotten failed before (load 10, want 0) and passes now.

--- a/gateway/allocation.go
+++ b/gateway/allocation.go
@@ -53,6 +53,9 @@
 			continue
 		}
 		prior := r.Allocation
+		if vm == "" { // nobody would ever replace the loads that the last allocator has told
+			prior.Online, prior.Batch = 0, 0
+		}
 		r.Allocation = Allocation{VM: vm, Online: prior.Online, Batch: prior.Batch}
 		if vm == t.Self.ID {
 			r.Allocation.Since, r.Allocation.PriorOnline, r.Allocation.PriorBatch = now, prior.Online, prior.Batch
