Let items and requests probe a data centre whose VMs have all stopped

Online requests were refused for good there after one failed attempt at any runner.

Cause: Tables.Reach takes the silence of VMs for a network partition. Only a report of a VM there ended that, and none can come if none is left. Items got no slot unless the data centre was good, requests none once it was cut, and Crashed counted no crash there.

Ruled out: the partitions and the job log (the jobs were owned and read), and the registrations of the runners (present).

Change: a response of a runner ends the suspicion as a report does. Every 2 s one item or request may be sent to a data centre that is not good, if no other runner can take it; one that may run only once is not risked while a VM is listed there. dataCentreReached logs the end of a suspicion.

TestFewItemsAreSentIntoNetworkPartition and TestItemsPreferDataCentresThatReport bound what a partition costs.

--- a/batchjob/outcomes.go
+++ b/batchjob/outcomes.go
@@ -58,6 +58,7 @@
 	}
 	switch o := e.Outcome.(type) {
 	case gateway.ItemCompleted:
+		recordResponse(t, runner, now, out)
 		updatePace(&t.Pace, 0, 0, w.LastEvent)
 		proposeResult(t, j, e.Key, gateway.Result{Item: itemID, Done: true, Text: string(w.Text)})
 		return
@@ -67,6 +68,7 @@
 			t.RecordUnreachable(runner, o.Refused, now, note.Reason, out)
 		}
 	case gateway.ItemError:
+		recordResponse(t, runner, now, out)
 		w.NotBefore, note.Reason, note.Outcome = now.Add(errorRetryDelay), "error of the runner", http.StatusText(o.Status)
 		if o.Status == http.StatusInternalServerError {
 			w.Failed++
@@ -89,6 +91,13 @@
 	out.Note(note)
 }
 
+// recordResponse records that a runner has just responded. The last event of a run that did not end by itself may be older.
+func recordResponse(t *gateway.Tables, runner *gateway.Runner, now cs.Instant, out *gateway.Actions) {
+	if runner != nil {
+		t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
+	}
+}
+
 // recordInterruption records the cause of an interrupted run at its runner: a timeout or a lost connection.
 func recordInterruption(t *gateway.Tables, runner *gateway.Runner, o gateway.ItemInterrupted, now cs.Instant, out *gateway.Actions) {
 	if o.TimedOut {
--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -144,7 +144,11 @@
 
 // batchSlots returns the number of free slots of a runner that batch items may take.
 func batchSlots(t *gateway.Tables, r *gateway.Runner, now cs.Instant) int {
-	if !r.Usable(now) || r.OnProbation(now) || now.Sub(r.DeniedAt) < deniedTime || t.Reach(r.Spec.DataCentre, now) != gateway.ReachGood || !runsBatchItems(t, r.Spec.Service) {
+	if !r.Usable(now) || r.OnProbation(now) || now.Sub(r.DeniedAt) < deniedTime || !runsBatchItems(t, r.Spec.Service) {
+		return 0
+	}
+	isReachable := t.Reach(r.Spec.DataCentre, now) == gateway.ReachGood
+	if !isReachable && !t.IsProbeDue(r.Spec.DataCentre, now) {
 		return 0
 	}
 	reserved := cs.Slots(reservedOnlineSlots)
@@ -152,9 +156,12 @@
 		reserved = 0 // the allocator preempts an item when an online request needs its slot
 	}
 	free := max(int(r.Spec.Slots-reserved-r.Load()), 0)
-	if !r.Limit.Named {
+	if !r.Limit.Named && isReachable {
 		return free
 	}
+	if !r.Limit.Named {
+		return min(free, 1)
+	}
 	if !r.WithinLimit(now) || hasOnlineNeed(t, r.Spec.Service, now) && now.Sub(r.NextWithinLimit()) < onlineTokenTime {
 		return 0
 	}
@@ -240,6 +247,7 @@
 		}
 		t.RecordProbe(part, now, out)
 	}
+	t.RecordSend(r.Spec.DataCentre, now)
 	load := r.Load()
 	r.Batch++
 	r.TakeToken(now)
@@ -288,19 +296,20 @@
 
 // pickRunner picks a random runner of a route's services, weighted by its free batch slots, or returns nil
 // if none has any. It prefers runners that name a limit, since an item occupies a slot for longer than an
-// online request and counts as one request as well, and takes one whose registration is missing only if there is no other.
+// online request and counts as one request as well, and takes one whose registration is missing or whose data centre may be
+// unreachable only if there is no other.
 func pickRunner(t *gateway.Tables, route *cs.Route, now cs.Instant) *gateway.Runner {
-	var picked, pickedLimited, pickedMissing *gateway.Runner
-	sum, limited, missing := 0, 0, 0
+	var picked, pickedLimited, pickedDoubtful *gateway.Runner
+	sum, limited, doubtful := 0, 0, 0
 	for _, r := range t.Runners.All() {
 		slots := batchSlots(t, r, now)
 		if slots == 0 || !routeUsesService(route, r.Spec.Service) {
 			continue
 		}
 		switch {
-		case r.MissingSince != 0:
-			if missing += slots; t.Rand.IntN(missing) < slots {
-				pickedMissing = r
+		case r.MissingSince != 0 || t.Reach(r.Spec.DataCentre, now) != gateway.ReachGood:
+			if doubtful += slots; t.Rand.IntN(doubtful) < slots {
+				pickedDoubtful = r
 			}
 		case r.Limit.Named:
 			if limited++; t.Rand.IntN(limited) == 0 {
@@ -312,7 +321,7 @@
 			}
 		}
 	}
-	return cmp.Or(pickedLimited, picked, pickedMissing)
+	return cmp.Or(pickedLimited, picked, pickedDoubtful)
 }
 
 func routeUsesService(route *cs.Route, service cs.ServiceID) bool {
--- a/entry/notelog.go
+++ b/entry/notelog.go
@@ -60,6 +60,7 @@
 		{"job", string(n.Job)},
 		{"item", string(n.Item)},
 		{"runner", string(n.Runner)},
+		{"dataCentre", string(n.DataCentre)},
 		{"peer", string(n.Peer)},
 		{"feed", n.Feed},
 		{"route", string(n.Route)},
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -95,14 +95,14 @@
 			continue
 		}
 		estimate := estimateWait(t, f.Service, now, estimates, out)
+		if sendOrRequest(t, f, now, out) {
+			continue
+		}
 		if !estimate.servable {
 			refuse(now, f, unavailableRefusal(f, estimate), out)
 			done = append(done, id)
 			continue
 		}
-		if sendOrRequest(t, f, now, out) {
-			continue
-		}
 		estimate.waiting++
 		if shouldShed(f, now, estimate) || estimate.limitExceeded(now, f.Deadline) {
 			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: ranSoFar(f), Message: "the wait for a runner is too long"}, out)
@@ -178,6 +178,7 @@
 	if part, quarantined := t.QuarantinedPart(f.Parts); quarantined {
 		t.RecordProbe(part, now, out)
 	}
+	t.RecordSend(r.Spec.DataCentre, now)
 	load := r.Load()
 	r.Online++
 	r.TakeToken(now)
--- a/forward/outcomes.go
+++ b/forward/outcomes.go
@@ -29,6 +29,7 @@
 				t.RecordBegun(f.Parts, now, now)
 				if r := t.Runners.Get(f.Runner); r != nil {
 					r.ResetFailures()
+					t.RecordDataCentreResponse(r.Spec.DataCentre, now, out)
 				}
 			}
 		case gateway.ForwardEnded:
@@ -91,6 +92,7 @@
 		out.Note(note)
 		if runner != nil {
 			runner.ResetFailures()
+			t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
 		}
 		observeServiceTime(t, f, now)
 		observeDuration(t, f, now)
@@ -108,6 +110,9 @@
 		f.MayHaveRun = true
 		f.Tried = append(f.Tried, f.Runner)
 		note.Reason, note.Count, note.Outcome = "error of the runner", o.Status, cs.RanFailed.String()
+		if runner != nil {
+			t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
+		}
 	case gateway.OutcomeInterrupted:
 		f.MayHaveRun = true
 		f.LastEvent = o.LastEvent
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -33,14 +33,14 @@
 			continue
 		}
 		reach := t.Reach(r.Spec.DataCentre, now)
-		if reach == gateway.ReachCut {
+		if reach == gateway.ReachCut && !mayProbe(t, f, r.Spec.DataCentre, now) {
 			continue
 		}
 		cost := cost(t, r, now) + preference(t, r, jitter, now)
 		if now.Sub(r.DeniedAt) < deniedTime {
 			cost += fullPenalty
 		}
-		if reach == gateway.ReachDoubtful {
+		if reach != gateway.ReachGood {
 			cost += doubtfulPenalty
 		}
 		if best == nil || cost < bestCost {
@@ -50,6 +50,12 @@
 	return best
 }
 
+// mayProbe reports whether a request may be sent to a data centre that seems to be unreachable. One that may run only once is
+// not risked there as long as a VM is listed whose next report shows that the path is up again.
+func mayProbe(t *gateway.Tables, f *gateway.Forward, dc cs.DataCentreID, now cs.Instant) bool {
+	return t.IsProbeDue(dc, now) && (f.Route.Repeatable() || !t.HasListedVM(dc))
+}
+
 // triedAllReachable reports whether the request has been sent to every reachable runner of its
 // service, in which case it may be sent to one of them again.
 func triedAllReachable(t *gateway.Tables, f *gateway.Forward, now cs.Instant) bool {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -38,7 +38,7 @@
 // has restarted, or nothing listens at its address. While no VM of its data centre reports, the data centre
 // may be partitioned from this VM: connections are then refused, or registrations expire, although the
 // runners are up. Nothing counts as a crash then, and a refused connection counts only once a VM of the data
-// centre has reported after it.
+// centre has reported after it or another runner there has responded.
 func (t *Tables) Crashed(p PossibleCrash, now cs.Instant) bool {
 	if t.Reach(p.DataCentre, now) != ReachGood {
 		return false
@@ -48,5 +48,5 @@
 		return true
 	}
 	refusedAt := max(r.RefusedAt, r.PeerRefusedAt)
-	return refusedAt >= p.At.Add(-sameFailureWindow) && t.reportedSince(p.DataCentre, refusedAt)
+	return refusedAt >= p.At.Add(-sameFailureWindow) && t.heardSince(p.DataCentre, refusedAt)
 }
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -65,6 +65,9 @@
 	// NoteRunnerDoubted: a connection to a runner was lost, and it gets one request at a time until it
 	// responds.
 	NoteRunnerDoubted
+	// NoteDataCentreReached: a runner of a data centre responded whose VMs do not report, so that no network partition is
+	// assumed any more.
+	NoteDataCentreReached
 	// NoteRunnerLimited: a runner names a limit on the requests that it takes, or another one than before.
 	NoteRunnerLimited
 	// NoteRunnerUnlimited: a runner no longer names a limit.
@@ -103,11 +106,13 @@
 	Content cs.ContentHash
 	Parts   []cs.PromptPart
 	Runner  cs.RunnerID
-	Peer    cs.VMID
-	Feed    string
-	Route   cs.RouteName
-	Attempt cs.Attempt
-	Version cs.CatalogVersion
+	// DataCentre is that of the runners concerned.
+	DataCentre cs.DataCentreID
+	Peer       cs.VMID
+	Feed       string
+	Route      cs.RouteName
+	Attempt    cs.Attempt
+	Version    cs.CatalogVersion
 	// Offset is the end of the job log as far as this VM has applied it.
 	Offset cs.Offset
 	// Load is the number of requests in flight on the runner, as far as this VM knew.
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubtedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 226, 240, 252, 263, 276, 289, 302, 315, 328, 341, 356, 372, 393, 409, 427, 436, 444, 452, 464, 476, 488, 499}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 226, 240, 252, 263, 276, 289, 302, 315, 328, 345, 358, 373, 389, 410, 426, 444, 453, 461, 469, 481, 493, 505, 516}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubtedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -50,22 +50,23 @@
 	_ = x[NoteRunnerRemoved-(23)]
 	_ = x[NoteRunnerAvoided-(24)]
 	_ = x[NoteRunnerDoubted-(25)]
-	_ = x[NoteRunnerLimited-(26)]
-	_ = x[NoteRunnerUnlimited-(27)]
-	_ = x[NoteContentSuspected-(28)]
-	_ = x[NotePromptPartQuarantined-(29)]
-	_ = x[NotePromptPartProbed-(30)]
-	_ = x[NotePromptPartReleased-(31)]
-	_ = x[NotePeerFound-(32)]
-	_ = x[NotePeerLost-(33)]
-	_ = x[NoteFeedLost-(34)]
-	_ = x[NoteFeedRegained-(35)]
-	_ = x[NotePartsChanged-(36)]
-	_ = x[NoteDrainChanged-(37)]
-	_ = x[NoteTickDelayed-(38)]
+	_ = x[NoteDataCentreReached-(26)]
+	_ = x[NoteRunnerLimited-(27)]
+	_ = x[NoteRunnerUnlimited-(28)]
+	_ = x[NoteContentSuspected-(29)]
+	_ = x[NotePromptPartQuarantined-(30)]
+	_ = x[NotePromptPartProbed-(31)]
+	_ = x[NotePromptPartReleased-(32)]
+	_ = x[NotePeerFound-(33)]
+	_ = x[NotePeerLost-(34)]
+	_ = x[NoteFeedLost-(35)]
+	_ = x[NoteFeedRegained-(36)]
+	_ = x[NotePartsChanged-(37)]
+	_ = x[NoteDrainChanged-(38)]
+	_ = x[NoteTickDelayed-(39)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -94,19 +95,20 @@
 	_NoteKindName[289:302]: NoteRunnerRemoved,
 	_NoteKindName[302:315]: NoteRunnerAvoided,
 	_NoteKindName[315:328]: NoteRunnerDoubted,
-	_NoteKindName[328:341]: NoteRunnerLimited,
-	_NoteKindName[341:356]: NoteRunnerUnlimited,
-	_NoteKindName[356:372]: NoteContentSuspected,
-	_NoteKindName[372:393]: NotePromptPartQuarantined,
-	_NoteKindName[393:409]: NotePromptPartProbed,
-	_NoteKindName[409:427]: NotePromptPartReleased,
-	_NoteKindName[427:436]: NotePeerFound,
-	_NoteKindName[436:444]: NotePeerLost,
-	_NoteKindName[444:452]: NoteFeedLost,
-	_NoteKindName[452:464]: NoteFeedRegained,
-	_NoteKindName[464:476]: NotePartsChanged,
-	_NoteKindName[476:488]: NoteDrainChanged,
-	_NoteKindName[488:499]: NoteTickDelayed,
+	_NoteKindName[328:345]: NoteDataCentreReached,
+	_NoteKindName[345:358]: NoteRunnerLimited,
+	_NoteKindName[358:373]: NoteRunnerUnlimited,
+	_NoteKindName[373:389]: NoteContentSuspected,
+	_NoteKindName[389:410]: NotePromptPartQuarantined,
+	_NoteKindName[410:426]: NotePromptPartProbed,
+	_NoteKindName[426:444]: NotePromptPartReleased,
+	_NoteKindName[444:453]: NotePeerFound,
+	_NoteKindName[453:461]: NotePeerLost,
+	_NoteKindName[461:469]: NoteFeedLost,
+	_NoteKindName[469:481]: NoteFeedRegained,
+	_NoteKindName[481:493]: NotePartsChanged,
+	_NoteKindName[493:505]: NoteDrainChanged,
+	_NoteKindName[505:516]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -136,19 +138,20 @@
 	_NoteKindLowerName[289:302]: NoteRunnerRemoved,
 	_NoteKindLowerName[302:315]: NoteRunnerAvoided,
 	_NoteKindLowerName[315:328]: NoteRunnerDoubted,
-	_NoteKindLowerName[328:341]: NoteRunnerLimited,
-	_NoteKindLowerName[341:356]: NoteRunnerUnlimited,
-	_NoteKindLowerName[356:372]: NoteContentSuspected,
-	_NoteKindLowerName[372:393]: NotePromptPartQuarantined,
-	_NoteKindLowerName[393:409]: NotePromptPartProbed,
-	_NoteKindLowerName[409:427]: NotePromptPartReleased,
-	_NoteKindLowerName[427:436]: NotePeerFound,
-	_NoteKindLowerName[436:444]: NotePeerLost,
-	_NoteKindLowerName[444:452]: NoteFeedLost,
-	_NoteKindLowerName[452:464]: NoteFeedRegained,
-	_NoteKindLowerName[464:476]: NotePartsChanged,
-	_NoteKindLowerName[476:488]: NoteDrainChanged,
-	_NoteKindLowerName[488:499]: NoteTickDelayed,
+	_NoteKindLowerName[328:345]: NoteDataCentreReached,
+	_NoteKindLowerName[345:358]: NoteRunnerLimited,
+	_NoteKindLowerName[358:373]: NoteRunnerUnlimited,
+	_NoteKindLowerName[373:389]: NoteContentSuspected,
+	_NoteKindLowerName[389:410]: NotePromptPartQuarantined,
+	_NoteKindLowerName[410:426]: NotePromptPartProbed,
+	_NoteKindLowerName[426:444]: NotePromptPartReleased,
+	_NoteKindLowerName[444:453]: NotePeerFound,
+	_NoteKindLowerName[453:461]: NotePeerLost,
+	_NoteKindLowerName[461:469]: NoteFeedLost,
+	_NoteKindLowerName[469:481]: NoteFeedRegained,
+	_NoteKindLowerName[481:493]: NotePartsChanged,
+	_NoteKindLowerName[493:505]: NoteDrainChanged,
+	_NoteKindLowerName[505:516]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -178,19 +181,20 @@
 	_NoteKindName[289:302],
 	_NoteKindName[302:315],
 	_NoteKindName[315:328],
-	_NoteKindName[328:341],
-	_NoteKindName[341:356],
-	_NoteKindName[356:372],
-	_NoteKindName[372:393],
-	_NoteKindName[393:409],
-	_NoteKindName[409:427],
-	_NoteKindName[427:436],
-	_NoteKindName[436:444],
-	_NoteKindName[444:452],
-	_NoteKindName[452:464],
-	_NoteKindName[464:476],
-	_NoteKindName[476:488],
-	_NoteKindName[488:499],
+	_NoteKindName[328:345],
+	_NoteKindName[345:358],
+	_NoteKindName[358:373],
+	_NoteKindName[373:389],
+	_NoteKindName[389:410],
+	_NoteKindName[410:426],
+	_NoteKindName[426:444],
+	_NoteKindName[444:453],
+	_NoteKindName[453:461],
+	_NoteKindName[461:469],
+	_NoteKindName[469:481],
+	_NoteKindName[481:493],
+	_NoteKindName[493:505],
+	_NoteKindName[505:516],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -86,7 +86,7 @@
 	if r.From == t.Self.ID {
 		return
 	}
-	recordDataCentreReport(t, now, r.DataCentre)
+	t.RecordDataCentreReport(r.DataCentre, now)
 	if p := applyReport(t, now, gateway.RelayedReport{Address: e.Address, Report: r}, out); p != nil {
 		recordDirectReport(t, now, p, r)
 	}
@@ -167,25 +167,6 @@
 	return p
 }
 
-// recordDataCentreReport records that a VM of a data centre has reported. If the data centre was
-// unreachable until now, its runners become usable again without delay.
-func recordDataCentreReport(t *gateway.Tables, now cs.Instant, dc cs.DataCentreID) {
-	healed := t.Reach(dc, now) == gateway.ReachCut
-	if state := t.DataCentres.Get(dc); state != nil {
-		state.LastReportAt = now
-	} else {
-		t.DataCentres.Insert(dc, gateway.DataCentreState{LastReportAt: now})
-	}
-	if !healed {
-		return
-	}
-	for _, runner := range t.Runners.All() {
-		if runner.Spec.DataCentre == dc {
-			runner.ResetFailures()
-		}
-	}
-}
-
 // setPeerLoad replaces the load and the demand of a peer and updates the sums of the loads and demands of all peers.
 func setPeerLoad(t *gateway.Tables, p *gateway.Peer, loads []gateway.RunnerLoad, demands []gateway.DemandReport) {
 	if !slices.Equal(p.Loads, loads) {
