Run items on runners with one slot

Callers saw: items were never run where each runner has one slot and no allocator, as in a data centre whose VMs have all stopped.

Cause: batchSlots left one slot of each runner without an allocator to online requests, also the only one.

Change: the reserved slot is not the only one. An online request preempts the item as on any full runner.

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -11,7 +11,8 @@
 
 // Limits on starting items on runners.
 const (
-	// reservedOnlineSlots is the number of slots of each runner without an allocator that items leave free for online requests.
+	// reservedOnlineSlots is the number of slots of each runner without an allocator that items leave free for online requests,
+	// unless it has no others.
 	reservedOnlineSlots = 1
 	// deniedTime is how long no slot is requested of a runner that has denied one.
 	deniedTime = 120 * cs.Millisecond
@@ -151,7 +152,7 @@
 	if !isReachable && !t.IsProbeDue(r.Spec.DataCentre, now) {
 		return 0
 	}
-	reserved := cs.Slots(reservedOnlineSlots)
+	reserved := min(reservedOnlineSlots, r.Spec.Slots-1)
 	if t.HasAllocator(r, now) {
 		reserved = 0 // the allocator preempts an item when an online request needs its slot
 	}
