Admit requests in a drain only by their deadline

Cause: Drain.CanFinish admitted a request whose deadline was too late if the moving average of its route's durations plus four mean deviations ended before the stop. What other requests took does not bound the next one.

Tests: the cases of TestRequestThatCannotEndInDrainIsRefused that expected an admission by the estimate ("short", "short, at once", "long, early") asserted this fault; they now expect the refusal, and cases at the limit are new (TestRequestThatMayOutlastDrainIsRefused). TestDrainCutsNoRequest sends short streams before SIGTERM and long ones after, within time limits that can be met. TestRequestThatWaitedTooLongInDrainIsRefused needed a request that is held although it may not end; such a request is now refused when the drain begins (TestRequestThatWaitsAtDrainIsRefused), and one whose limit fits ends by it (TestRequestThatWaitsInDrainEndsByItsLimit).

--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -89,7 +90,11 @@
 // send sends a request on a connection, reads the response and records both.
 func (k *keptConns) send(c *keptConn, path, id string) {
 	e := drainExchange{id: id, sent: time.Now()}
-	_, e.err = io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "+id+"\r\nDeadline-Ms: 12000\r\nContent-Length: 6\r\n\r\nprompt")
+	deadline := 2000
+	if isStream(path) {
+		deadline = 5000
+	}
+	_, e.err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: 6\r\n\r\nprompt", path, id, deadline)
 	if e.err == nil {
 		var resp *http.Response
 		if resp, e.err = http.ReadResponse(c.in, nil); e.err == nil {
@@ -109,13 +114,22 @@
 	_ = c.Close()
 }
 
-// Guards against requests that a VM takes in a drain although they cannot end before it exits, and cuts at its exit: their
-// callers cannot tell whether they have run. Callers use their open connections until the process is gone.
+// isStream reports whether a path is that of a streaming route.
+func isStream(path string) bool { return strings.HasPrefix(path, "/ask/") || strings.HasPrefix(path, "/quiz/") }
+
+// Guards against requests that a VM takes in a drain although they may not end before it exits, and cuts at its exit: their
+// callers cannot tell whether they have run. Streams in the drain take longer than all before. Callers use their open
+// connections until the process is gone.
 func TestDrainCutsNoRequest(t *testing.T) {
+	var draining atomic.Bool
 	s, m, runner := startDraining(t, func(_ *scriptedRunner, conn *scriptedConn, req *http.Request) {
 		id := req.Header.Get("Request-Id")
-		if strings.HasPrefix(req.URL.Path, "/ask/") || strings.HasPrefix(req.URL.Path, "/quiz/") {
-			streamFor(conn, id, 4*time.Second)
+		if isStream(req.URL.Path) {
+			length := 400 * time.Millisecond
+			if draining.Load() {
+				length = 4 * time.Second
+			}
+			streamFor(conn, id, length)
 			return
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -136,6 +150,7 @@
 		start(i)
 	}
 	callers.Wait()
+	draining.Store(true)
 	m.signals <- syscall.SIGTERM
 	drainStart := time.Now()
 	s.eventually(func() bool { return readyStatus(m.readyAddr) == http.StatusServiceUnavailable })
--- a/forward/drain.go
+++ b/forward/drain.go
@@ -19,14 +19,14 @@
 	}
 }
 
-// drainRefusal returns the refusal of a waiting request that cannot be expected to end before this VM exits, or nil. A
+// drainRefusal returns the refusal of a waiting request that may not end before this VM exits, or nil. A
 // request that has not run is refused while its caller has time to use another VM. One that may have run is given up
 // only when the drain stops all work.
 func drainRefusal(t *gateway.Tables, f *gateway.Forward, now cs.Instant) *cs.Refusal {
 	switch {
 	case f.MayHaveRun && t.Drain.Stopping:
 		return &cs.Refusal{Reason: cs.ReasonBroken, Ran: ranSoFar(f), Message: "this VM exits before the request has ended"}
-	case !f.MayHaveRun && !t.Drain.CanFinish(now, f.Deadline, t.Durations.Get(f.Route.Name).UpperBound()):
+	case !f.MayHaveRun && !t.Drain.CanFinish(f.Deadline):
 		refusal := leavingRefusal()
 		return &refusal
 	default:
@@ -38,12 +38,3 @@
 func leavingRefusal() cs.Refusal {
 	return cs.Refusal{Reason: cs.ReasonLeaving, Message: "this VM is leaving"}
 }
-
-// observeDuration adds the time that an answered request took at its runner to that of its route.
-func observeDuration(t *gateway.Tables, f *gateway.Forward, now cs.Instant) {
-	d := t.Durations.Get(f.Route.Name)
-	if d == nil {
-		d = t.Durations.Insert(f.Route.Name, gateway.RouteDuration{})
-	}
-	d.Observe(now.Sub(f.SentAt))
-}
--- a/forward/drain_test.go
+++ b/forward/drain_test.go
@@ -14,6 +14,8 @@
 	drainGrace = 8 * cs.Second
 	// drainWork is the longest time that a VM with drainGrace works after the request to drain.
 	drainWork = drainGrace - 500*cs.Millisecond
+	// drainLimit is the time after the request to drain by which the time limit of a request must end for it to be sent.
+	drainLimit = drainGrace - 600*cs.Millisecond
 )
 
 // newDrainingVM returns a VM with a runner that has served requests on the route "r", each within the given time if it is
@@ -44,20 +46,23 @@
 	}
 }
 
-// Guards against requests that are sent to a runner in a drain although they cannot end before the process exits, so that
-// they are cut, and against refusals of requests that can.
-func TestRequestThatCannotEndInDrainIsRefused(t *testing.T) {
+// Guards against requests that are sent to a runner in a drain although they may not end before the process exits, so that
+// they are cut, and against refusals of requests that must. How long others took is no bound.
+func TestRequestThatMayOutlastDrainIsRefused(t *testing.T) {
 	for name, test := range map[string]struct {
 		// served is how long requests of the route take, or 0 if none has ended.
 		served, draining, timeLimit cs.Span
 		sent                        bool
 	}{
-		"short":                              {200, 3900, 12_000, true},
-		"short, at once":                     {200, 0, 12_000, true},
+		"others were short":                  {200, 3900, 12_000, false},
+		"others were short, at once":         {200, 0, 12_000, false},
+		"others were short, limit just long": {200, 3200, drainLimit - 3200 + 1, false},
+		"limit just short":                   {200, 3200, drainLimit - 3200, true},
 		"ends by its time limit":             {5000, 3900, 3000, true},
 		"no duration known, ends by limit":   {0, 3900, 3000, true},
 		"no duration known, limit too long":  {0, 3900, 4000, false},
-		"long, early":                        {5000, 1000, 12_000, true},
+		"long, early":                        {5000, 1000, 12_000, false},
+		"long, early, ends by its limit":     {5000, 1000, 6000, true},
 		"long, late":                         {5000, 3000, 12_000, false},
 		"long, at the end of the admissions": {4000, 3900, 12_000, false},
 		"longer than the grace period":       {9000, 0, 12_000, false},
@@ -82,15 +87,32 @@
 	}
 }
 
-// Guards against a request that waits for a runner until it can no longer end before the process exits, and is sent then.
-func TestRequestThatWaitedTooLongInDrainIsRefused(t *testing.T) {
+// Guards against a request that waits for a runner when the drain begins, and is sent although it may not end before the process
+// exits. Its caller must learn at once that another VM can serve it.
+func TestRequestThatWaitsAtDrainIsRefused(t *testing.T) {
+	c := qt.New(t)
+	vm := newTestVM()
+	vm.Config.Grace = drainGrace
+	vm.addRunner("a1", "a").Online = 10 // full
+	e := vm.arrival(1, onceRoute).(gateway.ForwardArrived)
+	e.Forward.Deadline = vm.now.Add(12 * cs.Second)
+	dispatches, refusals := vm.tick(e)
+	c.Assert(dispatches, qt.HasLen, 0)
+	c.Assert(refusals, qt.HasLen, 0)
+	dispatches, refusals = vm.tick(gateway.DrainRequested{})
+	c.Assert(dispatches, qt.HasLen, 0)
+	c.Assert(refusals, qt.HasLen, 1)
+	c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
+	c.Assert(refusals[0].Refusal.Reason, qt.Equals, cs.ReasonLeaving)
+}
+
+// Guards against requests that wait for a runner in a drain and are sent so late that they may not end before the process exits.
+func TestRequestThatWaitsInDrainEndsByItsLimit(t *testing.T) {
 	c := qt.New(t)
 	vm := newDrainingVM(3000, 1000)
 	vm.Runners.Get("a1").Online = 10 // full
-	route := onceRoute
-	route.Name = "r"
-	e := vm.arrival(1, route).(gateway.ForwardArrived)
-	e.Forward.Deadline = vm.now.Add(12 * cs.Second)
+	e := vm.arrival(1, onceRoute).(gateway.ForwardArrived)
+	e.Forward.Deadline = vm.now.Add(4400)
 	dispatches, refusals := vm.tick(e)
 	c.Assert(dispatches, qt.HasLen, 0)
 	c.Assert(refusals, qt.HasLen, 0)
--- a/forward/outcomes.go
+++ b/forward/outcomes.go
@@ -95,7 +95,6 @@
 			t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
 		}
 		observeServiceTime(t, f, now)
-		observeDuration(t, f, now)
 		t.Forwards.Delete(e.ID)
 		return
 	case gateway.OutcomeNotRun:
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -37,8 +37,6 @@
 	DataCentres *fleet.Table[cs.DataCentreID, DataCentreState]
 	Forwards    *fleet.Table[ForwardID, Forward]
 	Demands     *fleet.Table[cs.ServiceID, ServiceDemand]
-	// Durations holds how long the requests of each route take at runners.
-	Durations *fleet.Table[cs.RouteName, RouteDuration]
 	Suspects  *fleet.Table[SuspectKey, Suspect]
 	// BegunParts holds when a response to a prompt with a part last began, at any VM as far as this one knows.
 	BegunParts *fleet.Table[cs.PromptPart, cs.Instant]
@@ -81,7 +79,6 @@
 		DataCentres:    fleet.NewTable[cs.DataCentreID, DataCentreState](),
 		Forwards:       fleet.NewTable[ForwardID, Forward](),
 		Demands:        fleet.NewTable[cs.ServiceID, ServiceDemand](),
-		Durations:      fleet.NewTable[cs.RouteName, RouteDuration](),
 		Suspects:       fleet.NewTable[SuspectKey, Suspect](),
 		BegunParts:     fleet.NewTable[cs.PromptPart, cs.Instant](),
 		Jobs:           fleet.NewTable[cs.JobID, Job](),
@@ -132,14 +129,9 @@
 	ArrivedAt cs.Instant
 }
 
-// CanFinish reports whether work that begins now can be expected to end before the drain stops it. It ends by its deadline
-// at the latest; expected is the time that such work takes, or 0 if that is not known.
-func (d *Drain) CanFinish(now, deadline cs.Instant, expected cs.Span) bool {
-	if d.StopAt == 0 || deadline <= d.StopAt {
-		return true
-	}
-	return expected > 0 && now.Add(expected) <= d.StopAt
-}
+// CanFinish reports whether work with a deadline is certain to end before the drain stops it. The time that other work took is
+// no bound on how long this one takes.
+func (d *Drain) CanFinish(deadline cs.Instant) bool { return d.StopAt == 0 || deadline <= d.StopAt }
 
 //go:generate enumer -type Feed -text -transform lower -trimprefix Feed
 
