--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -115,7 +115,9 @@
 }
 
 // isStream reports whether a path is that of a streaming route.
-func isStream(path string) bool { return strings.HasPrefix(path, "/ask/") || strings.HasPrefix(path, "/quiz/") }
+func isStream(path string) bool {
+	return strings.HasPrefix(path, "/ask/") || strings.HasPrefix(path, "/quiz/")
+}
 
 // Guards against requests that a VM takes in a drain although they may not end before it exits, and cuts at its exit: their
 // callers cannot tell whether they have run. Streams in the drain take longer than all before. Callers use their open
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -37,7 +37,7 @@
 	DataCentres *fleet.Table[cs.DataCentreID, DataCentreState]
 	Forwards    *fleet.Table[ForwardID, Forward]
 	Demands     *fleet.Table[cs.ServiceID, ServiceDemand]
-	Suspects  *fleet.Table[SuspectKey, Suspect]
+	Suspects    *fleet.Table[SuspectKey, Suspect]
 	// BegunParts holds when a response to a prompt with a part last began, at any VM as far as this one knows.
 	BegunParts *fleet.Table[cs.PromptPart, cs.Instant]
 	Quarantine Quarantine
