Bound what all responses together hold in memory

Report of an operator: a faulty runner sent bytes that were no answer, without end; the machine kept them all and ran out of memory.

Looked for here: one response was bounded already on each path (heads at 32 KB, interim responses, framing, bodies at 1 MB, errors of items at 64 KB, streams at 256 KB without a new event; TestEndlessHeadIsCutOff, TestEndlessFramingIsCutOff, TestEndlessBodyIsCutOff, TestEndlessStreamIsCutOff, TestEndlessStreamOfRunIsCutOff). All responses of a VM together were not: 300 requests whose runner sends 900 KB each and then stalls, or responds with an error of 900 KB that is held while the request goes on elsewhere, took 339 and 266 MB; a small VM has 164 MB.

Change: responses that are held take at most 32 MB together beyond the first 64 KB of each. One that needs more is given up like one that is too large, and its request goes on at another runner where it may. A body is not waited with for memory: a faulty runner could then hold up the sound ones.

TestHeldResponsesAreBoundedTogether failed before with the figures above; after it the heap stays below 82 MB. TestHeldResponsesAreReleased guards the release.

--- a/forward/session.go
+++ b/forward/session.go
@@ -37,11 +37,12 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *heldBody
 }
 
 // run carries out the actions of the control loop until the request ends.
 func (s *session) run(ctx context.Context) End {
+	defer s.dropError()
 	for {
 		select {
 		case <-ctx.Done():
@@ -70,8 +71,8 @@
 		return EndBroken{}
 	}
 	if s.heldError != nil {
-		s.caller.Head(s.heldError.status, s.heldError.header, len(s.heldError.body))
-		if err := s.caller.Write(s.heldError.body); err != nil {
+		s.caller.Head(s.heldError.status, s.heldError.header, len(s.heldError.body.data))
+		if err := s.caller.Write(s.heldError.body.data); err != nil {
 			return EndBroken{}
 		}
 		return EndAnswered{}
@@ -79,6 +80,14 @@
 	return EndRefused{Refusal: a.Refusal, RetryAfter: a.RetryAfter}
 }
 
+// dropError frees the error response that is held.
+func (s *session) dropError() {
+	if s.heldError != nil {
+		s.heldError.body.release()
+		s.heldError = nil
+	}
+}
+
 // post reports an event to the control loop. It is not bound to the caller's context, because the
 // control loop must learn how each request ended even if its caller has disconnected.
 func (s *session) post(e gateway.Event) {
@@ -144,29 +153,28 @@
 // passBuffered reads a complete response and sends it to the caller. A server error of a repeatable
 // request is held back, so that another runner can be tried.
 func (s *session) passBuffered(ctx context.Context, a gateway.Dispatch, response *RunnerResponse) gateway.Outcome {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := readHeld(response.Body, s.traffic.held)
 	if err != nil {
-		return s.failure(ctx, &InterruptedError{Cause: err, Disconnected: true})
+		return s.failure(ctx, err)
 	}
-	if len(body) > maxResponseBytes {
-		return s.failure(ctx, errors.Newf("response exceeds the limit of %d bytes", maxResponseBytes))
+	if !s.headSent && response.Status >= http.StatusInternalServerError && s.forward.Route.Repeatable() {
+		s.dropError()
+		s.heldError = &bufferedResponse{status: response.Status, header: response.Header, body: body}
+		return gateway.OutcomeFailed{Status: response.Status}
 	}
+	defer body.release()
 	if s.headSent {
 		return s.failure(ctx, errors.Newf("runner responded with status %d instead of resuming the stream", response.Status))
 	}
-	if response.Status >= http.StatusInternalServerError && s.forward.Route.Repeatable() {
-		s.heldError = &bufferedResponse{status: response.Status, header: response.Header, body: body}
-		return gateway.OutcomeFailed{Status: response.Status}
-	}
 	if response.Status < http.StatusMultipleChoices && !response.Signed {
 		return s.failure(ctx, errors.New("successful response without the runner's signature"))
 	}
-	s.heldError = nil
-	s.sendHead(response, len(body))
+	s.dropError()
+	s.sendHead(response, len(body.data))
 	if response.Status < http.StatusMultipleChoices {
 		s.reportStarted(a)
 	}
-	if err := s.caller.Write(body); err != nil {
+	if err := s.caller.Write(body.data); err != nil {
 		return s.failure(ctx, err)
 	}
 	return gateway.OutcomeAnswered{Status: response.Status}
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -6,14 +6,12 @@
 	"sync"
 	"sync/atomic"
 
+	"golang.org/x/sync/semaphore"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// maxResponseBytes limits the size of a response that is not a stream. Such a response is held in
-// memory until it is complete, and a small VM serves dozens of requests at once.
-const maxResponseBytes = 1 << 20
-
 // TrafficConfig holds the dependencies of Traffic.
 type TrafficConfig struct {
 	Clock   *cs.Clock
@@ -26,7 +24,9 @@
 
 // Traffic carries the bytes of online requests between callers and runners.
 type Traffic struct {
-	cfg      TrafficConfig
+	cfg TrafficConfig
+	// held has the bytes that responses may still take until they are complete.
+	held     *semaphore.Weighted
 	lastID   atomic.Uint64
 	mu       sync.Mutex
 	sessions map[gateway.ForwardID]*session
@@ -34,7 +34,7 @@
 
 // NewTraffic returns a Traffic without sessions.
 func NewTraffic(c TrafficConfig) *Traffic {
-	return &Traffic{cfg: c, sessions: make(map[gateway.ForwardID]*session)}
+	return &Traffic{cfg: c, held: semaphore.NewWeighted(maxHeldBytes), sessions: make(map[gateway.ForwardID]*session)}
 }
 
 // actionBuffer is the capacity of a session's action channel. At most one action is in transit at a
