Cut long fields of log lines

Cause: net/http quotes what a faulty runner sends in place of a response, up to the limit of a head, so that one line of the log could have 128 KB.

Change: a field is cut at 512 bytes. TestLogLinesAreShort failed before.

--- a/entry/notelog.go
+++ b/entry/notelog.go
@@ -24,6 +24,9 @@
 	urgentLinesPerBurst  = 400
 )
 
+// maxFieldBytes is the size at which a field of a log line is cut. Errors quote bytes that others sent.
+const maxFieldBytes = 512
+
 // droppedPeriod is the interval of the log line that reports how many lines were dropped.
 const droppedPeriod = 2 * cs.Second
 
@@ -68,7 +71,7 @@
 		{"reason", n.Reason},
 	} {
 		if field.value != "" {
-			event = event.Str(field.name, field.value)
+			event = event.Str(field.name, field.value[:min(len(field.value), maxFieldBytes)])
 		}
 	}
 	if n.Content != 0 {
--- a/entry/notelog_test.go
+++ b/entry/notelog_test.go
@@ -51,6 +51,19 @@
 	c.Assert(log.String(), qt.Contains, `"requestRefused"`, qt.Commentf("failures have a rate limit of their own"))
 }
 
+// Guards against log lines of tens of kilobytes: errors quote what a faulty runner sent in place of a response.
+func TestLogLinesAreShort(t *testing.T) {
+	c := qt.New(t)
+	var log bytes.Buffer
+	m := meter.New(zerolog.Nop())
+	defer func() { _ = m.Close() }()
+	l := newNoteLogger(zerolog.New(&log), m)
+	l.logNote(gateway.Note{Kind: gateway.NoteRequestRetried, Request: "r1", Reason: "malformed HTTP response: " + strings.Repeat("\x01", 30<<10)})
+	c.Check(log.Len() < 4<<10, qt.IsTrue, qt.Commentf("%d bytes", log.Len()))
+	c.Check(log.String(), qt.Contains, "malformed HTTP response")
+	c.Check(log.String(), qt.Contains, `"request":"r1"`)
+}
+
 // BenchmarkNoteLogger measures the cost of a request's log lines, and of counting alone when lines are
 // dropped.
 func BenchmarkNoteLogger(b *testing.B) {
