Never apply records of the job log behind a hole

Cause: a state that a peer hands over and the first records after it, in one tick, were applied in the wrong order (ApplyJobLog before ShareState). Below that, the end that was applied and the offset that the feed reads from were two numbers that nothing compared: any hole went on unseen and even counted as a recent view of the log.

Change: JobLog.End is the only end. Records, states and reads are applied in the order of their arrival; a read that begins or ends beyond the end is neither applied nor a view of the log, and the feed reads again from the end (RereadJobs, log line jobLogGap). An own conditional append moves the end only if it follows it.

--- a/batchjob/append.go
+++ b/batchjob/append.go
@@ -14,11 +14,11 @@
 	}
 	switch o := a.Outcome.(type) {
 	case gateway.AppendDone:
-		if l.InFlight.ExpectedEnd != cs.NoOffset || o.From == l.End {
+		if o.From == l.End {
 			for _, c := range l.InFlight.Changes {
 				applyChange(t, now, o.From, c, out)
 			}
-			l.End = max(l.End, o.End)
+			l.End = o.End
 		} // otherwise other records precede it, and the next read returns those and its own
 		completeInFlight(t, o.End, now, out)
 	case gateway.AppendConflict:
--- a/batchjob/apply.go
+++ b/batchjob/apply.go
@@ -8,7 +8,9 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// ApplyJobLog updates the jobs of this VM with the records read from the job log and with its own appends.
+// ApplyJobLog updates the jobs of this VM with the records read from the job log, the states that peers hand over and its own
+// appends, in the order of their arrival. What it has applied is a prefix of the log without holes, which ends at JobLog.End: records
+// that begin after it are not applied, and the log is read again from there.
 func ApplyJobLog(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	if t.JobLog.Role == gateway.JobLogNone {
 		return // a read that had begun before this VM stopped following the log
@@ -18,10 +20,17 @@
 		case gateway.JobsRead:
 			if e.Snapshot {
 				applySnapshot(t, now, e, out)
-			} else {
-				applyNewRecords(t, now, e, out)
+			} else if !applyNewRecords(t, now, e, out) {
+				rereadJobs(t, e.From, out)
+				continue
 			}
 			resolveInFlight(t, now, e, out)
+		case gateway.JobStateRead:
+			adoptState(t, now, e, out)
+		case gateway.FeedRead:
+			if e.Feed == gateway.FeedJobs {
+				recordRead(t, e, out)
+			}
 		case gateway.JobsAppended:
 			if done, ok := e.Outcome.(gateway.AppendDone); ok {
 				applyOwnAppend(t, now, e.Number, done, out)
@@ -95,12 +104,40 @@
 	})
 }
 
-// applyNewRecords applies the records of an incremental read.
-func applyNewRecords(t *gateway.Tables, now cs.Instant, read gateway.JobsRead, out *gateway.Actions) {
+// recordRead records up to when the job log was read, unless records before the end of the read are missing.
+func recordRead(t *gateway.Tables, e gateway.FeedRead, out *gateway.Actions) {
+	if e.Next > t.JobLog.End {
+		rereadJobs(t, e.Next, out)
+		return
+	}
+	f := t.Feeds[gateway.FeedJobs]
+	f.Loaded = f.Loaded || e.Loaded
+	f.AsOf = max(f.AsOf, e.AsOf)
+}
+
+// rereadJobs requests the records from the end of the log that was applied on, since those read begin or end at a later offset.
+func rereadJobs(t *gateway.Tables, at cs.Offset, out *gateway.Actions) {
+	from := cs.NoOffset
+	if t.JobLog.Synced {
+		from = t.JobLog.End - t.JobLog.PartialChunks
+	}
+	t.JobLog.PartialChunks = 0
+	out.Add(gateway.RereadJobs{From: from})
+	out.Note(gateway.Note{Kind: gateway.NoteJobLogGap, Offset: t.JobLog.End, Count: int(at - t.JobLog.End)})
+}
+
+// applyNewRecords applies the records of an incremental read. It returns false if records before them are missing.
+func applyNewRecords(t *gateway.Tables, now cs.Instant, read gateway.JobsRead, out *gateway.Actions) bool {
+	if !t.JobLog.Synced {
+		return false
+	}
 	for _, r := range read.Records {
 		if r.Offset < t.JobLog.End {
 			continue // applied when this VM's own append completed
 		}
+		if r.Offset > t.JobLog.End {
+			return false
+		}
 		if r.Change != nil {
 			applyChange(t, now, r.Offset, r.Change, out)
 		}
@@ -111,6 +148,7 @@
 			t.JobLog.PartialChunks = 0
 		}
 	}
+	return true
 }
 
 // applyChange applies one change of the job log to the jobs of this VM. The offset is that of its record, or of
--- a/batchjob/share.go
+++ b/batchjob/share.go
@@ -11,9 +11,8 @@
 // maxSharedAge is the age of a peer's view of the job log above which the store is read in its place, if that is possible.
 const maxSharedAge = 3 * cs.Second
 
-// ShareState exchanges the state of the job log with peers: it selects peers that have it, hands it over and applies what
-// a peer has handed over. So a VM that has started or lost its history need not read the whole log from the store, which
-// all VMs share.
+// ShareState selects peers that can hand over the state of the job log, and hands it over to peers. So a VM that has started or
+// lost its history need not read the whole log from the store, which all VMs share. ApplyJobLog applies what is handed over.
 func ShareState(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	for _, e := range t.Events {
 		switch e := e.(type) {
@@ -25,11 +24,6 @@
 			out.Add(answer)
 		case gateway.JobStateRequested:
 			out.Add(gateway.AnswerJobState{Query: e.Query, State: jobLogState(t, now)})
-		case gateway.JobStateRead:
-			if t.JobLog.Role == gateway.JobLogNone {
-				continue
-			}
-			adoptState(t, now, e, out)
 		default:
 		}
 	}
--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -75,6 +75,8 @@
 	statePeers []gateway.AnswerStatePeer
 	// readRequests counts the requests to read the log.
 	readRequests int
+	// rereads are the requests to read the log again from an offset on.
+	rereads []gateway.RereadJobs
 	// leftGroup means that the VM has left the group that divides the job partitions.
 	leftGroup bool
 }
@@ -121,6 +123,8 @@
 			v.statePeers = append(v.statePeers, a)
 		case gateway.ReadJobs:
 			v.readRequests++
+		case gateway.RereadJobs:
+			v.rereads = append(v.rereads, a)
 		case gateway.LeaveGroup:
 			v.leftGroup = true
 		case gateway.AnswerJob:
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -57,6 +57,7 @@
 	runTask    func(func(context.Context))
 	appendJobs func(context.Context, gateway.AppendJobs)
 	readJobs   func()
+	rereadJobs func(gateway.RereadJobs)
 	// leaveGroup ends the membership in the batch consumer group.
 	leaveGroup       func()
 	setJobLogRole    func(gateway.JobLogRole)
@@ -149,6 +150,8 @@
 		h.setJobLogRole(a.Role)
 	case gateway.ReadJobs:
 		h.readJobs()
+	case gateway.RereadJobs:
+		h.rereadJobs(a)
 	case gateway.AnswerJob:
 		h.batchjob.Answer(a.Query, a)
 	case gateway.AnswerResults:
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -98,6 +98,9 @@
 	SetJobLogRole struct{ Role JobLogRole }
 	// ReadJobs requests that the job log be read at once instead of at the next poll.
 	ReadJobs struct{}
+	// RereadJobs requests that the job log be read from an offset on, or from a snapshot on if From is cs.NoOffset, since records
+	// are missing.
+	RereadJobs struct{ From cs.Offset }
 )
 
 // The answers to callers of the job API. Refusal is nil if the request succeeded.
@@ -178,6 +181,7 @@
 func (SetJobLogRole) isAction()    {}
 func (AnswerJobPeer) isAction()    {}
 func (ReadJobs) isAction()         {}
+func (RereadJobs) isAction()       {}
 func (AnswerJob) isAction()        {}
 func (AnswerResults) isAction()    {}
 func (AnswerBody) isAction()       {}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -49,6 +49,8 @@
 		Loaded bool
 		// AsOf is set if Loaded: everything that was in the feed at this instant has been read.
 		AsOf cs.Instant
+		// Next is the offset from which the feed reads on.
+		Next cs.Offset
 	}
 	// FeedFailed reports a failed read of a feed.
 	FeedFailed struct {
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -44,6 +44,8 @@
 	NoteItemListed
 	// NoteItemGivenUp: an item is in the job log as given up, without an output.
 	NoteItemGivenUp
+	// NoteJobLogGap: records of the job log were read that do not follow those applied, which are read again.
+	NoteJobLogGap
 	// NoteAppendFailed: an append to the job log failed, or its outcome is unknown.
 	NoteAppendFailed
 	// NoteCatalogInForce: this VM uses a newer version of the catalog.
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 226, 240, 252, 263, 276, 289, 302, 315, 328, 345, 358, 373, 389, 410, 426, 444, 453, 461, 469, 481, 493, 505, 516}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 249, 261, 272, 285, 298, 311, 324, 337, 354, 367, 382, 398, 419, 435, 453, 462, 470, 478, 490, 502, 514, 525}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -41,32 +41,33 @@
 	_ = x[NoteItemReturned-(14)]
 	_ = x[NoteItemListed-(15)]
 	_ = x[NoteItemGivenUp-(16)]
-	_ = x[NoteAppendFailed-(17)]
-	_ = x[NoteCatalogInForce-(18)]
-	_ = x[NoteStateAdopted-(19)]
-	_ = x[NoteRunnerAdded-(20)]
-	_ = x[NoteRunnerLeaving-(21)]
-	_ = x[NoteRunnerMissing-(22)]
-	_ = x[NoteRunnerRemoved-(23)]
-	_ = x[NoteRunnerAvoided-(24)]
-	_ = x[NoteRunnerDoubted-(25)]
-	_ = x[NoteDataCentreReached-(26)]
-	_ = x[NoteRunnerLimited-(27)]
-	_ = x[NoteRunnerUnlimited-(28)]
-	_ = x[NoteContentSuspected-(29)]
-	_ = x[NotePromptPartQuarantined-(30)]
-	_ = x[NotePromptPartProbed-(31)]
-	_ = x[NotePromptPartReleased-(32)]
-	_ = x[NotePeerFound-(33)]
-	_ = x[NotePeerLost-(34)]
-	_ = x[NoteFeedLost-(35)]
-	_ = x[NoteFeedRegained-(36)]
-	_ = x[NotePartsChanged-(37)]
-	_ = x[NoteDrainChanged-(38)]
-	_ = x[NoteTickDelayed-(39)]
+	_ = x[NoteJobLogGap-(17)]
+	_ = x[NoteAppendFailed-(18)]
+	_ = x[NoteCatalogInForce-(19)]
+	_ = x[NoteStateAdopted-(20)]
+	_ = x[NoteRunnerAdded-(21)]
+	_ = x[NoteRunnerLeaving-(22)]
+	_ = x[NoteRunnerMissing-(23)]
+	_ = x[NoteRunnerRemoved-(24)]
+	_ = x[NoteRunnerAvoided-(25)]
+	_ = x[NoteRunnerDoubted-(26)]
+	_ = x[NoteDataCentreReached-(27)]
+	_ = x[NoteRunnerLimited-(28)]
+	_ = x[NoteRunnerUnlimited-(29)]
+	_ = x[NoteContentSuspected-(30)]
+	_ = x[NotePromptPartQuarantined-(31)]
+	_ = x[NotePromptPartProbed-(32)]
+	_ = x[NotePromptPartReleased-(33)]
+	_ = x[NotePeerFound-(34)]
+	_ = x[NotePeerLost-(35)]
+	_ = x[NoteFeedLost-(36)]
+	_ = x[NoteFeedRegained-(37)]
+	_ = x[NotePartsChanged-(38)]
+	_ = x[NoteDrainChanged-(39)]
+	_ = x[NoteTickDelayed-(40)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -86,29 +87,30 @@
 	_NoteKindName[181:193]: NoteItemReturned,
 	_NoteKindName[193:203]: NoteItemListed,
 	_NoteKindName[203:214]: NoteItemGivenUp,
-	_NoteKindName[214:226]: NoteAppendFailed,
-	_NoteKindName[226:240]: NoteCatalogInForce,
-	_NoteKindName[240:252]: NoteStateAdopted,
-	_NoteKindName[252:263]: NoteRunnerAdded,
-	_NoteKindName[263:276]: NoteRunnerLeaving,
-	_NoteKindName[276:289]: NoteRunnerMissing,
-	_NoteKindName[289:302]: NoteRunnerRemoved,
-	_NoteKindName[302:315]: NoteRunnerAvoided,
-	_NoteKindName[315:328]: NoteRunnerDoubted,
-	_NoteKindName[328:345]: NoteDataCentreReached,
-	_NoteKindName[345:358]: NoteRunnerLimited,
-	_NoteKindName[358:373]: NoteRunnerUnlimited,
-	_NoteKindName[373:389]: NoteContentSuspected,
-	_NoteKindName[389:410]: NotePromptPartQuarantined,
-	_NoteKindName[410:426]: NotePromptPartProbed,
-	_NoteKindName[426:444]: NotePromptPartReleased,
-	_NoteKindName[444:453]: NotePeerFound,
-	_NoteKindName[453:461]: NotePeerLost,
-	_NoteKindName[461:469]: NoteFeedLost,
-	_NoteKindName[469:481]: NoteFeedRegained,
-	_NoteKindName[481:493]: NotePartsChanged,
-	_NoteKindName[493:505]: NoteDrainChanged,
-	_NoteKindName[505:516]: NoteTickDelayed,
+	_NoteKindName[214:223]: NoteJobLogGap,
+	_NoteKindName[223:235]: NoteAppendFailed,
+	_NoteKindName[235:249]: NoteCatalogInForce,
+	_NoteKindName[249:261]: NoteStateAdopted,
+	_NoteKindName[261:272]: NoteRunnerAdded,
+	_NoteKindName[272:285]: NoteRunnerLeaving,
+	_NoteKindName[285:298]: NoteRunnerMissing,
+	_NoteKindName[298:311]: NoteRunnerRemoved,
+	_NoteKindName[311:324]: NoteRunnerAvoided,
+	_NoteKindName[324:337]: NoteRunnerDoubted,
+	_NoteKindName[337:354]: NoteDataCentreReached,
+	_NoteKindName[354:367]: NoteRunnerLimited,
+	_NoteKindName[367:382]: NoteRunnerUnlimited,
+	_NoteKindName[382:398]: NoteContentSuspected,
+	_NoteKindName[398:419]: NotePromptPartQuarantined,
+	_NoteKindName[419:435]: NotePromptPartProbed,
+	_NoteKindName[435:453]: NotePromptPartReleased,
+	_NoteKindName[453:462]: NotePeerFound,
+	_NoteKindName[462:470]: NotePeerLost,
+	_NoteKindName[470:478]: NoteFeedLost,
+	_NoteKindName[478:490]: NoteFeedRegained,
+	_NoteKindName[490:502]: NotePartsChanged,
+	_NoteKindName[502:514]: NoteDrainChanged,
+	_NoteKindName[514:525]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -129,29 +131,30 @@
 	_NoteKindLowerName[181:193]: NoteItemReturned,
 	_NoteKindLowerName[193:203]: NoteItemListed,
 	_NoteKindLowerName[203:214]: NoteItemGivenUp,
-	_NoteKindLowerName[214:226]: NoteAppendFailed,
-	_NoteKindLowerName[226:240]: NoteCatalogInForce,
-	_NoteKindLowerName[240:252]: NoteStateAdopted,
-	_NoteKindLowerName[252:263]: NoteRunnerAdded,
-	_NoteKindLowerName[263:276]: NoteRunnerLeaving,
-	_NoteKindLowerName[276:289]: NoteRunnerMissing,
-	_NoteKindLowerName[289:302]: NoteRunnerRemoved,
-	_NoteKindLowerName[302:315]: NoteRunnerAvoided,
-	_NoteKindLowerName[315:328]: NoteRunnerDoubted,
-	_NoteKindLowerName[328:345]: NoteDataCentreReached,
-	_NoteKindLowerName[345:358]: NoteRunnerLimited,
-	_NoteKindLowerName[358:373]: NoteRunnerUnlimited,
-	_NoteKindLowerName[373:389]: NoteContentSuspected,
-	_NoteKindLowerName[389:410]: NotePromptPartQuarantined,
-	_NoteKindLowerName[410:426]: NotePromptPartProbed,
-	_NoteKindLowerName[426:444]: NotePromptPartReleased,
-	_NoteKindLowerName[444:453]: NotePeerFound,
-	_NoteKindLowerName[453:461]: NotePeerLost,
-	_NoteKindLowerName[461:469]: NoteFeedLost,
-	_NoteKindLowerName[469:481]: NoteFeedRegained,
-	_NoteKindLowerName[481:493]: NotePartsChanged,
-	_NoteKindLowerName[493:505]: NoteDrainChanged,
-	_NoteKindLowerName[505:516]: NoteTickDelayed,
+	_NoteKindLowerName[214:223]: NoteJobLogGap,
+	_NoteKindLowerName[223:235]: NoteAppendFailed,
+	_NoteKindLowerName[235:249]: NoteCatalogInForce,
+	_NoteKindLowerName[249:261]: NoteStateAdopted,
+	_NoteKindLowerName[261:272]: NoteRunnerAdded,
+	_NoteKindLowerName[272:285]: NoteRunnerLeaving,
+	_NoteKindLowerName[285:298]: NoteRunnerMissing,
+	_NoteKindLowerName[298:311]: NoteRunnerRemoved,
+	_NoteKindLowerName[311:324]: NoteRunnerAvoided,
+	_NoteKindLowerName[324:337]: NoteRunnerDoubted,
+	_NoteKindLowerName[337:354]: NoteDataCentreReached,
+	_NoteKindLowerName[354:367]: NoteRunnerLimited,
+	_NoteKindLowerName[367:382]: NoteRunnerUnlimited,
+	_NoteKindLowerName[382:398]: NoteContentSuspected,
+	_NoteKindLowerName[398:419]: NotePromptPartQuarantined,
+	_NoteKindLowerName[419:435]: NotePromptPartProbed,
+	_NoteKindLowerName[435:453]: NotePromptPartReleased,
+	_NoteKindLowerName[453:462]: NotePeerFound,
+	_NoteKindLowerName[462:470]: NotePeerLost,
+	_NoteKindLowerName[470:478]: NoteFeedLost,
+	_NoteKindLowerName[478:490]: NoteFeedRegained,
+	_NoteKindLowerName[490:502]: NotePartsChanged,
+	_NoteKindLowerName[502:514]: NoteDrainChanged,
+	_NoteKindLowerName[514:525]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -172,29 +175,30 @@
 	_NoteKindName[181:193],
 	_NoteKindName[193:203],
 	_NoteKindName[203:214],
-	_NoteKindName[214:226],
-	_NoteKindName[226:240],
-	_NoteKindName[240:252],
-	_NoteKindName[252:263],
-	_NoteKindName[263:276],
-	_NoteKindName[276:289],
-	_NoteKindName[289:302],
-	_NoteKindName[302:315],
-	_NoteKindName[315:328],
-	_NoteKindName[328:345],
-	_NoteKindName[345:358],
-	_NoteKindName[358:373],
-	_NoteKindName[373:389],
-	_NoteKindName[389:410],
-	_NoteKindName[410:426],
-	_NoteKindName[426:444],
-	_NoteKindName[444:453],
-	_NoteKindName[453:461],
-	_NoteKindName[461:469],
-	_NoteKindName[469:481],
-	_NoteKindName[481:493],
-	_NoteKindName[493:505],
-	_NoteKindName[505:516],
+	_NoteKindName[214:223],
+	_NoteKindName[223:235],
+	_NoteKindName[235:249],
+	_NoteKindName[249:261],
+	_NoteKindName[261:272],
+	_NoteKindName[272:285],
+	_NoteKindName[285:298],
+	_NoteKindName[298:311],
+	_NoteKindName[311:324],
+	_NoteKindName[324:337],
+	_NoteKindName[337:354],
+	_NoteKindName[354:367],
+	_NoteKindName[367:382],
+	_NoteKindName[382:398],
+	_NoteKindName[398:419],
+	_NoteKindName[419:435],
+	_NoteKindName[435:453],
+	_NoteKindName[453:462],
+	_NoteKindName[462:470],
+	_NoteKindName[470:478],
+	_NoteKindName[478:490],
+	_NoteKindName[490:502],
+	_NoteKindName[502:514],
+	_NoteKindName[514:525],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/roster/feeds.go
+++ b/roster/feeds.go
@@ -31,6 +31,9 @@
 			if f.ReadableSince == 0 {
 				f.ReadableSince = now
 			}
+			if e.Feed == gateway.FeedJobs {
+				continue // batchjob.ApplyJobLog decides whether the records follow those that it has applied
+			}
 			f.Loaded = f.Loaded || e.Loaded
 			f.AsOf = max(f.AsOf, e.AsOf)
 		case gateway.FeedFailed:
