End an append that the store never accepts

Cause: an append is resent until its outcome is known, and no rejection counted as one after an attempt without an answer, also not one for its size or form, which no attempt can pass. Nothing bounded one job by the size of an append.

Change: AppendInvalid (413, 400, not encodable) ends the append. Its changes are sent one by one, and the one at fault is refused as not run. A job larger than an append is refused when it is submitted (503 as before).

--- a/batchjob/append.go
+++ b/batchjob/append.go
@@ -42,6 +42,14 @@
 			return
 		}
 		requeueInFlight(t, l.RetryAt)
+	case gateway.AppendInvalid:
+		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "invalid", Reason: o.Reason, Count: len(l.InFlight.Changes)})
+		l.Single = len(l.Proposals)
+		if l.Single == 1 {
+			dropInvalid(t, l.Proposals[0], now, out)
+			l.Proposals, l.Single = nil, 0
+		}
+		requeueInFlight(t, now)
 	case gateway.AppendOutOfSequence:
 		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "outOfSequence", Reason: o.Reason, Count: len(l.InFlight.Changes)})
 		l.Epoch++ // the store accepts any sequence number as the first one of an epoch
@@ -57,6 +65,22 @@
 	}
 }
 
+// dropInvalid ends a proposal whose change the store never accepts. Its caller is told that nothing has taken effect.
+func dropInvalid(t *gateway.Tables, p gateway.Proposal, now cs.Instant, out *gateway.Actions) {
+	switch p := p.(type) {
+	case gateway.ProposeJob:
+		refuseJob(p.Query, p.Spec.ID, now.Sub(p.Since), tooLargeRefusal(), out)
+	case gateway.ProposeEnd:
+		refuseJob(p.Query, p.Job, now.Sub(p.Since), storeUnavailableRefusal(cs.RanNotRun), out)
+	case gateway.ProposeResult:
+		if j := t.Jobs.Get(p.Key.Job); j != nil && j.ItemWork[p.Key.Index].Phase == gateway.ItemProposed {
+			w := &j.ItemWork[p.Key.Index]
+			w.Phase, w.NotBefore, w.Progress = gateway.ItemWaiting, now.Add(errorRetryDelay), gateway.Progress{}
+		}
+	case gateway.ProposeProgress, gateway.ProposeRemoval:
+	}
+}
+
 // requeueInFlight clears an append that had no effect and puts its proposals back at the head of the
 // queue.
 func requeueInFlight(t *gateway.Tables, retryAt cs.Instant) {
@@ -87,6 +111,7 @@
 	if l.InFlight.ExpectedEnd == cs.NoOffset {
 		l.Seq++
 	}
+	l.Single = max(l.Single-1, 0)
 	l.InFlight, l.Proposals, l.ResendNeeded, l.Attempts, l.RetryAt, l.Conflicts, l.Failures = nil, nil, false, 0, 0, 0, 0
 }
 
--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -19,6 +19,11 @@
 	proposalTimeout = 3 * cs.Second
 	// recordOverheadBytes estimates the size of a record without its content.
 	recordOverheadBytes = 256
+	// itemOverheadBytes and itemFieldBytes estimate the size of an item and of one of its headers or parts without their contents, and
+	// chunkBytes the least size of a record of which a large specification has several.
+	itemOverheadBytes = 128
+	itemFieldBytes    = 16
+	chunkBytes        = 128 << 10
 )
 
 // AppendProposals appends proposals to the job log. Proposals are grouped, and only one append is in flight
@@ -62,7 +67,7 @@
 	var remaining []gateway.Proposal
 	hasFirst, conditional := false, false
 	for i, p := range t.Proposals {
-		if b.estimatedSize > 0 && b.estimatedSize+estimateSize(t, p) > t.Config.MaxAppend {
+		if b.estimatedSize > 0 && (l.Single > 0 || b.estimatedSize+estimateSize(t, p) > t.Config.MaxAppend) {
 			remaining = append(remaining, t.Proposals[i:]...)
 			break
 		}
@@ -112,8 +117,12 @@
 	switch p := p.(type) {
 	case gateway.ProposeJob:
 		for _, item := range p.Spec.Items {
-			n += recordOverheadBytes + len(item.Body)
+			n += itemOverheadBytes + len(item.ID) + len(item.Target) + len(item.Body) + itemFieldBytes*len(item.Parts)
+			for name, value := range item.Header {
+				n += itemFieldBytes + len(name) + len(value)
+			}
 		}
+		n += n / chunkBytes * recordOverheadBytes
 	case gateway.ProposeResult:
 		n += len(p.Result.Text)
 	case gateway.ProposeProgress:
@@ -180,6 +189,11 @@
 	return cs.Refusal{Reason: cs.ReasonUnavailable, Ran: ran, Message: "the job log cannot be written"}
 }
 
+// tooLargeRefusal says that a job does not fit into one append.
+func tooLargeRefusal() cs.Refusal {
+	return cs.Refusal{Reason: cs.ReasonUnavailable, Message: "the job is larger than an append to the job log may be"}
+}
+
 // unknownJobRefusal says that a job or item does not exist.
 func unknownJobRefusal() *cs.Refusal {
 	return &cs.Refusal{Reason: cs.ReasonNotFound, Message: "no such job"}
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -30,8 +30,13 @@
 				refuseJob(e.Query, e.Spec.ID, 0, leavingRefusal(), out)
 				continue
 			}
+			p := gateway.ProposeJob{Query: e.Query, Spec: e.Spec, Since: now}
+			if t.Config.MaxAppend > 0 && estimateSize(t, p) > t.Config.MaxAppend {
+				refuseJob(e.Query, e.Spec.ID, 0, tooLargeRefusal(), out)
+				continue
+			}
 			readIfUnknown(t, e.Spec.ID, out)
-			t.Proposals = append(t.Proposals, gateway.ProposeJob{Query: e.Query, Spec: e.Spec, Since: now})
+			t.Proposals = append(t.Proposals, p)
 		case gateway.JobEndRequested:
 			if exiting(t) {
 				refuseJob(e.Query, e.Job, 0, leavingRefusal(), out)
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -92,6 +92,9 @@
 	AppendConflict struct{ End cs.Offset }
 	// AppendRejected means that nothing was appended.
 	AppendRejected struct{ Reason string }
+	// AppendInvalid means that no attempt at the append has taken effect or ever will, since the store does not accept its
+	// size or form.
+	AppendInvalid struct{ Reason string }
 	// AppendOutOfSequence means that the store does not accept the append's combination of epoch and sequence
 	// number.
 	AppendOutOfSequence struct{ Reason string }
@@ -102,6 +105,7 @@
 func (AppendDone) isAppendOutcome()          {}
 func (AppendConflict) isAppendOutcome()      {}
 func (AppendRejected) isAppendOutcome()      {}
+func (AppendInvalid) isAppendOutcome()       {}
 func (AppendOutOfSequence) isAppendOutcome() {}
 func (AppendUnknown) isAppendOutcome()       {}
 
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -262,6 +262,9 @@
 	RetryAt cs.Instant
 	// Proposals are those that the append in flight carries.
 	Proposals []Proposal
+	// Single is the number of appends that are to carry one proposal each, since the store does not accept one that carried them
+	// all.
+	Single int
 	// Number is the number of the last append of this process.
 	Number uint64
 	// Epoch and Seq are the producer epoch and sequence number of the next unconditional append, by which
