Keep counting the chunks before a gap of the job log

Cause: rereadJobs set PartialChunks to 0, although the chunks before the end are still without their specification: a state that was handed over then began behind them, and its receiver would never know the job.

TestChunksBeforeGapAreReadAgain failed before (end 1, want 0).

--- a/batchjob/apply.go
+++ b/batchjob/apply.go
@@ -121,7 +121,6 @@
 	if t.JobLog.Synced {
 		from = t.JobLog.End - t.JobLog.PartialChunks
 	}
-	t.JobLog.PartialChunks = 0
 	out.Add(gateway.RereadJobs{From: from})
 	out.Note(gateway.Note{Kind: gateway.NoteJobLogGap, Offset: t.JobLog.End, Count: int(at - t.JobLog.End)})
 }
--- a/batchjob/prefix_test.go
+++ b/batchjob/prefix_test.go
@@ -164,3 +164,23 @@
 	c.Assert(f.Feeds[gateway.FeedJobs].AsOf, qt.Equals, startTime)
 	c.Assert(f.next, qt.Equals, cs.Offset(0))
 }
+
+// Guards against handing over the end of a log of which the first chunks of a specification are needed again: the receiver would
+// begin behind them and never know the job.
+func TestChunksBeforeGapAreReadAgain(t *testing.T) {
+	c := qt.New(t)
+	l := &jobLog{}
+	f := &follower{vm: newVM("a")}
+	f.readSnapshot(l, 0, startTime)
+	chunk := gateway.JobRecord{Offset: 0, Partial: true}
+	f.inbox = append(f.inbox, gateway.JobsRead{From: 0, End: 1, Records: []gateway.JobRecord{chunk}})
+	f.inbox = append(f.inbox, gateway.JobsRead{From: 5, End: 6, Records: []gateway.JobRecord{{Offset: 5}}}, gateway.JobStateRequested{Query: 1})
+	f.run(startTime)
+	c.Assert(f.next, qt.Equals, cs.Offset(0))
+	c.Assert(f.states[0].State.End, qt.Equals, cs.Offset(0))
+	opened := gateway.JobRecord{Offset: 1, Change: gateway.JobOpened{Spec: newJob("j", 1)}}
+	f.inbox = append(f.inbox, gateway.JobsRead{From: 0, End: 2, Records: []gateway.JobRecord{chunk, opened}}, gateway.JobStateRequested{Query: 2})
+	f.run(startTime)
+	c.Assert(f.Jobs.Get("j"), qt.IsNotNil)
+	c.Assert(f.states[1].State.End, qt.Equals, cs.Offset(2))
+}
