Draw states of peers and appends that are never accepted in the seeded test

TestJobsUnderFaultsOfStatesAndAppends adds to the seeded run of three VMs with all systems: states that VMs take from each other, with the records after them in one tick or not, and jobs whose append the store never accepts, also after attempts without an answer. All runs now check that accepted jobs are done at every VM, not at the first one only, and that no append stays in flight. Reads tell where they end, so that holes count.

--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -125,6 +126,7 @@
 			v.readRequests++
 		case gateway.RereadJobs:
 			v.rereads = append(v.rereads, a)
+			v.nextOffset = a.From
 		case gateway.LeaveGroup:
 			v.leftGroup = true
 		case gateway.AnswerJob:
@@ -145,7 +147,7 @@
 		v.inbox = append(v.inbox, gateway.JobsRead{From: v.nextOffset, End: end, Records: l.records[v.nextOffset:end]})
 		v.nextOffset = end
 	}
-	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: sent})
+	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: sent, Next: v.nextOffset})
 }
 
 // completeAppends applies the pending appends of the VM to the log without faults.
@@ -379,7 +381,7 @@
 // twice, no item may have two results, and no result may change its position.
 func TestJobsUnderFaults(t *testing.T) {
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runFaults(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runFaults(t, seed, nil) })
 	}
 }
 
@@ -403,11 +405,57 @@
 	pendingSubmissions map[*vm]map[gateway.QueryID]gateway.JobSpec
 	// previousOrder holds the order of each job's results at the last check.
 	previousOrder map[cs.JobID][]cs.ItemID
+	// more draws the faults of TestJobsUnderFaultsOfStatesAndAppends, or is nil without them. The others keep their order for a
+	// seed.
+	more *rand.Rand
+	// refused holds the jobs of which a caller was told that they have not run.
+	refused map[cs.JobID]bool
+}
+
+// Guards the invariants of the job log with two more faults: VMs take the state of the log from each other, which arrives in one
+// tick with the records after it or before it, and the store never accepts the appends of some jobs, also after attempts without an
+// answer. All other jobs must be done at all VMs.
+func TestJobsUnderFaultsOfStatesAndAppends(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runFaults(t, seed, rand.New(rand.NewPCG(seed, 11))) })
+	}
+}
+
+// moreFaults hands the state of one VM to another and submits a job that the store never accepts, now and then.
+func (f *faultRun) moreFaults() {
+	if f.more.IntN(30) == 0 {
+		from, to := f.vms[f.more.IntN(len(f.vms))], f.vms[f.more.IntN(len(f.vms))]
+		from.states = nil
+		from.inbox = append(from.inbox, gateway.JobStateRequested{Query: 1})
+		from.tick(f.now)
+		f.appends(from, true)
+		if state := from.states[0].State; state != nil && from != to {
+			to.inbox = append(to.inbox, gateway.JobStateRead{Peer: from.Self.ID, AsOf: f.now.Add(-state.Age), State: *state})
+			to.nextOffset = state.End
+			if f.more.IntN(2) == 0 {
+				to.readLog(&f.log, f.now)
+			}
+		}
+	}
+	if f.more.IntN(60) == 0 {
+		f.submit(f.vms[f.more.IntN(len(f.vms))], newJob(cs.JobID(fmt.Sprintf("bad%d", f.more.IntN(1000))), 1))
+	}
+}
+
+// appendOrRefuse applies an append, unless it opens a job that the store never accepts.
+func (f *faultRun) appendOrRefuse(a gateway.AppendJobs) gateway.AppendOutcome {
+	for _, change := range a.Changes {
+		if opened, ok := change.(gateway.JobOpened); ok && strings.HasPrefix(string(opened.Spec.ID), "bad") {
+			return gateway.AppendInvalid{Reason: "status 413"}
+		}
+	}
+	return f.log.append(a)
 }
 
-func runFaults(t *testing.T, seed uint64) {
+func runFaults(t *testing.T, seed uint64, more *rand.Rand) {
 	c := qt.New(t)
 	f := &faultRun{
+		more: more, refused: make(map[cs.JobID]bool),
 		rng: rand.New(rand.NewPCG(seed, 7)), now: startTime, accepted: make(map[cs.JobID]bool),
 		pendingSubmissions: make(map[*vm]map[gateway.QueryID]gateway.JobSpec), previousOrder: make(map[cs.JobID][]cs.ItemID),
 	}
@@ -422,12 +470,16 @@
 		}
 	}
 	f.checkInvariants(c)
-	for id := range f.accepted {
-		j := f.vms[0].Jobs.Get(id)
-		c.Assert(j, qt.IsNotNil, qt.Commentf("job %s", id))
-		c.Assert(j.Open(), qt.IsFalse, qt.Commentf("job %s has %d of %d results", id, len(j.Results), len(j.Spec.Items)))
+	for _, v := range f.vms {
+		for id := range f.accepted {
+			j := v.Jobs.Get(id)
+			c.Assert(j, qt.IsNotNil, qt.Commentf("job %s at %s", id, v.Self.ID))
+			c.Assert(j.Open(), qt.IsFalse, qt.Commentf("job %s has %d of %d results at %s", id, len(j.Results), len(j.Spec.Items), v.Self.ID))
+		}
+		c.Assert(v.JobLog.InFlight, qt.IsNil)
 	}
 	c.Assert(len(f.accepted) > 20, qt.IsTrue)
+	c.Assert(len(f.refused) > 0, qt.Equals, more != nil, qt.Commentf("jobs refused since the store never accepts them"))
 }
 
 // step runs one step of 20 ms. Unless faulty is set, there are no new jobs and no faults.
@@ -447,8 +499,14 @@
 	if faulty && f.rng.IntN(100) == 0 {
 		f.snapshot(f.vms[f.rng.IntN(len(f.vms))]) // the records it was to read next have expired
 	}
+	if faulty && f.more != nil {
+		f.moreFaults()
+	}
 	for _, v := range f.vms {
 		if f.rng.IntN(3) == 0 {
+			if v.nextOffset == cs.NoOffset {
+				f.snapshot(v)
+			}
 			v.readLog(&f.log, f.now)
 		}
 		f.endRuns(v, faulty)
@@ -481,7 +539,7 @@
 			rest = append(rest, l)
 			continue
 		}
-		f.log.append(l.a)
+		f.appendOrRefuse(l.a)
 	}
 	f.late = rest
 }
@@ -545,12 +603,12 @@
 			outcome = gateway.AppendRejected{Reason: "503"}
 		case faulty && k == 1:
 			outcome = gateway.AppendUnknown{}
-			f.log.append(a)
+			f.appendOrRefuse(a)
 		case faulty && k == 2:
 			outcome = gateway.AppendUnknown{}
 			f.late = append(f.late, late{at: f.now.Add(cs.Span(f.rng.IntN(3000))), a: a})
 		default:
-			outcome = f.log.append(a)
+			outcome = f.appendOrRefuse(a)
 		}
 		v.inbox = append(v.inbox, gateway.JobsAppended{Number: a.AppendID.Number, Outcome: outcome})
 	}
@@ -563,6 +621,9 @@
 		if accepted(v, q) {
 			f.accepted[s.ID] = true
 		}
+		if a, ok := v.answers[q].(gateway.AnswerJob); ok && a.Refusal != nil && a.Refusal.Ran == cs.RanNotRun && strings.HasPrefix(string(s.ID), "bad") {
+			f.refused[s.ID] = true
+		}
 	}
 }
 
