Give large items the time in which their prompt is read

Report of an operator: slow but sound streams were cut. Here a run of an item was cut after 2 s without an event and started elsewhere, for good if the prompt takes longer to be read: 147,261 tokens at some 60 a millisecond take 2.5 s alone, and more beside other requests.

Change: a run may go without an event for 2 s and the time to read the item's tokens at 10 a millisecond, at most 20 s more. For items of 550 tokens that is 55 ms.

--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -25,10 +25,14 @@
 	// maxStartsPerRound bounds the starts of one round: prefills that begin together delay each other and
 	// the other streams of the runner.
 	maxStartsPerRound = 4
-	// itemIdleTimeout is how long a run may go without an event. Items start only where a slot is free,
-	// and an engine sends its events tens of milliseconds apart; the platform's callers abandon a
+	// itemIdleTimeout is how long a run may go without an event, beside the time to read the item's prompt. Items start only
+	// where a slot is free, and an engine sends its events tens of milliseconds apart; the platform's callers abandon a
 	// stream after the same pause.
 	itemIdleTimeout = 2 * cs.Second
+	// minPromptTokensPerMs is the speed at which a sound runner reads a prompt at least, beside other requests.
+	minPromptTokensPerMs = 10
+	// maxReadTime bounds the time for the prompt, since the size of an item is what its caller says.
+	maxReadTime = 20 * cs.Second
 	// defaultCompletionTarget applies to jobs whose route is no longer in the catalog or has no completion
 	// target. It only affects the order in which items are started and preempted.
 	defaultCompletionTarget = 20 * cs.Second
@@ -262,7 +266,7 @@
 	}
 	out.Add(gateway.RunItem{
 		Key: k, Attempt: w.Attempt, Runner: r.Spec.ID, Incarnation: r.Spec.Incarnation, Address: r.Spec.Address, Host: j.Spec.Host, Item: item, LastEvent: w.LastEvent,
-		NewConnection: sentBefore, EventTimeout: itemIdleTimeout, MaxOutput: remainingOutput(t, w),
+		NewConnection: sentBefore, EventTimeout: eventTimeout(item), MaxOutput: remainingOutput(t, w),
 	})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteItemStarted, Job: k.Job, Item: item.ID, Runner: r.Spec.ID, Attempt: w.Attempt, Load: load,
@@ -271,6 +275,12 @@
 	return true
 }
 
+// eventTimeout returns how long a run of an item may go without an event. A runner sends none while it reads the prompt, also in the
+// middle of the output, if it has run out of memory and reads it again.
+func eventTimeout(item gateway.Item) cs.Span {
+	return itemIdleTimeout + min(cs.Span(item.Tokens/minPromptTokensPerMs), maxReadTime)
+}
+
 // lateDueTime is the time until a late item counts as due, after all that can be in time.
 const lateDueTime = cs.Minute
 
