--- a/batchjob/slow_test.go
+++ b/batchjob/slow_test.go
@@ -19,7 +19,7 @@
 		"as large as the memory of a runner": {147_261, 147_261 / 60 * 4, 30 * cs.Second},
 		"usual":                              {550, 2 * cs.Second, 2200},
 		"unknown size":                       {0, 2 * cs.Second, 2200},
-		"size that no runner has":            {1 << 62, 2 * cs.Second, 30 * cs.Second},
+		"size that no runner has":            {1<<31 - 1, 2 * cs.Second, 30 * cs.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
