--- a/batchjob/outcomes.go
+++ b/batchjob/outcomes.go
@@ -50,6 +50,7 @@
 			runner.ResetFailures()
 		}
 	}
+	recordResponse(t, runner, e.Outcome, now, out)
 	w.Phase = gateway.ItemWaiting
 	itemID := item.ID
 	note := gateway.Note{
@@ -58,7 +59,6 @@
 	}
 	switch o := e.Outcome.(type) {
 	case gateway.ItemCompleted:
-		recordResponse(t, runner, now, out)
 		updatePace(&t.Pace, 0, 0, w.LastEvent)
 		proposeResult(t, j, e.Key, gateway.Result{Item: itemID, Done: true, Text: string(w.Text)})
 		return
@@ -68,7 +68,6 @@
 			t.RecordUnreachable(runner, o.Refused, now, note.Reason, out)
 		}
 	case gateway.ItemError:
-		recordResponse(t, runner, now, out)
 		w.NotBefore, note.Reason, note.Outcome = now.Add(errorRetryDelay), "error of the runner", http.StatusText(o.Status)
 		if o.Status == http.StatusInternalServerError {
 			w.Failed++
@@ -92,9 +91,13 @@
 }
 
 // recordResponse records that a runner has just responded. The last event of a run that did not end by itself may be older.
-func recordResponse(t *gateway.Tables, runner *gateway.Runner, now cs.Instant, out *gateway.Actions) {
-	if runner != nil {
-		t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
+func recordResponse(t *gateway.Tables, runner *gateway.Runner, o gateway.ItemOutcome, now cs.Instant, out *gateway.Actions) {
+	switch o.(type) {
+	case gateway.ItemCompleted, gateway.ItemError:
+		if runner != nil {
+			t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
+		}
+	case gateway.ItemNotRun, gateway.ItemInterrupted, gateway.ItemStopped:
 	}
 }
 
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -148,10 +148,8 @@
 		h.leaveGroup()
 	case gateway.SetJobLogRole:
 		h.setJobLogRole(a.Role)
-	case gateway.ReadJobs:
-		h.readJobs()
-	case gateway.RereadJobs:
-		h.rereadJobs(a)
+	case gateway.ReadJobs, gateway.RereadJobs:
+		h.readJobLog(a)
 	case gateway.AnswerJob:
 		h.batchjob.Answer(a.Query, a)
 	case gateway.AnswerResults:
@@ -178,3 +176,13 @@
 		h.logNote(a)
 	}
 }
+
+// readJobLog passes a request to read the job log to its handler.
+func (h *handlers) readJobLog(a gateway.Action) {
+	switch a := a.(type) {
+	case gateway.RereadJobs:
+		h.rereadJobs(a)
+	default:
+		h.readJobs()
+	}
+}
