--- a/batchjob/append.go
+++ b/batchjob/append.go
@@ -1,12 +1,14 @@
 package batchjob
 
 import (
+	"slices"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// handleAppendOutcome completes, retries or requeues the append in flight, depending on the outcome
-// that the store reported.
+// handleAppendOutcome completes or requeues the append in flight, depending on the outcome that the store reported. An append
+// with an unknown outcome is settled by a fence.
 func handleAppendOutcome(t *gateway.Tables, now cs.Instant, a gateway.JobsAppended, out *gateway.Actions) {
 	l := &t.JobLog
 	if l.InFlight == nil || l.InFlight.AppendID.Number != a.Number {
@@ -24,69 +26,78 @@
 	case gateway.AppendConflict:
 		l.RequiredEnd = max(l.RequiredEnd, o.End)
 		out.Add(gateway.ReadJobs{})
-		if l.Attempts > 1 {
-			l.ResendNeeded = true // the conflicting records may be those of an earlier attempt of this append
-			return
-		}
 		l.Conflicts++
-		out.Note(gateway.Note{
-			Kind: gateway.NoteAppendFailed, Outcome: "conflict", Reason: "another VM appended first", Count: len(l.InFlight.Changes),
-			Attempt: cs.Attempt(l.Conflicts), Duration: now.Sub(l.SentAt),
-		})
-		requeueInFlight(t, now.Add(randomDelay(t, conflictBackoffStep*cs.Span(min(l.Conflicts, maxConflictBackoffSteps)))))
+		noteAppendFailed(t, now, "conflict", "another VM appended first", out)
+		l.RetryAt = now.Add(randomDelay(t, conflictBackoffStep*cs.Span(min(l.Conflicts, maxConflictBackoffSteps))))
+		requeueInFlight(t)
 	case gateway.AppendRejected:
-		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "notAppended", Reason: o.Reason, Count: len(l.InFlight.Changes)})
-		backOff(t, now, rejectedRetryDelay)
-		if l.Attempts > 1 {
-			l.ResendNeeded = true
-			return
-		}
-		requeueInFlight(t, l.RetryAt)
+		noteAppendFailed(t, now, "notAppended", o.Reason, out)
+		returnRefused(t, now, out)
 	case gateway.AppendInvalid:
-		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "invalid", Reason: o.Reason, Count: len(l.InFlight.Changes)})
-		l.Single = len(l.Proposals)
-		if l.Single == 1 {
-			dropInvalid(t, l.Proposals[0], now, out)
-			l.Proposals, l.Single = nil, 0
-		}
-		requeueInFlight(t, now)
+		noteAppendFailed(t, now, "invalid", o.Reason, out)
+		dropOrSplitInFlight(t, now, out)
 	case gateway.AppendOutOfSequence:
-		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "outOfSequence", Reason: o.Reason, Count: len(l.InFlight.Changes)})
-		l.Epoch++ // the store accepts any sequence number as the first one of an epoch
-		l.Seq = 0
-		l.InFlight.Epoch, l.InFlight.Seq = l.Epoch, l.Seq
-		backOff(t, now, unknownRetryDelay)
-		l.ResendNeeded = true
+		noteAppendFailed(t, now, "outOfSequence", o.Reason, out)
+		l.Epoch, l.Seq = l.Epoch+1, 0 // the store accepts any sequence number as the first one of an epoch
+		returnRefused(t, now, out)
 	case gateway.AppendUnknown:
-		out.Note(gateway.Note{Kind: gateway.NoteAppendFailed, Outcome: "unknown", Reason: o.Error, Count: len(l.InFlight.Changes)})
-		backOff(t, now, unknownRetryDelay)
-		l.ResendNeeded = true
+		noteAppendFailed(t, now, "unknown", o.Error, out)
+		backOff(t, now, unknownRetryDelay, maxFenceDelay)
+		l.Phase = gateway.AppendUnsettled
 		out.Add(gateway.ReadJobs{})
 	}
 }
 
-// dropInvalid ends a proposal whose change the store never accepts. Its caller is told that nothing has taken effect.
-func dropInvalid(t *gateway.Tables, p gateway.Proposal, now cs.Instant, out *gateway.Actions) {
-	switch p := p.(type) {
-	case gateway.ProposeJob:
-		refuseJob(p.Query, p.Spec.ID, now.Sub(p.Since), tooLargeRefusal(), out)
-	case gateway.ProposeEnd:
-		refuseJob(p.Query, p.Job, now.Sub(p.Since), storeUnavailableRefusal(cs.RanNotRun), out)
-	case gateway.ProposeResult:
-		if j := t.Jobs.Get(p.Key.Job); j != nil && j.ItemWork[p.Key.Index].Phase == gateway.ItemProposed {
-			w := &j.ItemWork[p.Key.Index]
-			w.Phase, w.NotBefore, w.Progress = gateway.ItemWaiting, now.Add(errorRetryDelay), gateway.Progress{}
-		}
-	case gateway.ProposeProgress, gateway.ProposeRemoval:
+// returnRefused clears an append that the store has refused, and sets its proposals aside if it goes on to do so.
+func returnRefused(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+	l := &t.JobLog
+	backOff(t, now, rejectedRetryDelay, maxRetryDelay)
+	if l.InFlightAside == nil && l.Failures < refusalsBeforeAside {
+		requeueInFlight(t)
+		return
 	}
+	setInFlightAside(t, now, false, out)
 }
 
-// requeueInFlight clears an append that had no effect and puts its proposals back at the head of the
-// queue.
-func requeueInFlight(t *gateway.Tables, retryAt cs.Instant) {
+// noteAppendFailed logs that the append in flight, or a fence of it, has failed.
+func noteAppendFailed(t *gateway.Tables, now cs.Instant, outcome, reason string, out *gateway.Actions) {
 	l := &t.JobLog
-	t.Proposals = append(l.Proposals, t.Proposals...)
-	l.InFlight, l.Proposals, l.ResendNeeded, l.Attempts, l.RetryAt = nil, nil, false, 0, retryAt
+	out.Note(gateway.Note{
+		Kind: gateway.NoteAppendFailed, Outcome: outcome, Reason: reason, Count: len(l.InFlight.Changes),
+		Attempt: cs.Attempt(l.Conflicts + l.Failures), Duration: now.Sub(l.SentAt),
+	})
+}
+
+// clearInFlight clears the append in flight. The next append has a later epoch than its fences, which may reach the store late.
+func clearInFlight(l *gateway.JobLog) {
+	if l.Fences > 0 {
+		l.Epoch, l.Seq = l.Epoch+1, 0
+	}
+	l.InFlight, l.InFlightAside, l.Proposals, l.Phase, l.Fences, l.FencedAt = nil, nil, nil, gateway.AppendSent, 0, 0
+}
+
+// takeInFlight clears an append that had no effect and returns its proposals, without those of callers who have disconnected,
+// and the group that they were set aside in, or nil.
+func takeInFlight(l *gateway.JobLog) ([]gateway.Proposal, *gateway.AsideGroup) {
+	proposals := slices.DeleteFunc(l.Proposals, func(p gateway.Proposal) bool {
+		job, ok := p.(gateway.ProposeJob)
+		return ok && job.Abandoned
+	})
+	group := l.InFlightAside
+	clearInFlight(l)
+	return proposals, group
+}
+
+// requeueInFlight clears an append that had no effect and returns its proposals to where they came from.
+func requeueInFlight(t *gateway.Tables) {
+	l := &t.JobLog
+	proposals, group := takeInFlight(l)
+	if group == nil {
+		t.Proposals = append(proposals, t.Proposals...)
+	} else if len(proposals) > 0 {
+		group.Proposals = proposals
+		l.Aside = append([]gateway.AsideGroup{*group}, l.Aside...)
+	}
 }
 
 // completeInFlight clears an append that took effect, answers its callers and logs its results; end is an
@@ -96,7 +107,7 @@
 	for _, p := range l.Proposals {
 		switch p := p.(type) {
 		case gateway.ProposeJob:
-			acceptJob(p, appendStats{attempts: l.Conflicts + l.Attempts, sinceFirstSent: now.Sub(l.SentAt), end: end}, now, out)
+			acceptJob(p, appendStats{attempts: l.Conflicts + l.Failures + 1, sinceFirstSent: now.Sub(l.SentAt), end: end}, now, out)
 		case gateway.ProposeEnd:
 			confirmJobEnd(p, now, out)
 		case gateway.ProposeResult:
@@ -111,8 +122,9 @@
 	if l.InFlight.ExpectedEnd == cs.NoOffset {
 		l.Seq++
 	}
-	l.Single = max(l.Single-1, 0)
-	l.InFlight, l.Proposals, l.ResendNeeded, l.Attempts, l.RetryAt, l.Conflicts, l.Failures = nil, nil, false, 0, 0, 0, 0
+	clearInFlight(l)
+	l.RetryAt, l.Conflicts, l.Failures = 0, 0, 0
+	l.Effective++
 }
 
 // resolveInFlight uses records read from the log to determine whether the append in flight took
@@ -132,8 +144,19 @@
 		return // a sequenced append does not depend on the end of the log and may still take effect
 	}
 	if read.Snapshot || read.From <= l.InFlight.ExpectedEnd {
-		requeueInFlight(t, now) // other records are at its offset, so it can no longer take effect
+		returnOvertaken(t, now, out) // other records are at its offset, so it can no longer take effect
+	}
+}
+
+// returnOvertaken clears a conditional append that had no effect and can no longer have one.
+func returnOvertaken(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+	l := &t.JobLog
+	if l.RetryAt = now; l.Phase == gateway.AppendSent {
+		requeueInFlight(t)
+		return
 	}
+	noteSettled(t, now, out)
+	setInFlightAside(t, now, true, out)
 }
 
 // randomDelay returns a random span between 0 and limit, inclusive.
--- a/batchjob/backoff.go
+++ b/batchjob/backoff.go
@@ -16,8 +16,10 @@
 	rejectedRetryDelay = 250 * cs.Millisecond
 	// unknownRetryDelay is the longest pause before an append with an unknown outcome is sent again for the first time.
 	unknownRetryDelay = 150 * cs.Millisecond
-	// maxRetryDelay bounds the pause after a failed append.
+	// maxRetryDelay bounds the pause after a failed append, and maxFenceDelay that before a fence, which is small and is
+	// followed by a read and the next append.
 	maxRetryDelay = 2 * cs.Second
+	maxFenceDelay = 1500 * cs.Millisecond
 	// maxDoublings keeps a doubled span from overflowing.
 	maxDoublings = 16
 )
@@ -28,16 +30,16 @@
 }
 
 // retryLimitAfter returns the longest pause after a number of failures in a row, of which the first one is followed by a
-// pause of up to delay.
-func retryLimitAfter(delay cs.Span, failures int) cs.Span {
-	return min(delay<<min(max(failures-1, 0), maxDoublings), maxRetryDelay)
+// pause of up to delay, and none by more than limit.
+func retryLimitAfter(delay, limit cs.Span, failures int) cs.Span {
+	return min(delay<<min(max(failures-1, 0), maxDoublings), limit)
 }
 
-// backOff records that an append failed and delays the next one. VMs fail at the same moment, and must not return at the same
+// backOff records that an append or a fence failed and delays the next one by up to limit. VMs fail at the same moment, and must not return at the same
 // moment.
-func backOff(t *gateway.Tables, now cs.Instant, delay cs.Span) {
+func backOff(t *gateway.Tables, now cs.Instant, delay, limit cs.Span) {
 	l := &t.JobLog
 	l.Failures++
-	limit := retryLimitAfter(delay, l.Failures)
-	l.RetryAt = now.Add(limit/2 + randomDelay(t, limit/2))
+	longest := retryLimitAfter(delay, limit, l.Failures)
+	l.RetryAt = now.Add(longest/2 + randomDelay(t, longest/2))
 }
--- a/batchjob/backoff_test.go
+++ b/batchjob/backoff_test.go
@@ -14,7 +14,7 @@
 func TestFailedAppendsBackOff(t *testing.T) {
 	for name, test := range map[string]struct {
 		outcome gateway.AppendOutcome
-		// most is the largest number of appends in the time of the outage.
+		// most is the largest number of appends and fences in the time of the outage.
 		most int
 	}{
 		"rejected": {gateway.AppendRejected{Reason: "503"}, 30},
@@ -38,7 +38,13 @@
 					timeout = a.Timeout
 					v.inbox = append(v.inbox, gateway.JobsAppended{Number: a.AppendID.Number, Outcome: test.outcome})
 				}
-				v.appends = nil
+				for _, a := range v.fences {
+					sent++
+					c.Check(a.Timeout >= timeout, qt.IsTrue)
+					timeout = a.Timeout
+					v.inbox = append(v.inbox, gateway.JobsFenced{Number: a.AppendID.Number, Outcome: test.outcome})
+				}
+				v.appends, v.fences = nil, nil
 				v.readLog(l, now)
 			}
 			c.Check(sent > 8 && sent <= test.most, qt.IsTrue, qt.Commentf("%d appends in %s", sent, outage))
--- a/batchjob/builder.go
+++ b/batchjob/builder.go
@@ -17,6 +17,8 @@
 	changes       []gateway.JobChange
 	proposals     []gateway.Proposal
 	estimatedSize cs.Bytes
+	// isConditional means that the append is conditional on the end of the log.
+	isConditional bool
 	// openedJobs holds the jobs that this append accepts.
 	openedJobs []gateway.JobSpec
 }
@@ -28,6 +30,29 @@
 	b.estimatedSize += estimateSize(b.t, p)
 }
 
+// send sends the append, unless it is empty, and reports whether it did. The proposals come from a group that was set aside, or
+// from the queue if that is nil.
+func (b *appendBuilder) send(group *gateway.AsideGroup) bool {
+	if len(b.changes) == 0 {
+		return false
+	}
+	l := &b.t.JobLog
+	l.Number++
+	a := gateway.AppendJobs{
+		AppendID: b.appendID, ExpectedEnd: cs.NoOffset, Epoch: l.Epoch, Seq: l.Seq,
+		Changes: b.changes, Format: jobLogFormat(b.t), Timeout: timeoutAfter(l.Failures),
+	}
+	if b.isConditional {
+		a.ExpectedEnd = l.End
+	}
+	if group != nil && (group.Pause > 0 || group.Fenced) {
+		a.Timeout = appendTimeout // others, which the store accepts, wait meanwhile
+	}
+	l.InFlight, l.InFlightAside, l.Proposals, l.Phase, l.SentAt = &a, group, b.proposals, gateway.AppendSent, b.now
+	b.out.Add(a)
+	return true
+}
+
 // addProposal checks a proposal and adds its change. A proposal that needs no change or is refused is
 // answered at once. It returns false for a proposal that cannot be decided yet.
 func (b *appendBuilder) addProposal(p gateway.Proposal) bool {
--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -30,8 +30,12 @@
 // at a time.
 func AppendProposals(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	for _, e := range t.Events {
-		if a, ok := e.(gateway.JobsAppended); ok {
-			handleAppendOutcome(t, now, a, out)
+		switch e := e.(type) {
+		case gateway.JobsAppended:
+			handleAppendOutcome(t, now, e, out)
+		case gateway.JobsFenced:
+			handleFenceOutcome(t, now, e, out)
+		default:
 		}
 	}
 	if t.Drain.Stopping {
@@ -44,58 +48,64 @@
 		return
 	}
 	if l.InFlight != nil {
-		if l.ResendNeeded && l.RequiredEnd <= l.End {
-			l.ResendNeeded = false
-			l.Attempts++
-			l.InFlight.Timeout = timeoutAfter(l.Failures)
-			out.Add(*l.InFlight) // the store applies the same append at most once
-		}
+		settleInFlight(t, now, out)
+	}
+	if l.InFlight == nil && l.Synced {
+		sendAppend(t, now, out)
+	}
+}
+
+// sendAppend sends the next append: a group of refused proposals that is due, or the proposals that wait. They take turns.
+func sendAppend(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+	l := &t.JobLog
+	if l.OthersNext && sendWaiting(t, now, out) {
+		l.OthersNext = false
 		return
 	}
-	if !l.Synced || len(t.Proposals) == 0 {
+	if g := takeDueAside(t, now, out); g != nil && sendAside(t, g, now, out) {
+		l.OthersNext = true
 		return
 	}
-	sendAppend(t, now, out)
+	sendWaiting(t, now, out)
 }
 
-// sendAppend sends the next append. Its changes are either all conditional on the end of the log or all
-// unconditional; the first proposal that can be sent determines which.
-func sendAppend(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
+// sendWaiting sends an append with the proposals that wait and reports whether there was one to send.
+func sendWaiting(t *gateway.Tables, now cs.Instant, out *gateway.Actions) bool {
+	b, remaining := buildAppend(t, t.Proposals, now, out)
+	t.Proposals = remaining
+	return b.send(nil)
+}
+
+// sendAside sends an append with a group of refused proposals and reports whether there was one to send.
+func sendAside(t *gateway.Tables, g *gateway.AsideGroup, now cs.Instant, out *gateway.Actions) bool {
+	b, remaining := buildAppend(t, g.Proposals, now, out)
+	if len(remaining) > 0 {
+		rest := *g
+		rest.Proposals = remaining
+		t.JobLog.Aside = append(t.JobLog.Aside, rest)
+	}
+	return b.send(g)
+}
+
+// buildAppend collects the changes of the next append and returns the proposals that remain. Its changes are either all
+// conditional on the end of the log or all unconditional; the first proposal that can be sent determines which.
+func buildAppend(t *gateway.Tables, waiting []gateway.Proposal, now cs.Instant, out *gateway.Actions) (appendBuilder, []gateway.Proposal) {
 	l := &t.JobLog
-	appendID := gateway.AppendID{Writer: t.Self.Incarnation, Number: l.Number + 1}
-	b := appendBuilder{t: t, now: now, out: out, appendID: appendID}
+	b := appendBuilder{t: t, now: now, out: out, appendID: gateway.AppendID{Writer: t.Self.Incarnation, Number: l.Number + 1}}
 	var remaining []gateway.Proposal
-	hasFirst, conditional := false, false
-	for i, p := range t.Proposals {
-		if b.estimatedSize > 0 && (l.Single > 0 || b.estimatedSize+estimateSize(t, p) > t.Config.MaxAppend) {
-			remaining = append(remaining, t.Proposals[i:]...)
-			break
+	hasFirst := false
+	for i, p := range waiting {
+		if b.estimatedSize > 0 && b.estimatedSize+estimateSize(t, p) > t.Config.MaxAppend {
+			return b, append(remaining, waiting[i:]...)
 		}
 		isConditional := b.conditional(p)
-		if hasFirst && isConditional != conditional || isConditional && l.End < l.RequiredEnd {
-			remaining = append(remaining, p)
-			continue
-		}
-		if !b.addProposal(p) {
+		if hasFirst && isConditional != b.isConditional || isConditional && l.End < l.RequiredEnd || !b.addProposal(p) {
 			remaining = append(remaining, p)
 			continue
 		}
-		hasFirst, conditional = true, isConditional
-	}
-	t.Proposals = remaining
-	if len(b.changes) == 0 {
-		return
-	}
-	l.Number++
-	a := gateway.AppendJobs{
-		AppendID: appendID, ExpectedEnd: cs.NoOffset, Epoch: l.Epoch, Seq: l.Seq,
-		Changes: b.changes, Format: jobLogFormat(t), Timeout: timeoutAfter(l.Failures),
+		hasFirst, b.isConditional = true, isConditional
 	}
-	if conditional {
-		a.ExpectedEnd = l.End
-	}
-	l.InFlight, l.Proposals, l.Attempts, l.SentAt = &a, b.proposals, 1, now
-	out.Add(a)
+	return b, remaining
 }
 
 // jobLogFormat returns the newest format of the job log's records that all VMs read. VMs name it in their registration and in
@@ -141,8 +151,8 @@
 // releaseCallers answers the callers who wait for an append that this VM may not see the end of before it exits: changes
 // that were not sent are refused as not made, and those in flight as unknown.
 func releaseCallers(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
-	refuse := func(proposals []gateway.Proposal, refusal cs.Refusal) []gateway.Proposal {
-		return slices.DeleteFunc(proposals, func(p gateway.Proposal) bool {
+	refuseBy := func(refusal cs.Refusal) func(gateway.Proposal) bool {
+		return func(p gateway.Proposal) bool {
 			switch p := p.(type) {
 			case gateway.ProposeJob:
 				refuseJob(p.Query, p.Spec.ID, now.Sub(p.Since), refusal, out)
@@ -153,15 +163,16 @@
 			case gateway.ProposeResult, gateway.ProposeProgress, gateway.ProposeRemoval:
 			}
 			return false
-		})
+		}
 	}
-	t.Proposals = refuse(t.Proposals, leavingRefusal())
-	t.JobLog.Proposals = refuse(t.JobLog.Proposals, storeUnavailableRefusal(cs.RanUnknown))
+	deleteWaiting(t, refuseBy(leavingRefusal()))
+	t.JobLog.Proposals = slices.DeleteFunc(t.JobLog.Proposals, refuseBy(storeUnavailableRefusal(cs.RanUnknown)))
 }
 
-// expireProposals refuses the proposals of callers that were not sent within proposalTimeout.
+// expireProposals refuses the proposals of callers that were not sent within proposalTimeout. Those of an append that had no
+// response are sent once more, however long that has taken: the store, which has confirmed the fence, is there again.
 func expireProposals(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
-	t.Proposals = slices.DeleteFunc(t.Proposals, func(p gateway.Proposal) bool {
+	expired := func(p gateway.Proposal) bool {
 		switch p := p.(type) {
 		case gateway.ProposeJob:
 			if now.Sub(p.Since) < proposalTimeout {
@@ -180,6 +191,10 @@
 		case gateway.ProposeResult, gateway.ProposeProgress, gateway.ProposeRemoval:
 		}
 		return false
+	}
+	t.Proposals = slices.DeleteFunc(t.Proposals, expired)
+	deleteAside(&t.JobLog, func(g *gateway.AsideGroup, p gateway.Proposal) bool {
+		return !g.JustFenced() && expired(p)
 	})
 }
 
--- a/batchjob/follow.go
+++ b/batchjob/follow.go
@@ -77,7 +77,7 @@
 
 // hasNoJobWork reports whether this VM owns no partition, and no run, append or call of a caller needs the job log.
 func hasNoJobWork(t *gateway.Tables) bool {
-	if len(t.Partitions.Owned) > 0 || len(t.Proposals) > 0 || t.JobLog.InFlight != nil || t.ResultsQueries.Len() > 0 || t.BodyQueries.Len() > 0 {
+	if len(t.Partitions.Owned) > 0 || t.HasPendingChanges() || t.ResultsQueries.Len() > 0 || t.BodyQueries.Len() > 0 {
 		return false
 	}
 	for _, j := range t.Jobs.All() {
--- a/batchjob/handover.go
+++ b/batchjob/handover.go
@@ -1,6 +1,8 @@
 package batchjob
 
 import (
+	"slices"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/fleet"
 	"github.com/crocusstile/crocusstile/gateway"
@@ -41,15 +43,16 @@
 // hasPendingAppends reports whether an append is in flight or the progress or result of an item waits
 // for one.
 func hasPendingAppends(t *gateway.Tables) bool {
-	if t.JobLog.InFlight != nil {
+	return t.JobLog.InFlight != nil || slices.ContainsFunc(t.Proposals, isOfItem) ||
+		slices.ContainsFunc(t.JobLog.Aside, func(g gateway.AsideGroup) bool { return slices.ContainsFunc(g.Proposals, isOfItem) })
+}
+
+// isOfItem reports whether a proposal is the progress or the result of an item.
+func isOfItem(p gateway.Proposal) bool {
+	switch p.(type) {
+	case gateway.ProposeProgress, gateway.ProposeResult:
 		return true
-	}
-	for _, p := range t.Proposals {
-		switch p.(type) {
-		case gateway.ProposeProgress, gateway.ProposeResult:
-			return true
-		case gateway.ProposeJob, gateway.ProposeEnd, gateway.ProposeRemoval:
-		}
+	case gateway.ProposeJob, gateway.ProposeEnd, gateway.ProposeRemoval:
 	}
 	return false
 }
--- a/batchjob/impossible_test.go
+++ b/batchjob/impossible_test.go
@@ -52,6 +52,7 @@
 					v.inbox = append(v.inbox, gateway.JobsAppended{Number: a.AppendID.Number, Outcome: outcome})
 				}
 				v.appends = nil
+				v.completeAppends(l) // the fences
 				now = now.Add(50)
 				v.readLog(l, now)
 			}
@@ -60,7 +61,7 @@
 			bad := v.answers[2].(gateway.AnswerJob)
 			c.Assert(bad.Refusal, qt.IsNotNil)
 			c.Check(bad.Refusal.Ran, qt.Equals, cs.RanNotRun)
-			c.Check(l.records, qt.HasLen, 2)
+			c.Check(l.changes(), qt.HasLen, 2)
 			c.Check(v.JobLog.InFlight, qt.IsNil)
 			submit(v, l, newJob("later", 1), 9, now)
 			c.Check(accepted(v, 9), qt.IsTrue)
--- a/batchjob/queries.go
+++ b/batchjob/queries.go
@@ -52,7 +52,7 @@
 		case gateway.QueryCancelled:
 			t.ResultsQueries.Delete(e.Query)
 			t.BodyQueries.Delete(e.Query)
-			t.Proposals = slices.DeleteFunc(t.Proposals, func(p gateway.Proposal) bool { return isSubmissionOf(p, e.Query) })
+			abandonSubmission(t, e.Query)
 		default:
 		}
 	}
@@ -68,9 +68,19 @@
 	return cs.Refusal{Reason: cs.ReasonLeaving, Message: "this VM is leaving"}
 }
 
-// isSubmissionOf reports whether a proposal is the job submission of a query. If the caller disconnects
-// before the submission is sent to the log, the proposal is discarded, since the caller submits the
-// job again at another VM.
+// abandonSubmission discards the submission of a caller that has disconnected, since the caller submits the job again at another
+// VM. One that is in flight is discarded if it turns out to have had no effect.
+func abandonSubmission(t *gateway.Tables, q gateway.QueryID) {
+	deleteWaiting(t, func(p gateway.Proposal) bool { return isSubmissionOf(p, q) })
+	for i, p := range t.JobLog.Proposals {
+		if job, ok := p.(gateway.ProposeJob); ok && job.Query == q {
+			job.Abandoned = true
+			t.JobLog.Proposals[i] = job
+		}
+	}
+}
+
+// isSubmissionOf reports whether a proposal is the job submission of a query.
 func isSubmissionOf(p gateway.Proposal, q gateway.QueryID) bool {
 	job, ok := p.(gateway.ProposeJob)
 	return ok && job.Query == q
--- a/batchjob/share.go
+++ b/batchjob/share.go
@@ -103,7 +103,7 @@
 	dropJobs(t, present, e.State.End, out)
 	l.End, l.PartialChunks, l.Synced = e.State.End, 0, true
 	if l.InFlight != nil && l.InFlight.ExpectedEnd != cs.NoOffset && l.InFlight.ExpectedEnd < l.End {
-		requeueInFlight(t, now) // it took effect, and its jobs are known, or can no longer take effect
+		returnOvertaken(t, now, out) // it took effect, and its jobs are known, or can no longer take effect
 	}
 	out.Note(gateway.Note{
 		Kind: gateway.NoteStateAdopted, Peer: e.Peer, Feed: gateway.FeedJobs.String(), Offset: e.State.End, Count: len(e.State.Jobs), Age: now.Sub(e.AsOf),
--- a/batchjob/systems_test.go
+++ b/batchjob/systems_test.go
@@ -23,12 +23,13 @@
 	Retention: 60 * cs.Second, MaxWaiting: 1000, Shares: []cs.ServiceShare{{Service: "s", Weight: 1}},
 }
 
-// jobLog simulates the job log: it rejects a conditional append unless the log ends at the expected offset,
-// and applies a sequenced append only once.
+// jobLog simulates the job log: it rejects a conditional append unless the log ends at the expected offset, and a sequenced
+// append unless it follows the last one of its epoch, or begins a later epoch.
 type jobLog struct {
 	records []gateway.JobRecord
-	// sequenced holds the outcomes of sequenced appends.
+	// sequenced holds the outcomes of sequenced appends, and producers the latest epochs.
 	sequenced map[sequenced]gateway.AppendDone
+	producers map[cs.Incarnation]producer
 }
 
 // sequenced identifies a sequenced append.
@@ -37,6 +38,53 @@
 	epoch, seq uint64
 }
 
+// producer is a process that numbers its appends.
+type producer struct {
+	epoch uint64
+	// next is the sequence number that the next append of the epoch must have, unless none has been made.
+	next    uint64
+	isEmpty bool
+}
+
+// checkSequence advances a producer by an append and reports whether the log accepts it.
+func (l *jobLog) checkSequence(key sequenced) bool {
+	if l.producers == nil {
+		l.producers = make(map[cs.Incarnation]producer)
+	}
+	p, known := l.producers[key.writer]
+	switch {
+	case known && key.epoch < p.epoch, known && key.epoch == p.epoch && !p.isEmpty && key.seq != p.next:
+		return false
+	}
+	l.producers[key.writer] = producer{epoch: key.epoch, next: key.seq + 1}
+	return true
+}
+
+// changes returns the records that carry a change, so those that no fence has put there.
+func (l *jobLog) changes() []gateway.JobRecord {
+	return slices.DeleteFunc(slices.Clone(l.records), func(r gateway.JobRecord) bool { return r.Change == nil })
+}
+
+// fence applies a fence and returns its outcome.
+func (l *jobLog) fence(a gateway.FenceJobs) gateway.AppendOutcome {
+	end := cs.Offset(len(l.records))
+	if a.ExpectedEnd != cs.NoOffset {
+		if a.ExpectedEnd != end {
+			return gateway.AppendConflict{End: end}
+		}
+		l.records = append(l.records, gateway.JobRecord{Offset: end})
+		return gateway.AppendDone{From: end, End: end + 1}
+	}
+	if p, known := l.producers[a.AppendID.Writer]; known && a.Epoch < p.epoch {
+		return gateway.AppendOutOfSequence{Reason: "fenced"}
+	}
+	if l.producers == nil {
+		l.producers = make(map[cs.Incarnation]producer)
+	}
+	l.producers[a.AppendID.Writer] = producer{epoch: a.Epoch, isEmpty: true}
+	return gateway.AppendDone{}
+}
+
 // append applies an append and returns its outcome.
 func (l *jobLog) append(a gateway.AppendJobs) gateway.AppendOutcome {
 	done := gateway.AppendDone{From: cs.Offset(len(l.records))}
@@ -44,8 +92,13 @@
 	if a.ExpectedEnd != cs.NoOffset && done.From != a.ExpectedEnd {
 		return gateway.AppendConflict{End: done.From}
 	}
-	if before, ok := l.sequenced[key]; ok && a.ExpectedEnd == cs.NoOffset {
-		return before
+	if a.ExpectedEnd == cs.NoOffset {
+		if before, ok := l.sequenced[key]; ok {
+			return before
+		}
+		if !l.checkSequence(key) {
+			return gateway.AppendOutOfSequence{Reason: "fenced or out of sequence"}
+		}
 	}
 	for _, c := range a.Changes {
 		l.records = append(l.records, gateway.JobRecord{Offset: cs.Offset(len(l.records)), AppendID: a.AppendID, Change: c})
@@ -70,6 +123,7 @@
 	stopped    []gateway.StopItem
 	answers    map[gateway.QueryID]gateway.Action
 	appends    []gateway.AppendJobs
+	fences     []gateway.FenceJobs
 	reports    []gateway.Report
 	// states and statePeers are the answers to requests for the state of the job log.
 	states     []gateway.AnswerJobState
@@ -116,6 +170,8 @@
 			v.stopped = append(v.stopped, a)
 		case gateway.AppendJobs:
 			v.appends = append(v.appends, a)
+		case gateway.FenceJobs:
+			v.fences = append(v.fences, a)
 		case gateway.SendReport:
 			v.reports = append(v.reports, a.Report)
 		case gateway.AnswerJobState:
@@ -150,8 +206,12 @@
 	v.inbox = append(v.inbox, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: sent, Next: v.nextOffset})
 }
 
-// completeAppends applies the pending appends of the VM to the log without faults.
+// completeAppends applies the pending appends and fences of the VM to the log without faults.
 func (v *vm) completeAppends(l *jobLog) {
+	for _, a := range v.fences {
+		v.inbox = append(v.inbox, gateway.JobsFenced{Number: a.AppendID.Number, Outcome: l.fence(a)})
+	}
+	v.fences = nil
 	for _, a := range v.appends {
 		v.inbox = append(v.inbox, gateway.JobsAppended{Number: a.AppendID.Number, Outcome: l.append(a)})
 	}
@@ -238,7 +298,7 @@
 				v.readLog(l, now)
 			}
 			c.Assert(accepted(v, 1), qt.IsTrue)
-			c.Assert(l.records, qt.HasLen, 1)
+			c.Assert(l.changes(), qt.HasLen, 1)
 		})
 	}
 }
@@ -410,11 +470,13 @@
 	more *rand.Rand
 	// refused holds the jobs of which a caller was told that they have not run.
 	refused map[cs.JobID]bool
+	// grownAt holds when each record was appended.
+	grownAt []cs.Instant
 }
 
 // Guards the invariants of the job log with two more faults: VMs take the state of the log from each other, which arrives in one
-// tick with the records after it or before it, and the store never accepts the appends of some jobs, also after attempts without an
-// answer. All other jobs must be done at all VMs.
+// tick with the records after it or before it, and the store never accepts the appends of some jobs, or never answers them, also after
+// attempts without an answer. All other jobs must be done at all VMs.
 func TestJobsUnderFaultsOfStatesAndAppends(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runFaults(t, seed, rand.New(rand.NewPCG(seed, 11))) })
@@ -440,14 +502,28 @@
 	if f.more.IntN(60) == 0 {
 		f.submit(f.vms[f.more.IntN(len(f.vms))], newJob(cs.JobID(fmt.Sprintf("bad%d", f.more.IntN(1000))), 1))
 	}
+	if f.more.IntN(100) == 0 {
+		f.submit(f.vms[f.more.IntN(len(f.vms))], newJob(cs.JobID(fmt.Sprintf("bad-%s%d", stubborn[f.more.IntN(len(stubborn))], f.more.IntN(1000))), 1))
+	}
 }
 
+// stubborn are the ways in which the store goes on to refuse a job, besides 413.
+var stubborn = []string{"rejected", "unanswered"}
+
 // appendOrRefuse applies an append, unless it opens a job that the store never accepts.
 func (f *faultRun) appendOrRefuse(a gateway.AppendJobs) gateway.AppendOutcome {
 	for _, change := range a.Changes {
-		if opened, ok := change.(gateway.JobOpened); ok && strings.HasPrefix(string(opened.Spec.ID), "bad") {
-			return gateway.AppendInvalid{Reason: "status 413"}
+		opened, ok := change.(gateway.JobOpened)
+		if !ok || !strings.HasPrefix(string(opened.Spec.ID), "bad") {
+			continue
+		}
+		switch {
+		case strings.Contains(string(opened.Spec.ID), "rejected"):
+			return gateway.AppendRejected{Reason: "status 503"}
+		case strings.Contains(string(opened.Spec.ID), "unanswered"):
+			return gateway.AppendUnknown{}
 		}
+		return gateway.AppendInvalid{Reason: "status 413"}
 	}
 	return f.log.append(a)
 }
@@ -485,6 +561,9 @@
 // step runs one step of 20 ms. Unless faulty is set, there are no new jobs and no faults.
 func (f *faultRun) step(faulty bool) {
 	f.applyLateAppends()
+	for len(f.grownAt) < len(f.log.records) {
+		f.grownAt = append(f.grownAt, f.now)
+	}
 	if faulty && f.rng.IntN(25) == 0 {
 		v := f.vms[f.rng.IntN(len(f.vms))]
 		n := f.rng.IntN(60)
@@ -563,7 +642,11 @@
 		read.Records = append(read.Records, newest[key])
 	}
 	v.nextOffset = cs.Offset(snapshotEnd)
-	v.inbox = append(v.inbox, read, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: f.now})
+	started := f.now // the first page was requested when the log ended there
+	if snapshotEnd < len(f.grownAt) {
+		started = f.grownAt[snapshotEnd].Add(-1)
+	}
+	v.inbox = append(v.inbox, read, gateway.FeedRead{Feed: gateway.FeedJobs, Loaded: true, AsOf: started})
 }
 
 // keyOf returns the key of a record in the keyed topic of the job log.
@@ -594,8 +677,24 @@
 	v.started = nil
 }
 
-// appends applies the pending appends of a VM to the log, with faults if faulty is set.
+// appends applies the pending appends and fences of a VM to the log, with faults if faulty is set.
 func (f *faultRun) appends(v *vm, faulty bool) {
+	for _, a := range v.fences {
+		var outcome gateway.AppendOutcome
+		switch k := f.rng.IntN(10); {
+		case faulty && k == 0:
+			outcome = gateway.AppendRejected{Reason: "503"}
+		case faulty && k == 1:
+			outcome = gateway.AppendUnknown{}
+			f.log.fence(a)
+		case faulty && k == 2:
+			outcome = gateway.AppendUnknown{}
+		default:
+			outcome = f.log.fence(a)
+		}
+		v.inbox = append(v.inbox, gateway.JobsFenced{Number: a.AppendID.Number, Outcome: outcome})
+	}
+	v.fences = nil
 	for _, a := range v.appends {
 		var outcome gateway.AppendOutcome
 		switch k := f.rng.IntN(10); {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,7 +143,7 @@
 		}
 	}
 	v.loop.handlers = handlers{
-		forward: v.forward, batchjob: v.batchjob, runTask: v.startTask, appendJobs: v.appendJobs(clock), readJobs: v.feeds.WakeJobs,
+		forward: v.forward, batchjob: v.batchjob, runTask: v.startTask, appendJobs: v.appendJobs(clock), fenceJobs: v.feeds.FenceJobs, readJobs: v.feeds.WakeJobs,
 		leaveGroup: v.feeds.LeaveGroup, setJobLogRole: v.feeds.SetJobLogRole,
 		rereadJobs: func(a gateway.RereadJobs) { v.feeds.RereadJobs(a.From) },
 		sendReport: v.gossip.Send, sendSlots: v.gossip.SendSlots, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer,
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// handlers execute the actions of the control loop. appendJobs and requestPeerState wait for a response and
+// handlers execute the actions of the control loop. appendJobs, fenceJobs and requestPeerState wait for a response and
 // run as tasks; the others return without blocking.
 type handlers struct {
 	forward  *forward.Traffic
@@ -56,6 +56,7 @@
 	// runTask runs a function on a goroutine of its own; its context ends with the process.
 	runTask    func(func(context.Context))
 	appendJobs func(context.Context, gateway.AppendJobs)
+	fenceJobs  func(context.Context, gateway.FenceJobs)
 	readJobs   func()
 	rereadJobs func(gateway.RereadJobs)
 	// leaveGroup ends the membership in the batch consumer group.
@@ -144,6 +145,8 @@
 		h.batchjob.Stop(a)
 	case gateway.AppendJobs:
 		h.runTask(func(ctx context.Context) { h.appendJobs(ctx, a) })
+	case gateway.FenceJobs:
+		h.runTask(func(ctx context.Context) { h.fenceJobs(ctx, a) })
 	case gateway.LeaveGroup:
 		h.leaveGroup()
 	case gateway.SetJobLogRole:
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -80,8 +80,7 @@
 	AppendJobs struct {
 		AppendID AppendID
 		// ExpectedEnd makes the append conditional: it takes effect only if the log ends at this offset. With
-		// cs.NoOffset it takes effect wherever the log ends, and at most once for its Epoch and Seq, however
-		// often it is sent.
+		// cs.NoOffset it takes effect wherever the log ends, unless an append or a fence of a later Epoch has.
 		ExpectedEnd cs.Offset
 		Epoch       uint64
 		Seq         uint64
@@ -91,6 +90,16 @@
 		// Timeout is how long the response is waited for.
 		Timeout cs.Span
 	}
+	// FenceJobs makes sure that an append can no longer take effect. A JobsFenced event reports how the fence ended.
+	FenceJobs struct {
+		// AppendID and ExpectedEnd are those of the append.
+		AppendID    AppendID
+		ExpectedEnd cs.Offset
+		// Epoch is later than that of the append; a conditional append needs none.
+		Epoch uint64
+		// Timeout is how long the response is waited for.
+		Timeout cs.Span
+	}
 	// LeaveGroup ends this VM's membership in the batch group and so gives up its partitions.
 	LeaveGroup struct{}
 	// SetJobLogRole starts or stops the reads of the job log and the membership in the batch group, by which this VM gets
@@ -177,6 +186,7 @@
 func (RunItem) isAction()          {}
 func (StopItem) isAction()         {}
 func (AppendJobs) isAction()       {}
+func (FenceJobs) isAction()        {}
 func (LeaveGroup) isAction()       {}
 func (SetJobLogRole) isAction()    {}
 func (AnswerJobPeer) isAction()    {}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -66,6 +66,12 @@
 		Number  uint64
 		Outcome AppendOutcome
 	}
+	// JobsFenced reports how a fence of an append to the job log ended.
+	JobsFenced struct {
+		// Number is that of the append.
+		Number  uint64
+		Outcome AppendOutcome
+	}
 )
 
 // RunnerChange is the new registration of a runner. Runner is nil if the registration was removed.
@@ -228,6 +234,7 @@
 func (FeedFailed) isEvent()             {}
 func (PartitionsAssigned) isEvent()     {}
 func (JobsAppended) isEvent()           {}
+func (JobsFenced) isEvent()             {}
 func (ForwardArrived) isEvent()         {}
 func (ForwardStarted) isEvent()         {}
 func (ForwardEnded) isEvent()           {}
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -207,6 +207,8 @@
 		Spec  JobSpec
 		// Since is when the job was submitted.
 		Since cs.Instant
+		// Abandoned means that the caller has disconnected.
+		Abandoned bool
 	}
 	// ProposeEnd ends a job.
 	ProposeEnd struct {
@@ -231,48 +233,3 @@
 func (ProposeResult) isProposal()   {}
 func (ProposeProgress) isProposal() {}
 func (ProposeRemoval) isProposal()  {}
-
-// JobLog is the state of this VM as a reader and writer of the job log. A VM has at most one append in
-// flight.
-type JobLog struct {
-	Role JobLogRole
-	Rank FollowerRank
-	// SurplusSince is when this VM was found to come after the VMs that follow the log, or 0.
-	SurplusSince cs.Instant
-	// Synced means that a snapshot of the log has been applied, so that the tables hold its state at End.
-	Synced bool
-	// End is the offset after the last record applied.
-	End cs.Offset
-	// PartialChunks counts the last records before End that are chunks of a specification of which other chunks have
-	// not been read.
-	PartialChunks cs.Offset
-	// InFlight is the append whose outcome is not known yet, or nil.
-	InFlight *AppendJobs
-	// SentAt is when the append in flight was first sent.
-	SentAt cs.Instant
-	// Attempts counts how often the append in flight was sent.
-	Attempts int
-	// ResendNeeded means that the outcome of the append in flight is unknown, so that the same append must be
-	// sent again.
-	ResendNeeded bool
-	// RequiredEnd is the offset up to which the log must be applied before an append with an unknown outcome
-	// is sent again and before the next append that is conditional on the end of the log.
-	RequiredEnd cs.Offset
-	// RetryAt is the earliest time of the next send of an append.
-	RetryAt cs.Instant
-	// Proposals are those that the append in flight carries.
-	Proposals []Proposal
-	// Single is the number of appends that are to carry one proposal each, since the store does not accept one that carried them
-	// all.
-	Single int
-	// Number is the number of the last append of this process.
-	Number uint64
-	// Epoch and Seq are the producer epoch and sequence number of the next unconditional append, by which
-	// the store recognizes repeated ones.
-	Epoch, Seq uint64
-	// Conflicts counts consecutive conditional appends that failed because the log did not end at the
-	// expected offset.
-	Conflicts int
-	// Failures counts consecutive appends that the store rejected or did not confirm.
-	Failures int
-}
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -48,6 +48,10 @@
 	NoteJobLogGap
 	// NoteAppendFailed: an append to the job log failed, or its outcome is unknown.
 	NoteAppendFailed
+	// NoteAppendFenced: an append whose outcome was unknown can no longer take effect, and the log tells whether it has.
+	NoteAppendFenced
+	// NoteAppendSetAside: the changes of an append that the store refuses are sent apart from others, or one of them is dropped.
+	NoteAppendSetAside
 	// NoteCatalogInForce: this VM uses a newer version of the catalog.
 	NoteCatalogInForce
 	// NoteStateAdopted: this VM uses the catalog and runners of a peer, since it has not been able to read
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedcatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 249, 261, 272, 285, 298, 311, 324, 337, 354, 367, 382, 398, 419, 435, 453, 462, 470, 478, 490, 502, 514, 525}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 528, 540, 551}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedcataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -43,31 +43,33 @@
 	_ = x[NoteItemGivenUp-(16)]
 	_ = x[NoteJobLogGap-(17)]
 	_ = x[NoteAppendFailed-(18)]
-	_ = x[NoteCatalogInForce-(19)]
-	_ = x[NoteStateAdopted-(20)]
-	_ = x[NoteRunnerAdded-(21)]
-	_ = x[NoteRunnerLeaving-(22)]
-	_ = x[NoteRunnerMissing-(23)]
-	_ = x[NoteRunnerRemoved-(24)]
-	_ = x[NoteRunnerAvoided-(25)]
-	_ = x[NoteRunnerDoubted-(26)]
-	_ = x[NoteDataCentreReached-(27)]
-	_ = x[NoteRunnerLimited-(28)]
-	_ = x[NoteRunnerUnlimited-(29)]
-	_ = x[NoteContentSuspected-(30)]
-	_ = x[NotePromptPartQuarantined-(31)]
-	_ = x[NotePromptPartProbed-(32)]
-	_ = x[NotePromptPartReleased-(33)]
-	_ = x[NotePeerFound-(34)]
-	_ = x[NotePeerLost-(35)]
-	_ = x[NoteFeedLost-(36)]
-	_ = x[NoteFeedRegained-(37)]
-	_ = x[NotePartsChanged-(38)]
-	_ = x[NoteDrainChanged-(39)]
-	_ = x[NoteTickDelayed-(40)]
+	_ = x[NoteAppendFenced-(19)]
+	_ = x[NoteAppendSetAside-(20)]
+	_ = x[NoteCatalogInForce-(21)]
+	_ = x[NoteStateAdopted-(22)]
+	_ = x[NoteRunnerAdded-(23)]
+	_ = x[NoteRunnerLeaving-(24)]
+	_ = x[NoteRunnerMissing-(25)]
+	_ = x[NoteRunnerRemoved-(26)]
+	_ = x[NoteRunnerAvoided-(27)]
+	_ = x[NoteRunnerDoubted-(28)]
+	_ = x[NoteDataCentreReached-(29)]
+	_ = x[NoteRunnerLimited-(30)]
+	_ = x[NoteRunnerUnlimited-(31)]
+	_ = x[NoteContentSuspected-(32)]
+	_ = x[NotePromptPartQuarantined-(33)]
+	_ = x[NotePromptPartProbed-(34)]
+	_ = x[NotePromptPartReleased-(35)]
+	_ = x[NotePeerFound-(36)]
+	_ = x[NotePeerLost-(37)]
+	_ = x[NoteFeedLost-(38)]
+	_ = x[NoteFeedRegained-(39)]
+	_ = x[NotePartsChanged-(40)]
+	_ = x[NoteDrainChanged-(41)]
+	_ = x[NoteTickDelayed-(42)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -89,28 +91,30 @@
 	_NoteKindName[203:214]: NoteItemGivenUp,
 	_NoteKindName[214:223]: NoteJobLogGap,
 	_NoteKindName[223:235]: NoteAppendFailed,
-	_NoteKindName[235:249]: NoteCatalogInForce,
-	_NoteKindName[249:261]: NoteStateAdopted,
-	_NoteKindName[261:272]: NoteRunnerAdded,
-	_NoteKindName[272:285]: NoteRunnerLeaving,
-	_NoteKindName[285:298]: NoteRunnerMissing,
-	_NoteKindName[298:311]: NoteRunnerRemoved,
-	_NoteKindName[311:324]: NoteRunnerAvoided,
-	_NoteKindName[324:337]: NoteRunnerDoubted,
-	_NoteKindName[337:354]: NoteDataCentreReached,
-	_NoteKindName[354:367]: NoteRunnerLimited,
-	_NoteKindName[367:382]: NoteRunnerUnlimited,
-	_NoteKindName[382:398]: NoteContentSuspected,
-	_NoteKindName[398:419]: NotePromptPartQuarantined,
-	_NoteKindName[419:435]: NotePromptPartProbed,
-	_NoteKindName[435:453]: NotePromptPartReleased,
-	_NoteKindName[453:462]: NotePeerFound,
-	_NoteKindName[462:470]: NotePeerLost,
-	_NoteKindName[470:478]: NoteFeedLost,
-	_NoteKindName[478:490]: NoteFeedRegained,
-	_NoteKindName[490:502]: NotePartsChanged,
-	_NoteKindName[502:514]: NoteDrainChanged,
-	_NoteKindName[514:525]: NoteTickDelayed,
+	_NoteKindName[235:247]: NoteAppendFenced,
+	_NoteKindName[247:261]: NoteAppendSetAside,
+	_NoteKindName[261:275]: NoteCatalogInForce,
+	_NoteKindName[275:287]: NoteStateAdopted,
+	_NoteKindName[287:298]: NoteRunnerAdded,
+	_NoteKindName[298:311]: NoteRunnerLeaving,
+	_NoteKindName[311:324]: NoteRunnerMissing,
+	_NoteKindName[324:337]: NoteRunnerRemoved,
+	_NoteKindName[337:350]: NoteRunnerAvoided,
+	_NoteKindName[350:363]: NoteRunnerDoubted,
+	_NoteKindName[363:380]: NoteDataCentreReached,
+	_NoteKindName[380:393]: NoteRunnerLimited,
+	_NoteKindName[393:408]: NoteRunnerUnlimited,
+	_NoteKindName[408:424]: NoteContentSuspected,
+	_NoteKindName[424:445]: NotePromptPartQuarantined,
+	_NoteKindName[445:461]: NotePromptPartProbed,
+	_NoteKindName[461:479]: NotePromptPartReleased,
+	_NoteKindName[479:488]: NotePeerFound,
+	_NoteKindName[488:496]: NotePeerLost,
+	_NoteKindName[496:504]: NoteFeedLost,
+	_NoteKindName[504:516]: NoteFeedRegained,
+	_NoteKindName[516:528]: NotePartsChanged,
+	_NoteKindName[528:540]: NoteDrainChanged,
+	_NoteKindName[540:551]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -133,28 +137,30 @@
 	_NoteKindLowerName[203:214]: NoteItemGivenUp,
 	_NoteKindLowerName[214:223]: NoteJobLogGap,
 	_NoteKindLowerName[223:235]: NoteAppendFailed,
-	_NoteKindLowerName[235:249]: NoteCatalogInForce,
-	_NoteKindLowerName[249:261]: NoteStateAdopted,
-	_NoteKindLowerName[261:272]: NoteRunnerAdded,
-	_NoteKindLowerName[272:285]: NoteRunnerLeaving,
-	_NoteKindLowerName[285:298]: NoteRunnerMissing,
-	_NoteKindLowerName[298:311]: NoteRunnerRemoved,
-	_NoteKindLowerName[311:324]: NoteRunnerAvoided,
-	_NoteKindLowerName[324:337]: NoteRunnerDoubted,
-	_NoteKindLowerName[337:354]: NoteDataCentreReached,
-	_NoteKindLowerName[354:367]: NoteRunnerLimited,
-	_NoteKindLowerName[367:382]: NoteRunnerUnlimited,
-	_NoteKindLowerName[382:398]: NoteContentSuspected,
-	_NoteKindLowerName[398:419]: NotePromptPartQuarantined,
-	_NoteKindLowerName[419:435]: NotePromptPartProbed,
-	_NoteKindLowerName[435:453]: NotePromptPartReleased,
-	_NoteKindLowerName[453:462]: NotePeerFound,
-	_NoteKindLowerName[462:470]: NotePeerLost,
-	_NoteKindLowerName[470:478]: NoteFeedLost,
-	_NoteKindLowerName[478:490]: NoteFeedRegained,
-	_NoteKindLowerName[490:502]: NotePartsChanged,
-	_NoteKindLowerName[502:514]: NoteDrainChanged,
-	_NoteKindLowerName[514:525]: NoteTickDelayed,
+	_NoteKindLowerName[235:247]: NoteAppendFenced,
+	_NoteKindLowerName[247:261]: NoteAppendSetAside,
+	_NoteKindLowerName[261:275]: NoteCatalogInForce,
+	_NoteKindLowerName[275:287]: NoteStateAdopted,
+	_NoteKindLowerName[287:298]: NoteRunnerAdded,
+	_NoteKindLowerName[298:311]: NoteRunnerLeaving,
+	_NoteKindLowerName[311:324]: NoteRunnerMissing,
+	_NoteKindLowerName[324:337]: NoteRunnerRemoved,
+	_NoteKindLowerName[337:350]: NoteRunnerAvoided,
+	_NoteKindLowerName[350:363]: NoteRunnerDoubted,
+	_NoteKindLowerName[363:380]: NoteDataCentreReached,
+	_NoteKindLowerName[380:393]: NoteRunnerLimited,
+	_NoteKindLowerName[393:408]: NoteRunnerUnlimited,
+	_NoteKindLowerName[408:424]: NoteContentSuspected,
+	_NoteKindLowerName[424:445]: NotePromptPartQuarantined,
+	_NoteKindLowerName[445:461]: NotePromptPartProbed,
+	_NoteKindLowerName[461:479]: NotePromptPartReleased,
+	_NoteKindLowerName[479:488]: NotePeerFound,
+	_NoteKindLowerName[488:496]: NotePeerLost,
+	_NoteKindLowerName[496:504]: NoteFeedLost,
+	_NoteKindLowerName[504:516]: NoteFeedRegained,
+	_NoteKindLowerName[516:528]: NotePartsChanged,
+	_NoteKindLowerName[528:540]: NoteDrainChanged,
+	_NoteKindLowerName[540:551]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -177,28 +183,30 @@
 	_NoteKindName[203:214],
 	_NoteKindName[214:223],
 	_NoteKindName[223:235],
-	_NoteKindName[235:249],
-	_NoteKindName[249:261],
-	_NoteKindName[261:272],
-	_NoteKindName[272:285],
-	_NoteKindName[285:298],
+	_NoteKindName[235:247],
+	_NoteKindName[247:261],
+	_NoteKindName[261:275],
+	_NoteKindName[275:287],
+	_NoteKindName[287:298],
 	_NoteKindName[298:311],
 	_NoteKindName[311:324],
 	_NoteKindName[324:337],
-	_NoteKindName[337:354],
-	_NoteKindName[354:367],
-	_NoteKindName[367:382],
-	_NoteKindName[382:398],
-	_NoteKindName[398:419],
-	_NoteKindName[419:435],
-	_NoteKindName[435:453],
-	_NoteKindName[453:462],
-	_NoteKindName[462:470],
-	_NoteKindName[470:478],
-	_NoteKindName[478:490],
-	_NoteKindName[490:502],
-	_NoteKindName[502:514],
-	_NoteKindName[514:525],
+	_NoteKindName[337:350],
+	_NoteKindName[350:363],
+	_NoteKindName[363:380],
+	_NoteKindName[380:393],
+	_NoteKindName[393:408],
+	_NoteKindName[408:424],
+	_NoteKindName[424:445],
+	_NoteKindName[445:461],
+	_NoteKindName[461:479],
+	_NoteKindName[479:488],
+	_NoteKindName[488:496],
+	_NoteKindName[496:504],
+	_NoteKindName[504:516],
+	_NoteKindName[516:528],
+	_NoteKindName[528:540],
+	_NoteKindName[540:551],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/roster/drain.go
+++ b/roster/drain.go
@@ -77,7 +77,7 @@
 
 // isIdle reports whether no caller waits for an answer, no batch item is running and no change of the job log is pending.
 func isIdle(t *gateway.Tables) bool {
-	if t.Forwards.Len() > 0 || t.ResultsQueries.Len() > 0 || t.BodyQueries.Len() > 0 || len(t.Proposals) > 0 || t.JobLog.InFlight != nil {
+	if t.Forwards.Len() > 0 || t.ResultsQueries.Len() > 0 || t.BodyQueries.Len() > 0 || t.HasPendingChanges() {
 		return false
 	}
 	for _, r := range t.Runners.All() {
--- a/standin/store.go
+++ b/standin/store.go
@@ -204,7 +204,7 @@
 	s.notifyReaders()
 	withheld := s.mode == StoreDropsResponses
 	next := len(t.records)
-	if producer != nil {
+	if producer != nil && next > end { // an append without records only sets the epoch
 		producer.lastReply = map[string]int{"offset": end, "end_offset": next}
 		producer.next++
 	}
--- a/wire/joblog.go
+++ b/wire/joblog.go
@@ -181,6 +181,9 @@
 	return records, nil
 }
 
+// PlaceholderRecord returns a record that only takes an offset: the tombstone of a key that no job has.
+func PlaceholderRecord() KeyedRecord { return KeyedRecord{Key: jobKey(keyKindEnd, "", 0)} }
+
 func encodeRecord(kind string, job cs.JobID, n int, r jobRecord) (KeyedRecord, error) {
 	value, err := jobEncoder.Marshal(r)
 	return KeyedRecord{Key: jobKey(kind, job, n), Value: value}, err
