Confirm the end of an item whose stream ends with its connection

Cause: the system of a killed process closes its connections, which looks like the end of such a stream, and that counted as complete.

Ruled out: events cut in their middle and resets count as interruptions.

Change: such an end completes an item only when a second run, which resumes after the last event, ends there as well. An item that a next owner resumes at its end no longer fails without end at such runners.

TestCutResponseOfItem asserted the fault: it expected such a body to complete an item. It now expects the outcome that needs a confirmation, for each byte.

--- a/batchjob/cut_test.go
+++ b/batchjob/cut_test.go
@@ -44,7 +44,8 @@
 }
 
 // Guards against an item that is completed, or fails, by a response that its runner broke off, and against output of
-// which an event is missing: what was whole is kept, and the item goes on after it.
+// which an event is missing: what was whole is kept, and the item goes on after it. A body that ends with its connection completes
+// no item by itself (TestEndWithConnectionIsConfirmed).
 func TestCutResponseOfItem(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nRequest-Id: it1\r\n\r\n"
 	length := "Content-Length: " + strconv.Itoa(len(cutEvents)) + "\r\n"
@@ -117,7 +118,10 @@
 	_, completed := e.Outcome.(gateway.ItemCompleted)
 	if !reset {
 		atEvent := events > 0 && strings.HasSuffix(body, "\n\n")
-		c.Check(completed, qt.Equals, whole || test.closed && atEvent, comment)
+		_, ended := e.Outcome.(gateway.ItemEndedWithConnection)
+		inBody := n >= len(test.head)+len("\r\n")
+		c.Check(completed, qt.Equals, whole && !test.closed, comment)
+		c.Check(ended, qt.Equals, test.closed && (atEvent || inBody && body == ""), comment)
 		c.Check(string(e.Text), qt.Equals, cutTexts[events], comment)
 		return
 	}
--- a/batchjob/outcomes.go
+++ b/batchjob/outcomes.go
@@ -16,6 +16,8 @@
 	interruptedRetryDelay = 100 * cs.Millisecond
 	// errorRetryDelay is the pause after a runner responded with an error.
 	errorRetryDelay = 300 * cs.Millisecond
+	// confirmingEnds is the number of runs whose output must end after the same event if it ends with the connection.
+	confirmingEnds = 2
 )
 
 // ApplyOutcomes handles the end of item runs: it stores their output, proposes results and schedules retries.
@@ -45,6 +47,7 @@
 	if e.LastEvent > 0 {
 		updatePace(&t.Pace, now.Sub(w.Started), e.LastEvent-w.LastEvent, 0)
 		appendOutput(w, e)
+		w.Ends = 0
 		t.RecordBegun(item.Parts, w.Started, now) // the run began at some time since then
 		if runner != nil {
 			runner.ResetFailures()
@@ -59,9 +62,14 @@
 	}
 	switch o := e.Outcome.(type) {
 	case gateway.ItemCompleted:
-		updatePace(&t.Pace, 0, 0, w.LastEvent)
-		proposeResult(t, j, e.Key, gateway.Result{Item: itemID, Done: true, Text: string(w.Text)})
+		complete(t, j, e.Key)
 		return
+	case gateway.ItemEndedWithConnection:
+		if w.Ends++; w.Ends >= confirmingEnds {
+			complete(t, j, e.Key)
+			return
+		}
+		note.Reason = "the output ended with its connection, another run confirms the end"
 	case gateway.ItemNotRun:
 		w.NotBefore, note.Reason = now.Add(notRunRetryDelay), "not run"
 		if o.Replaced || o.Unreachable {
@@ -90,6 +98,13 @@
 	out.Note(note)
 }
 
+// complete proposes the output of an item as its result.
+func complete(t *gateway.Tables, j *gateway.Job, k gateway.ItemKey) {
+	w := &j.ItemWork[k.Index]
+	updatePace(&t.Pace, 0, 0, w.LastEvent)
+	proposeResult(t, j, k, gateway.Result{Item: j.Spec.Items[k.Index].ID, Done: true, Text: string(w.Text)})
+}
+
 // recordResponse records that a runner has just responded. The last event of a run that did not end by itself may be older.
 func recordResponse(t *gateway.Tables, runner *gateway.Runner, o gateway.ItemOutcome, now cs.Instant, out *gateway.Actions) {
 	switch o.(type) {
@@ -97,7 +112,7 @@
 		if runner != nil {
 			t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
 		}
-	case gateway.ItemNotRun, gateway.ItemInterrupted, gateway.ItemStopped:
+	case gateway.ItemNotRun, gateway.ItemEndedWithConnection, gateway.ItemInterrupted, gateway.ItemStopped:
 	}
 }
 
--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -104,6 +104,9 @@
 		return ended
 	}
 	ended.Outcome = gateway.ItemCompleted{}
+	if response.EndsWithConnection {
+		ended.Outcome = gateway.ItemEndedWithConnection{}
+	}
 	return ended
 }
 
@@ -141,7 +144,7 @@
 	for {
 		event, err := events.Read()
 		if errors.Is(err, io.EOF) {
-			if last == 0 || e.LastEvent == 0 && response.EndsWithConnection {
+			if last == 0 {
 				return &forward.InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection}
 			}
 			return nil
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -103,6 +103,8 @@
 	// Failed counts the runs to which the runner responded with an internal error (status 500).
 	Failed cs.Attempt
 	Progress
+	// Ends counts the runs whose output ended after the last event, together with the connection.
+	Ends int
 	// HandedOverAt is when the job log last brought a partial output of the item that was handed over, or 0.
 	HandedOverAt cs.Instant
 	// SavedEvent is the last event of the partial output in the job log, or 0.
@@ -122,6 +124,9 @@
 type (
 	// ItemCompleted means that the output is complete.
 	ItemCompleted struct{}
+	// ItemEndedWithConnection means that the output ended between two events, together with the connection: that is how a runner
+	// may end it, or how the system of a runner that has crashed does.
+	ItemEndedWithConnection struct{}
 	// ItemNotRun means that the runner did not run the item. See OutcomeNotRun for the fields.
 	ItemNotRun struct{ Replaced, Unreachable, Refused bool }
 	// ItemError means that the runner responded with an error status.
@@ -142,11 +147,12 @@
 	ItemStopped struct{}
 )
 
-func (ItemCompleted) isItemOutcome()   {}
-func (ItemNotRun) isItemOutcome()      {}
-func (ItemError) isItemOutcome()       {}
-func (ItemInterrupted) isItemOutcome() {}
-func (ItemStopped) isItemOutcome()     {}
+func (ItemCompleted) isItemOutcome()           {}
+func (ItemEndedWithConnection) isItemOutcome() {}
+func (ItemNotRun) isItemOutcome()              {}
+func (ItemError) isItemOutcome()               {}
+func (ItemInterrupted) isItemOutcome()         {}
+func (ItemStopped) isItemOutcome()             {}
 
 // ResultsQuery is a long-polling request for results of a job.
 type ResultsQuery struct {
