Give up partitions that a VM cannot serve

Callers would see: results of accepted jobs are listed nowhere while a VM whose membership is renewed reads no current job log, or while the store takes none of its appends although it takes those of others.

Cause: a partition was lost only with its membership, and joins succeed where appends and reads may not.

Change: after 8 s without a current view, or without an append while others append, a VM leaves the group and reads on (role reader). A fence after 4 s of refusals tells whether the store refuses a change or the VM. It comes back 2 s after it can serve again. The log's activity line and two gauges tell the age of the append in flight and the changes that are set aside.

Not played with real processes.

--- a/batchjob/append.go
+++ b/batchjob/append.go
@@ -52,11 +52,14 @@
 func returnRefused(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	l := &t.JobLog
 	backOff(t, now, rejectedRetryDelay, maxRetryDelay)
-	if l.InFlightAside == nil && l.Failures < refusalsBeforeAside {
+	switch {
+	case l.InFlightAside == nil && l.Failures < refusalsBeforeAside:
 		requeueInFlight(t)
-		return
+	case l.OvertakenSince != 0 && now.Sub(l.OvertakenSince) >= probeDelay:
+		l.Phase = gateway.AppendUnsettled // a fence tells whether the store refuses this append or all of this VM
+	default:
+		setInFlightAside(t, now, false, out)
 	}
-	setInFlightAside(t, now, false, out)
 }
 
 // noteAppendFailed logs that the append in flight, or a fence of it, has failed.
@@ -123,7 +126,8 @@
 		l.Seq++
 	}
 	clearInFlight(l)
-	l.RetryAt, l.Conflicts, l.Failures = 0, 0, 0
+	l.RetryAt, l.Conflicts = 0, 0
+	endFailures(l)
 	l.Effective++
 }
 
--- a/batchjob/backoff.go
+++ b/batchjob/backoff.go
@@ -39,7 +39,9 @@
 // moment.
 func backOff(t *gateway.Tables, now cs.Instant, delay, limit cs.Span) {
 	l := &t.JobLog
-	l.Failures++
+	if l.Failures++; l.Failures == 1 {
+		l.FailingEnd = l.End
+	}
 	longest := retryLimitAfter(delay, limit, l.Failures)
 	l.RetryAt = now.Add(longest/2 + randomDelay(t, longest/2))
 }
--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -38,6 +38,7 @@
 		default:
 		}
 	}
+	noteOvertaken(&t.JobLog, now)
 	if t.Drain.Stopping {
 		releaseCallers(t, now, out)
 	}
--- a/batchjob/fence.go
+++ b/batchjob/fence.go
@@ -40,7 +40,8 @@
 	}
 	switch o := f.Outcome.(type) {
 	case gateway.AppendDone:
-		l.Phase, l.FencedAt, l.Failures = gateway.AppendFenced, now, 0
+		l.Phase, l.FencedAt = gateway.AppendFenced, now
+		endFailures(l)
 		out.Add(gateway.ReadJobs{})
 	case gateway.AppendConflict:
 		l.Phase, l.FencedAt, l.RequiredEnd = gateway.AppendFenced, now, max(l.RequiredEnd, o.End)
--- a/batchjob/fence_test.go
+++ b/batchjob/fence_test.go
@@ -162,7 +162,7 @@
 			v := newVM("a")
 			for _, id := range []cs.JobID{"bad", "good"} {
 				spec := newJob(id, 1)
-				v.Jobs.Insert(id, gateway.Job{Spec: spec, ItemWork: []gateway.ItemWork{{Phase: gateway.ItemProposed}}})
+				v.Jobs.Insert(id, gateway.Job{Spec: spec, FirstReadAt: startTime, ItemWork: []gateway.ItemWork{{Phase: gateway.ItemProposed}}})
 				v.Proposals = append(v.Proposals, gateway.ProposeResult{Key: gateway.ItemKey{Job: id}, Result: gateway.Result{Item: spec.Items[0].ID, Done: true}})
 			}
 			submitted := make(map[gateway.QueryID]cs.Instant)
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -39,13 +39,16 @@
 	checkSettings(t, page, "", root)
 }
 
-// TestOperationsPage guards against log events that the operations page lacks.
+// TestOperationsPage guards against log events and gauges that the operations page lacks.
 func TestOperationsPage(t *testing.T) {
 	data, err := os.ReadFile("OPERATIONS.md")
 	qt.Assert(t, err, qt.IsNil)
 	for _, k := range gateway.NoteKindValues() {
 		qt.Check(t, string(data), qt.Contains, "`"+k.String()+"`")
 	}
+	for _, g := range meter.GaugeValues() {
+		qt.Check(t, string(data), qt.Contains, "`crocusstile_"+g.String()+"`")
+	}
 }
 
 // commands returns the names that the tool's usage lists.
--- a/entry/activity.go
+++ b/entry/activity.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/meter"
 	"github.com/crocusstile/crocusstile/platform"
 )
 
@@ -20,6 +21,10 @@
 	reportsSent, reportsReceived int64
 	store                        platform.StoreTraffic
 	processorTime                cs.Span
+	// appendAge is the time since the append to the job log that is in flight was sent, or 0, and changesAside the number of
+	// changes that the store has refused; both are as of the reading.
+	appendAge    cs.Span
+	changesAside int
 }
 
 // logActivity logs every activityPeriod what the process has done since the last time, until ctx ends. It tells which
@@ -35,6 +40,8 @@
 		case <-t.C:
 			now := v.readActivity()
 			logDifference(v.log.Info(), last, now)
+			v.meter.SetGauge(meter.AppendAgeSeconds, now.appendAge.Std().Seconds())
+			v.meter.SetGauge(meter.ChangesAside, float64(now.changesAside))
 			last = now
 		}
 	}
@@ -45,6 +52,10 @@
 	a := activity{ticks: v.loop.Ticks(), processorTime: v.processorTime()}
 	a.reportsSent, a.reportsReceived = v.gossip.Traffic()
 	a.store = v.store.Traffic()
+	if view := v.loop.View(); view.AppendSentAt != 0 {
+		a.appendAge = v.clock.Now().Sub(view.AppendSentAt)
+	}
+	a.changesAside = v.loop.View().ChangesAside
 	return a
 }
 
@@ -54,6 +65,8 @@
 		Int64("reportsSent", to.reportsSent-from.reportsSent).
 		Int64("reportsReceived", to.reportsReceived-from.reportsReceived).
 		EmbedObject(to.store.Sub(from.store)).
+		Int64("appendAgeMs", int64(to.appendAge)).
+		Int("changesAside", to.changesAside).
 		Int64("processorMs", int64(to.processorTime-from.processorTime)).
 		Msg("activity")
 }
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -32,6 +32,7 @@
 		batchjob.ApplyJobLog,
 		batchjob.ShareState,
 		batchjob.AssignPartitions,
+		batchjob.YieldPartitions,
 		batchjob.ApplyOutcomes,
 		batchjob.ApplySlotReplies,
 		roster.Crashes,
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -183,6 +183,11 @@
 	RenewedAt cs.Instant
 	// Left means that this VM has left the group.
 	Left bool
+	// UnservedSince is since when this VM has not followed the job log though its membership is renewed, or 0.
+	UnservedSince cs.Instant
+	// YieldedAt is when this VM last gave up its partitions for want of the job log, and ServableSince since when it could serve
+	// them again, or 0.
+	YieldedAt, ServableSince cs.Instant
 	// BatchDemand is this VM's demand for batch slots: the items that it could start now. Items that will be
 	// late anyway count for less.
 	BatchDemand int
--- a/gateway/joblog.go
+++ b/gateway/joblog.go
@@ -66,6 +66,10 @@
 	Conflicts int
 	// Failures counts consecutive appends and fences that the store rejected or did not confirm.
 	Failures int
+	// FailingEnd is the end of the log when the first of these failed, and OvertakenSince since when records of others have been
+	// read after it, or 0: the store accepts their appends.
+	FailingEnd     cs.Offset
+	OvertakenSince cs.Instant
 	// Effective counts the appends of this process that have taken effect.
 	Effective int
 }
@@ -87,6 +91,15 @@
 // JustFenced reports whether the group has had no response once, and was not sent again.
 func (g *AsideGroup) JustFenced() bool { return g.Fenced && g.Refusals == 1 }
 
+// ChangesAside returns the number of proposals that are set aside.
+func (l *JobLog) ChangesAside() int {
+	n := 0
+	for i := range l.Aside {
+		n += len(l.Aside[i].Proposals)
+	}
+	return n
+}
+
 // HasPendingChanges reports whether a change of the job log waits, or is in flight.
 func (t *Tables) HasPendingChanges() bool {
 	return len(t.Proposals) > 0 || len(t.JobLog.Aside) > 0 || t.JobLog.InFlight != nil
--- a/gateway/joblogrole.go
+++ b/gateway/joblogrole.go
@@ -15,6 +15,8 @@
 const (
 	// JobLogFollower reads the job log, owns partitions of it and answers the calls of callers about jobs.
 	JobLogFollower JobLogRole = iota
+	// JobLogReader follows the log and answers callers, but has given up its partitions, since it cannot serve them.
+	JobLogReader
 	// JobLogResigning has given up its partitions and follows the log until its runs and appends have ended.
 	JobLogResigning
 	// JobLogNone does not read the job log, and passes the calls of callers about jobs to a follower.
--- a/gateway/joblogrole_enumer.go
+++ b/gateway/joblogrole_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _JobLogRoleName = "followerresigningnone"
+const _JobLogRoleName = "followerreaderresigningnone"
 
-var _JobLogRoleIndex = [...]uint8{0, 8, 17, 21}
+var _JobLogRoleIndex = [...]uint8{0, 8, 14, 23, 27}
 
-const _JobLogRoleLowerName = "followerresigningnone"
+const _JobLogRoleLowerName = "followerreaderresigningnone"
 
 func (i JobLogRole) String() string {
 	if i < 0 || i >= JobLogRole(len(_JobLogRoleIndex)-1) {
@@ -25,28 +25,32 @@
 func _JobLogRoleNoOp() {
 	var x [1]struct{}
 	_ = x[JobLogFollower-(0)]
-	_ = x[JobLogResigning-(1)]
-	_ = x[JobLogNone-(2)]
+	_ = x[JobLogReader-(1)]
+	_ = x[JobLogResigning-(2)]
+	_ = x[JobLogNone-(3)]
 }
 
-var _JobLogRoleValues = []JobLogRole{JobLogFollower, JobLogResigning, JobLogNone}
+var _JobLogRoleValues = []JobLogRole{JobLogFollower, JobLogReader, JobLogResigning, JobLogNone}
 
 var _JobLogRoleNameToValueMap = map[string]JobLogRole{
 	_JobLogRoleName[0:8]:   JobLogFollower,
-	_JobLogRoleName[8:17]:  JobLogResigning,
-	_JobLogRoleName[17:21]: JobLogNone,
+	_JobLogRoleName[8:14]:  JobLogReader,
+	_JobLogRoleName[14:23]: JobLogResigning,
+	_JobLogRoleName[23:27]: JobLogNone,
 }
 
 var _JobLogRoleLowerNameToValueMap = map[string]JobLogRole{
 	_JobLogRoleLowerName[0:8]:   JobLogFollower,
-	_JobLogRoleLowerName[8:17]:  JobLogResigning,
-	_JobLogRoleLowerName[17:21]: JobLogNone,
+	_JobLogRoleLowerName[8:14]:  JobLogReader,
+	_JobLogRoleLowerName[14:23]: JobLogResigning,
+	_JobLogRoleLowerName[23:27]: JobLogNone,
 }
 
 var _JobLogRoleNames = []string{
 	_JobLogRoleName[0:8],
-	_JobLogRoleName[8:17],
-	_JobLogRoleName[17:21],
+	_JobLogRoleName[8:14],
+	_JobLogRoleName[14:23],
+	_JobLogRoleName[23:27],
 }
 
 // JobLogRoleString retrieves an enum value from the enum constants string name.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -19,6 +19,10 @@
 	Leaving bool
 	// ForwardsJobCalls means that this VM does not follow the job log and passes calls about jobs to one that does.
 	ForwardsJobCalls bool
+	// AppendSentAt is when the append to the job log that is in flight was sent, or 0, and ChangesAside the number of changes that
+	// the store has refused.
+	AppendSentAt cs.Instant
+	ChangesAside int
 	// ReceivePause is how long received reports may wait for others, so that one tick applies them all.
 	ReceivePause cs.Span
 }
@@ -26,9 +30,14 @@
 // NewView returns a snapshot of the tables for traffic goroutines.
 func NewView(t *Tables) View {
 	leaving := t.Drain.Phase != fleet.DrainNone
+	sentAt := cs.Instant(0)
+	if t.JobLog.InFlight != nil {
+		sentAt = t.JobLog.SentAt
+	}
 	loaded := t.Catalog != nil && t.RunnersLoaded()
 	return View{
 		Catalog: t.Catalog, CatalogAsOf: t.Feeds[FeedCatalog].AsOf, Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
 		ReceivePause: t.receivePause(), ForwardsJobCalls: t.JobLog.Role == JobLogNone || !t.JobLog.Synced,
+		AppendSentAt: sentAt, ChangesAside: t.JobLog.ChangesAside(),
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -39,6 +39,19 @@
 	Append
 )
 
+//go:generate enumer -type Gauge -text -transform snake
+
+// Gauge identifies a value that is set from time to time.
+type Gauge int
+
+// The gauges.
+const (
+	// AppendAgeSeconds is the time since the append to the job log that is in flight was sent, or 0.
+	AppendAgeSeconds Gauge = iota
+	// ChangesAside is the number of changes of the job log that the store has refused and that are sent apart from others.
+	ChangesAside
+)
+
 // maxTenants bounds the number of tenants with time series of their own, so that metrics use bounded
 // memory. All further tenants are recorded as "other".
 const maxTenants = 200
@@ -106,6 +119,9 @@
 	counter.Inc(c.N)
 }
 
+// SetGauge sets a gauge.
+func (m *Meter) SetGauge(g Gauge, v float64) { m.scope.Gauge(g.String()).Update(v) }
+
 // Time records a duration in the histogram of a tenant and class.
 func (m *Meter) Time(kind Timing, tenant cs.TenantID, class cs.Class, s cs.Span) {
 	key := histogramKey{kind, m.tenantLabel(tenant), class}
