--- a/batchjob/outcomes.go
+++ b/batchjob/outcomes.go
@@ -45,19 +45,13 @@
 		runner.Batch--
 	}
 	if e.LastEvent > 0 {
-		updatePace(&t.Pace, now.Sub(w.Started), e.LastEvent-w.LastEvent, 0)
-		appendOutput(w, e)
-		w.Ends = 0
+		recordOutput(t, w, e, now)
 		t.RecordBegun(item.Parts, w.Started, now) // the run began at some time since then
-		if runner != nil {
-			runner.ResetFailures()
-		}
 	}
 	recordResponse(t, runner, e.Outcome, now, out)
 	w.Phase = gateway.ItemWaiting
-	itemID := item.ID
 	note := gateway.Note{
-		Kind: gateway.NoteItemReturned, Job: e.Key.Job, Item: itemID, Runner: w.Runner, Attempt: w.Attempt,
+		Kind: gateway.NoteItemReturned, Job: e.Key.Job, Item: item.ID, Runner: w.Runner, Attempt: w.Attempt,
 		Duration: now.Sub(w.Started), Count: int(w.LastEvent),
 	}
 	switch o := e.Outcome.(type) {
@@ -81,13 +75,13 @@
 			w.Failed++
 		}
 		if o.Permanent || w.Failed >= maxAttempts(t, j) {
-			proposeResult(t, j, e.Key, gateway.Result{Item: itemID})
+			proposeResult(t, j, e.Key, gateway.Result{Item: item.ID})
 		}
 	case gateway.ItemInterrupted:
 		w.NotBefore, note.Reason = now.Add(interruptedRetryDelay), o.Error
 		recordInterruption(t, runner, o, now, out)
 		if o.Disconnected && w.LastEvent == 0 {
-			t.RecordPossibleCrash(runner, gateway.PossibleCrash{Item: itemID, Parts: item.Parts, At: now})
+			t.RecordPossibleCrash(runner, gateway.PossibleCrash{Item: item.ID, Parts: item.Parts, At: now})
 		}
 	case gateway.ItemStopped:
 		note.Reason = "stopped"
@@ -126,12 +120,16 @@
 	}
 }
 
-// appendOutput appends the output of a run to that of the item's earlier runs.
-func appendOutput(w *gateway.ItemWork, e gateway.ItemRunEnded) {
+// recordOutput appends the output of a run to that of the item's earlier runs, and records that its runner works.
+func recordOutput(t *gateway.Tables, w *gateway.ItemWork, e gateway.ItemRunEnded, now cs.Instant) {
+	updatePace(&t.Pace, now.Sub(w.Started), e.LastEvent-w.LastEvent, 0)
+	if runner := t.Runners.Get(w.Runner); runner != nil {
+		runner.ResetFailures()
+	}
 	if w.LastEvent > 0 {
 		w.Text = append(w.Text, '\n')
 	}
-	w.Text, w.LastEvent = append(w.Text, e.Text...), e.LastEvent
+	w.Text, w.LastEvent, w.Ends = append(w.Text, e.Text...), e.LastEvent, 0
 }
 
 // maxAttempts returns after how many failed runs an item is given up. If its route is not in the catalog,
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -144,16 +144,12 @@
 		h.batchjob.Run(h.itemsCtx, a)
 	case gateway.StopItem:
 		h.batchjob.Stop(a)
-	case gateway.AppendJobs:
-		h.runTask(func(ctx context.Context) { h.appendJobs(ctx, a) })
-	case gateway.FenceJobs:
-		h.runTask(func(ctx context.Context) { h.fenceJobs(ctx, a) })
+	case gateway.AppendJobs, gateway.FenceJobs, gateway.ReadJobs, gateway.RereadJobs:
+		h.useJobLog(a)
 	case gateway.LeaveGroup:
 		h.leaveGroup()
 	case gateway.SetJobLogRole:
 		h.setJobLogRole(a.Role)
-	case gateway.ReadJobs, gateway.RereadJobs:
-		h.readJobLog(a)
 	case gateway.AnswerJob:
 		h.batchjob.Answer(a.Query, a)
 	case gateway.AnswerResults:
@@ -181,9 +177,13 @@
 	}
 }
 
-// readJobLog passes a request to read the job log to its handler.
-func (h *handlers) readJobLog(a gateway.Action) {
+// useJobLog executes the actions that read the job log or append to it.
+func (h *handlers) useJobLog(a gateway.Action) {
 	switch a := a.(type) {
+	case gateway.AppendJobs:
+		h.runTask(func(ctx context.Context) { h.appendJobs(ctx, a) })
+	case gateway.FenceJobs:
+		h.runTask(func(ctx context.Context) { h.fenceJobs(ctx, a) })
 	case gateway.RereadJobs:
 		h.rereadJobs(a)
 	default:
