--- a/batchjob/append.go
+++ b/batchjob/append.go
@@ -110,7 +110,7 @@
 	for _, p := range l.Proposals {
 		switch p := p.(type) {
 		case gateway.ProposeJob:
-			acceptJob(p, appendStats{attempts: l.Conflicts + l.Failures + 1, sinceFirstSent: now.Sub(l.SentAt), end: end}, now, out)
+			acceptJob(p, appendStats{attempts: l.Conflicts + l.Failures + 1, sinceSent: now.Sub(l.SentAt), end: end}, now, out)
 		case gateway.ProposeEnd:
 			confirmJobEnd(p, now, out)
 		case gateway.ProposeResult:
--- a/batchjob/backoff.go
+++ b/batchjob/backoff.go
@@ -14,7 +14,7 @@
 	maxAppendTimeout = 5 * cs.Second
 	// rejectedRetryDelay is the longest pause after the store has rejected an append for the first time.
 	rejectedRetryDelay = 250 * cs.Millisecond
-	// unknownRetryDelay is the longest pause before an append with an unknown outcome is sent again for the first time.
+	// unknownRetryDelay is the longest pause before the first fence of an append with an unknown outcome.
 	unknownRetryDelay = 150 * cs.Millisecond
 	// maxRetryDelay bounds the pause after a failed append, and maxFenceDelay that before a fence, which is small and is
 	// followed by a read and the next append.
--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -223,10 +223,10 @@
 
 // appendStats describes the append that accepted a job; it is zero for a job that the log already had.
 type appendStats struct {
-	// attempts counts the appends that were sent.
+	// attempts counts the append, and the conflicts and failures in a row before it.
 	attempts int
-	// sinceFirstSent is the time since the last append was first sent.
-	sinceFirstSent cs.Span
+	// sinceSent is the time since the append was sent.
+	sinceSent cs.Span
 	// end is an offset up to which the log holds records of the append.
 	end cs.Offset
 }
@@ -236,7 +236,7 @@
 	out.Add(gateway.AnswerJob{Query: p.Query})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteJobAccepted, Job: p.Spec.ID, Route: p.Spec.Route, Count: len(p.Spec.Items), Duration: now.Sub(p.Since),
-		Attempt: cs.Attempt(stats.attempts), Age: stats.sinceFirstSent, Offset: stats.end,
+		Attempt: cs.Attempt(stats.attempts), Age: stats.sinceSent, Offset: stats.end,
 	})
 }
 
--- a/batchjob/doc.go
+++ b/batchjob/doc.go
@@ -2,7 +2,7 @@
 //
 // A job, its results and its end are records of the job log, a keyed topic of the platform's store.
 // The order of the log is authoritative: the first result of an item counts, and results are ordered as
-// their records. Appends are idempotent: the store applies each at most once, however often it is sent.
+// their records. An append is sent once; if its outcome is unknown, a fence makes sure that it can no longer take effect.
 // An append that accepts a job close to its route's quota is also conditional: it names the offset at
 // which the log must end, so that the quota is checked against the complete log.
 //
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -48,7 +48,7 @@
 	NoteJobLogGap
 	// NoteAppendFailed: an append to the job log failed, or its outcome is unknown.
 	NoteAppendFailed
-	// NoteAppendFenced: an append whose outcome was unknown can no longer take effect, and the log tells whether it has.
+	// NoteAppendFenced: an append whose outcome was unknown has not taken effect and no longer can.
 	NoteAppendFenced
 	// NoteAppendSetAside: the changes of an append that the store refuses are sent apart from others, or one of them is dropped.
 	NoteAppendSetAside
