--- a/batchjob/commit.go
+++ b/batchjob/commit.go
@@ -59,7 +59,8 @@
 // sendAppend sends the next append: a group of refused proposals that is due, or the proposals that wait. They take turns.
 func sendAppend(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	l := &t.JobLog
-	if l.OthersNext && sendWaiting(t, now, out) {
+	othersFirst := l.OthersNext
+	if othersFirst && sendWaiting(t, now, out) {
 		l.OthersNext = false
 		return
 	}
@@ -67,7 +68,9 @@
 		l.OthersNext = true
 		return
 	}
-	sendWaiting(t, now, out)
+	if !othersFirst {
+		sendWaiting(t, now, out)
+	}
 }
 
 // sendWaiting sends an append with the proposals that wait and reports whether there was one to send.
--- a/entry/activity.go
+++ b/entry/activity.go
@@ -52,10 +52,11 @@
 	a := activity{ticks: v.loop.Ticks(), processorTime: v.processorTime()}
 	a.reportsSent, a.reportsReceived = v.gossip.Traffic()
 	a.store = v.store.Traffic()
-	if view := v.loop.View(); view.AppendSentAt != 0 {
+	view := v.loop.View()
+	if view.AppendSentAt != 0 {
 		a.appendAge = v.clock.Now().Sub(view.AppendSentAt)
 	}
-	a.changesAside = v.loop.View().ChangesAside
+	a.changesAside = view.ChangesAside
 	return a
 }
 
