Share the steps of the tests of refused appends

TestEveryAppendEnds and TestRefusedResultHoldsBackNothing had the same lines to submit a job and to run the VM and the store. Assertions and bounds are as they were.

--- a/batchjob/fence_test.go
+++ b/batchjob/fence_test.go
@@ -80,6 +80,22 @@
 	s.pending = rest
 }
 
+// step runs the VM and the store at an instant of a test; the VM reads the log every 200 ms.
+func (s *delayedStore) step(v *vm, now cs.Instant) {
+	v.tick(now)
+	s.take(v, now)
+	if now.Sub(startTime)%(200*cs.Millisecond) == 0 {
+		v.readLog(&s.log, now)
+	}
+}
+
+// submitLater submits a job of its own and records when.
+func submitLater(v *vm, submitted map[gateway.QueryID]cs.Instant, now cs.Instant) {
+	q := gateway.QueryID(10 + len(submitted))
+	v.inbox = append(v.inbox, gateway.JobSubmitted{Query: q, Spec: newJob(cs.JobID(fmt.Sprint("later", q)), 1)})
+	submitted[q] = now
+}
+
 // Guards against an append that the store goes on to refuse, or never answers, and that holds back all later appends of its VM
 // for good (review/2 with 503 in place of 413). All other changes must reach the log within 2 s of their proposal, and the
 // caller must get a true answer.
@@ -109,15 +125,9 @@
 				refusedAt := cs.Instant(0)
 				for now := startTime; now < startTime.Add(span); now = now.Add(step) {
 					if elapsed := now.Sub(startTime); elapsed%(5*cs.Second) == 2500*cs.Millisecond && len(submitted) < 5 {
-						q := gateway.QueryID(10 + len(submitted))
-						v.inbox = append(v.inbox, gateway.JobSubmitted{Query: q, Spec: newJob(cs.JobID(fmt.Sprint("later", q)), 1)})
-						submitted[q] = now
-					}
-					v.tick(now)
-					s.take(v, now)
-					if now.Sub(startTime)%(200*cs.Millisecond) == 0 {
-						v.readLog(&s.log, now)
+						submitLater(v, submitted, now)
 					}
+					s.step(v, now)
 					for q, at := range submitted {
 						if at != startTime && !accepted(v, q) && now.Sub(at) > 2*cs.Second {
 							c.Fatalf("query %d has no 202 after 2 s", q)
@@ -168,15 +178,9 @@
 			submitted := make(map[gateway.QueryID]cs.Instant)
 			for now := startTime; now < startTime.Add(span); now = now.Add(step) {
 				if elapsed := now.Sub(startTime); elapsed > 0 && elapsed%(7*cs.Second) == 0 {
-					q := gateway.QueryID(10 + len(submitted))
-					v.inbox = append(v.inbox, gateway.JobSubmitted{Query: q, Spec: newJob(cs.JobID(fmt.Sprint("later", q)), 1)})
-					submitted[q] = now
-				}
-				v.tick(now)
-				s.take(v, now)
-				if now.Sub(startTime)%(200*cs.Millisecond) == 0 {
-					v.readLog(&s.log, now)
+					submitLater(v, submitted, now)
 				}
+				s.step(v, now)
 				for q, at := range submitted {
 					if !accepted(v, q) && now.Sub(at) > 2*cs.Second {
 						c.Fatalf("query %d has no 202 after 2 s", q)
