--- a/clock.go
+++ b/clock.go
@@ -5,11 +5,22 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Instant is a point in time in milliseconds since the Unix epoch.
 type Instant int64
 
+// BootInstant is a point in time in milliseconds on a clock that, unlike that of an Instant, counts the time for which the
+// machine was suspended.
+type BootInstant int64
+
+// Add returns the instant i + s.
+func (i BootInstant) Add(s Span) BootInstant { return i + BootInstant(s) }
+
+// Sub returns the duration i - j.
+func (i BootInstant) Sub(j BootInstant) Span { return Span(i - j) }
+
 // Span is a duration in milliseconds.
 type Span int64
 
@@ -53,11 +64,13 @@
 type Clock struct {
 	start  time.Time
 	manual *atomic.Int64
+	// suspendedAtStart is the difference of the machine's boot-time and monotonic clocks when the clock was created.
+	suspendedAtStart time.Duration
 }
 
 // NewClock returns a clock that follows the machine's monotonic clock, so that adjustments of the
 // wall clock do not affect it.
-func NewClock() *Clock { return &Clock{start: time.Now()} }
+func NewClock() *Clock { return &Clock{start: time.Now(), suspendedAtStart: suspended()} }
 
 // NewManualClock returns a clock for tests and simulations that is set to the given instant.
 func NewManualClock(at Instant) *Clock {
@@ -74,6 +87,25 @@
 	return Instant(c.start.UnixMilli() + time.Since(c.start).Milliseconds())
 }
 
+// Suspended returns the time for which the machine has been suspended since the clock was created. The monotonic clock, and so
+// Now, does not count it.
+func (c *Clock) Suspended() Span {
+	if c.manual != nil {
+		return 0
+	}
+	return SpanOf(suspended() - c.suspendedAtStart)
+}
+
+// suspended returns the difference of the machine's boot-time and monotonic clocks: the time for which it was suspended since its
+// start.
+func suspended() time.Duration {
+	var boot, monotonic unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
+		return 0 // Linux has both clocks
+	}
+	return time.Duration(boot.Nano() - monotonic.Nano())
+}
+
 // Advance moves a manual clock forward by s; it has no effect on a real clock.
 func (c *Clock) Advance(s Span) {
 	if c.manual != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,8 +92,8 @@
 	limitMemory(s.MemoryMB)
 	tables := gateway.New(gateway.Config{
 		Grace: s.Grace, RegistrationGrace: registrationGrace, ResultRetention: s.ResultRetention, PartitionCount: s.Store.PartitionCount,
-		JobLogFollowers: s.JobLogFollowers,
-		MaxAppend:       s.Store.MaxAppend, MaxOutput: wire.MaxOutput(s.Store.MaxRecord),
+		JobLogFollowers: s.JobLogFollowers, RevokeBound: s.revokeBound(), Quota: s.Quota,
+		MaxAppend: s.Store.MaxAppend, MaxOutput: wire.MaxOutput(s.Store.MaxRecord),
 	}, v.self, clock.Now(), rand.Uint64())
 	v.loop = newLoop(clock, tables)
 	return v, v.buildComponents(clock)
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -85,11 +85,16 @@
 	view     atomic.Pointer[gateway.View]
 	// loaded is closed once the catalog and the runners are known.
 	loaded chan struct{}
+	// suspended returns the time for which the machine has been suspended, or is nil if nothing depends on it.
+	suspended func() cs.Span
 }
 
 // newLoop returns a control loop; its handlers must be set before it runs.
 func newLoop(clock *cs.Clock, t *gateway.Tables) *loop {
 	l := &loop{tables: t, systems: Systems(), loaded: make(chan struct{})}
+	if t.Config.RevokeBound > 0 || t.Config.Quota.Window > 0 {
+		l.suspended = clock.Suspended
+	}
 	l.Loop = tick.New(clock, l.runTick)
 	l.publishView()
 	return l
@@ -114,6 +119,9 @@
 // runTick runs all systems once over the events and executes the resulting actions.
 func (l *loop) runTick(now cs.Instant, events []gateway.Event) (cs.Instant, []gateway.Event) {
 	l.tables.Events = events
+	if l.suspended != nil {
+		l.tables.Suspended = l.suspended()
+	}
 	l.actions.Reset()
 	for _, system := range l.systems {
 		system(l.tables, now, &l.actions)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
 	"github.com/crocusstile/crocusstile/setting"
 )
 
@@ -26,6 +27,13 @@
 	ResultRetention cs.Span `json:"resultLife"`
 	// MemoryMB is the memory of the VM in megabytes; a process that exceeds it is killed.
 	MemoryMB int `json:"memoryMB"`
+	// StrictRevoke means that no request may run with a key that was withdrawn longer than Revoke ago.
+	StrictRevoke bool    `json:"strictRevoke"`
+	Revoke       cs.Span `json:"revoke"`
+	// Quota tells how the limits of workspaces are measured; without a window they are not limited.
+	Quota gateway.Quota `json:"quota"`
+	// MaxDescriptors is the number of descriptors that the process may open; if it is missing, defaultMaxDescriptors.
+	MaxDescriptors int `json:"maxDescriptors"`
 	// JobLogFollowers is the number of VMs of each data centre that follow the job log; if it is missing,
 	// defaultJobLogFollowers.
 	JobLogFollowers int `json:"jobLogFollowers"`
@@ -35,6 +43,17 @@
 // once when a VM restarts.
 const defaultJobLogFollowers = 6
 
+// defaultMaxDescriptors is the usual limit of a process.
+const defaultMaxDescriptors = 1024
+
+// revokeBound returns the time after the withdrawal of a key from which no request with it may run, or 0.
+func (s Settings) revokeBound() cs.Span {
+	if !s.StrictRevoke {
+		return 0
+	}
+	return s.Revoke
+}
+
 // Listen holds the addresses and ports on which an entry VM listens.
 type Listen struct {
 	// Callers is the address for callers, and Ready the address for the platform's readiness checks.
@@ -78,6 +97,9 @@
 	if s.JobLogFollowers == 0 {
 		s.JobLogFollowers = defaultJobLogFollowers
 	}
+	if s.MaxDescriptors == 0 {
+		s.MaxDescriptors = defaultMaxDescriptors
+	}
 	if errs := s.validate(); len(errs) > 0 {
 		return Settings{}, errs
 	}
@@ -108,12 +130,18 @@
 		"listen.peerPort": int64(s.Listen.PeerPort), "store.partitions": int64(s.Store.PartitionCount),
 		"store.maxRecord": int64(s.Store.MaxRecord), "store.maxAppend": int64(s.Store.MaxAppend),
 		"grace": int64(s.Grace), "resultLife": int64(s.ResultRetention), "memoryMB": int64(s.MemoryMB),
-		"jobLogFollowers": int64(s.JobLogFollowers),
+		"jobLogFollowers": int64(s.JobLogFollowers), "maxDescriptors": int64(s.MaxDescriptors),
 	} {
 		if n <= 0 {
 			addError(path, "must be positive")
 		}
 	}
+	if s.StrictRevoke && s.Revoke <= 0 {
+		addError("revoke", "must be positive if strictRevoke is set")
+	}
+	if s.Quota.Window < 0 || s.Quota.Overshoot < 0 || s.Quota.Slack < 0 {
+		addError("quota", "must not be negative")
+	}
 	return errs
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -28,6 +28,13 @@
 	Version cs.CatalogVersion
 	Service cs.ServiceID
 	Content cs.ContentHash
+	// Workspace is the workspace of the request, or empty, and Key the digest of the key by which the caller has shown it.
+	Workspace cs.WorkspaceID
+	Key       cs.KeyDigest
+	// Priority ranks the request against others; 0 is the highest priority.
+	Priority int
+	// ArrivedBoot is Arrived on the clock that counts the time for which the machine was suspended.
+	ArrivedBoot cs.BootInstant
 	// Parts are the parts of the prompt that other requests may share.
 	Parts    []cs.PromptPart
 	Arrived  cs.Instant
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -15,6 +15,8 @@
 	Started cs.Instant
 	// Events are the events that the current tick processes, in the order of their arrival.
 	Events []Event
+	// Suspended is the time for which the machine has been suspended since the start of the process, as of this tick.
+	Suspended cs.Span
 	// DueAt is when this tick was due at the latest, or 0 if it was due only upon an event.
 	DueAt cs.Instant
 	// Rand is the only source of randomness of the systems, so that a run can be repeated with its seed.
@@ -110,11 +112,26 @@
 	JobLogFollowers int
 	// MaxAppend is the maximum size of one append to the job log.
 	MaxAppend cs.Bytes
+	// RevokeBound is the time after the withdrawal of a key from which no request with it may run, or 0 if there is no such bound.
+	RevokeBound cs.Span
+	// Quota tells how the limits of workspaces are measured.
+	Quota Quota
 	// MaxOutput is the maximum size of the output of an item, which must fit into a record of the job log;
 	// 0 means no limit.
 	MaxOutput cs.Bytes
 }
 
+// Quota tells how the limits of workspaces are measured: in each span of Window, (rate x Window + burst) x (1 + Overshoot) + Slack
+// requests of a workspace may run. A Window of 0 means that workspaces are not limited.
+type Quota struct {
+	Window    cs.Span  `json:"window"`
+	Overshoot cs.Ratio `json:"overshoot"`
+	Slack     float64  `json:"slack"`
+}
+
+// BootTime returns a time of this process on the clock that counts the time for which the machine was suspended.
+func (t *Tables) BootTime(at cs.Instant) cs.BootInstant { return cs.BootInstant(at.Add(t.Suspended)) }
+
 // Drain is the progress of this VM's drain.
 type Drain struct {
 	Phase fleet.DrainPhase
@@ -153,6 +170,8 @@
 	// AsOf is the latest instant for which everything that was in the feed then is known to have been read, or
 	// 0. The time that reads take, and reads that do not reach the end of the feed, do not advance it.
 	AsOf cs.Instant
+	// ConfirmedAt is AsOf on the clock that counts the time for which the machine was suspended, or 0.
+	ConfirmedAt cs.BootInstant
 	// FailingSince is when the current series of failed reads began, or 0 if the last read succeeded.
 	FailingSince cs.Instant
 	// FailedAt is when the last series of failed reads began, whether or not it has ended, or 0.
--- a/reason_enumer.go
+++ b/reason_enumer.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _ReasonName = "invalidnotFoundconflictstaleoverloadedexpiredunavailablequarantinedbrokenrejectedleaving"
+const _ReasonName = "invalidnotFoundconflictstaleoverloadedexpiredunavailablequarantinedbrokenrejectedleavingunauthorizedrateLimited"
 
-var _ReasonIndex = [...]uint8{0, 7, 15, 23, 28, 38, 45, 56, 67, 73, 81, 88}
+var _ReasonIndex = [...]uint8{0, 7, 15, 23, 28, 38, 45, 56, 67, 73, 81, 88, 100, 111}
 
-const _ReasonLowerName = "invalidnotfoundconflictstaleoverloadedexpiredunavailablequarantinedbrokenrejectedleaving"
+const _ReasonLowerName = "invalidnotfoundconflictstaleoverloadedexpiredunavailablequarantinedbrokenrejectedleavingunauthorizedratelimited"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -36,36 +36,42 @@
 	_ = x[ReasonBroken-(8)]
 	_ = x[ReasonRejected-(9)]
 	_ = x[ReasonLeaving-(10)]
+	_ = x[ReasonUnauthorized-(11)]
+	_ = x[ReasonRateLimited-(12)]
 }
 
-var _ReasonValues = []Reason{ReasonInvalid, ReasonNotFound, ReasonConflict, ReasonStale, ReasonOverloaded, ReasonExpired, ReasonUnavailable, ReasonQuarantined, ReasonBroken, ReasonRejected, ReasonLeaving}
+var _ReasonValues = []Reason{ReasonInvalid, ReasonNotFound, ReasonConflict, ReasonStale, ReasonOverloaded, ReasonExpired, ReasonUnavailable, ReasonQuarantined, ReasonBroken, ReasonRejected, ReasonLeaving, ReasonUnauthorized, ReasonRateLimited}
 
 var _ReasonNameToValueMap = map[string]Reason{
-	_ReasonName[0:7]:   ReasonInvalid,
-	_ReasonName[7:15]:  ReasonNotFound,
-	_ReasonName[15:23]: ReasonConflict,
-	_ReasonName[23:28]: ReasonStale,
-	_ReasonName[28:38]: ReasonOverloaded,
-	_ReasonName[38:45]: ReasonExpired,
-	_ReasonName[45:56]: ReasonUnavailable,
-	_ReasonName[56:67]: ReasonQuarantined,
-	_ReasonName[67:73]: ReasonBroken,
-	_ReasonName[73:81]: ReasonRejected,
-	_ReasonName[81:88]: ReasonLeaving,
+	_ReasonName[0:7]:     ReasonInvalid,
+	_ReasonName[7:15]:    ReasonNotFound,
+	_ReasonName[15:23]:   ReasonConflict,
+	_ReasonName[23:28]:   ReasonStale,
+	_ReasonName[28:38]:   ReasonOverloaded,
+	_ReasonName[38:45]:   ReasonExpired,
+	_ReasonName[45:56]:   ReasonUnavailable,
+	_ReasonName[56:67]:   ReasonQuarantined,
+	_ReasonName[67:73]:   ReasonBroken,
+	_ReasonName[73:81]:   ReasonRejected,
+	_ReasonName[81:88]:   ReasonLeaving,
+	_ReasonName[88:100]:  ReasonUnauthorized,
+	_ReasonName[100:111]: ReasonRateLimited,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
-	_ReasonLowerName[0:7]:   ReasonInvalid,
-	_ReasonLowerName[7:15]:  ReasonNotFound,
-	_ReasonLowerName[15:23]: ReasonConflict,
-	_ReasonLowerName[23:28]: ReasonStale,
-	_ReasonLowerName[28:38]: ReasonOverloaded,
-	_ReasonLowerName[38:45]: ReasonExpired,
-	_ReasonLowerName[45:56]: ReasonUnavailable,
-	_ReasonLowerName[56:67]: ReasonQuarantined,
-	_ReasonLowerName[67:73]: ReasonBroken,
-	_ReasonLowerName[73:81]: ReasonRejected,
-	_ReasonLowerName[81:88]: ReasonLeaving,
+	_ReasonLowerName[0:7]:     ReasonInvalid,
+	_ReasonLowerName[7:15]:    ReasonNotFound,
+	_ReasonLowerName[15:23]:   ReasonConflict,
+	_ReasonLowerName[23:28]:   ReasonStale,
+	_ReasonLowerName[28:38]:   ReasonOverloaded,
+	_ReasonLowerName[38:45]:   ReasonExpired,
+	_ReasonLowerName[45:56]:   ReasonUnavailable,
+	_ReasonLowerName[56:67]:   ReasonQuarantined,
+	_ReasonLowerName[67:73]:   ReasonBroken,
+	_ReasonLowerName[73:81]:   ReasonRejected,
+	_ReasonLowerName[81:88]:   ReasonLeaving,
+	_ReasonLowerName[88:100]:  ReasonUnauthorized,
+	_ReasonLowerName[100:111]: ReasonRateLimited,
 }
 
 var _ReasonNames = []string{
@@ -80,6 +86,8 @@
 	_ReasonName[67:73],
 	_ReasonName[73:81],
 	_ReasonName[81:88],
+	_ReasonName[88:100],
+	_ReasonName[100:111],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/refusal.go
+++ b/refusal.go
@@ -31,6 +31,10 @@
 	ReasonRejected
 	// ReasonLeaving means that this VM is shutting down and accepts no new requests.
 	ReasonLeaving
+	// ReasonUnauthorized means that the request has no key of a workspace.
+	ReasonUnauthorized
+	// ReasonRateLimited means that the workspace has reached its limit of requests.
+	ReasonRateLimited
 )
 
 // Refusal is the error of a request that did not get a complete response.
--- a/route.go
+++ b/route.go
@@ -51,8 +51,11 @@
 	Completion Span
 	// Retention is the time after a batch job's submission at which unfinished items may be abandoned.
 	Retention Span
-	// MaxWaiting limits the total tokens of the items waiting on a batch route; 0 means no limit.
+	// MaxWaiting limits the total tokens of the items waiting on a batch route; 0 means no limit. In a catalog with
+	// workspaces it limits those of each workspace.
 	MaxWaiting Tokens
+	// Public means that requests need no key of a workspace.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may be executed more than once.
@@ -79,13 +82,17 @@
 	MaxBody   Bytes
 }
 
-// Catalog is an immutable version of the operator's routes and services.
+// Catalog is an immutable version of the operator's routes, services and workspaces.
 type Catalog struct {
-	Version      CatalogVersion
-	Groups       map[ServiceID]RunnerGroup
-	Limits       CallerLimits
+	Version CatalogVersion
+	Groups  map[ServiceID]RunnerGroup
+	Limits  CallerLimits
+	// RequiresKeys means that requests need a key of a workspace, unless their route is public.
+	RequiresKeys bool
 	routesByHost map[string][]Route
 	routesByName map[RouteName]*Route
+	workspaces   map[WorkspaceID]*Workspace
+	byKey        map[KeyDigest]*Workspace
 }
 
 // NewCatalog returns a catalog with the routes indexed by host and by name.
@@ -105,6 +112,40 @@
 	return c
 }
 
+// WithWorkspaces returns the catalog with workspaces, of which requests need a key. A key that two workspaces have belongs to the
+// first one.
+func (c *Catalog) WithWorkspaces(workspaces []Workspace) *Catalog {
+	next := *c
+	next.RequiresKeys = true
+	next.workspaces = make(map[WorkspaceID]*Workspace, len(workspaces))
+	next.byKey = make(map[KeyDigest]*Workspace, len(workspaces))
+	for i := range workspaces {
+		w := &workspaces[i]
+		next.workspaces[w.ID] = w
+		for _, key := range w.Keys {
+			if _, taken := next.byKey[key]; !taken {
+				next.byKey[key] = w
+			}
+		}
+	}
+	return &next
+}
+
+// Workspace returns the workspace with the given ID, or nil.
+func (c *Catalog) Workspace(id WorkspaceID) *Workspace { return c.workspaces[id] }
+
+// WorkspaceOf returns the workspace that has a key, or nil.
+func (c *Catalog) WorkspaceOf(key KeyDigest) *Workspace { return c.byKey[key] }
+
+// Workspaces returns all workspaces in unspecified order.
+func (c *Catalog) Workspaces() []Workspace {
+	all := make([]Workspace, 0, len(c.workspaces))
+	for _, w := range c.workspaces {
+		all = append(all, *w)
+	}
+	return all
+}
+
 // Routes returns all routes in unspecified order.
 func (c *Catalog) Routes() []Route {
 	var all []Route
