--- a/batchjob/traffic.go
+++ b/batchjob/traffic.go
@@ -79,7 +79,7 @@
 	}
 	response, err := t.runners.Dispatch(ctx, forward.RunnerRequest{
 		ID: cs.RequestID(a.Item.ID), Method: http.MethodPost, Target: a.Item.Target, Host: a.Host,
-		Header: header, Body: a.Item.Body,
+		Header: header, Body: a.Item.Body, Access: a.Access,
 	}, forward.Destination{
 		Runner: a.Runner, Incarnation: a.Incarnation, Address: a.Address, LastEvent: a.LastEvent, NewConnection: a.NewConnection,
 	})
--- a/clock.go
+++ b/clock.go
@@ -96,6 +96,9 @@
 	return SpanOf(suspended() - c.suspendedAtStart)
 }
 
+// BootNow returns the current time on the clock that counts suspension.
+func (c *Clock) BootNow() BootInstant { return BootInstant(c.Now().Add(c.Suspended())) }
+
 // suspended returns the difference of the machine's boot-time and monotonic clocks: the time for which it was suspended since its
 // start.
 func suspended() time.Duration {
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -20,7 +20,7 @@
 	maxWaitingRequests = 2000
 )
 
-// Admit inserts newly arrived requests into the forward table, or refuses them if their content has
+// Admit inserts newly arrived requests into the forward table, or refuses them if their key is unknown, their content has
 // crashed runners, this VM is late in its drain or too many requests wait.
 func Admit(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	for _, e := range t.Events {
@@ -29,6 +29,10 @@
 			continue
 		}
 		f := arrived.Forward
+		if refusal := authorize(t, &f, now); refusal != nil {
+			refuseAfter(now, &f, *refusal, accessRetryAfter(refusal), out)
+			continue
+		}
 		f.Service = pickService(t, &f)
 		if t.ContentQuarantined(f.Content) {
 			refuse(now, &f, cs.Refusal{Reason: cs.ReasonQuarantined, Ran: cs.RanFailed, Message: "the request has crashed runners"}, out)
@@ -85,6 +89,11 @@
 			done = append(done, id)
 			continue
 		}
+		if refusal := withdrawnRefusal(t, f); refusal != nil {
+			refuse(now, f, *refusal, out)
+			done = append(done, id)
+			continue
+		}
 		if refusal := terminalRefusal(t, f, now); refusal != nil {
 			refuse(now, f, *refusal, out)
 			done = append(done, id)
@@ -191,7 +200,7 @@
 	firstByte, betweenEvents := idleTimeouts(f, load < r.Spec.Slots)
 	out.Add(gateway.Dispatch{
 		ID: f.ID, Attempt: f.Attempt, Runner: r.Spec.ID, Incarnation: r.Spec.Incarnation, Address: r.Spec.Address, LastEvent: f.LastEvent,
-		NewConnection: !f.Route.Repeatable() || sentBefore, FirstByteTimeout: firstByte, EventTimeout: betweenEvents,
+		NewConnection: !f.Route.Repeatable() || sentBefore, Access: t.RunnerAccess(f.Workspace), FirstByteTimeout: firstByte, EventTimeout: betweenEvents,
 	})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteRequestSent, Request: f.Request, Route: f.Route.Name, Runner: r.Spec.ID, Attempt: f.Attempt,
@@ -239,7 +248,12 @@
 
 // refuse answers a request with a refusal in place of a runner's response.
 func refuse(now cs.Instant, f *gateway.Forward, refusal cs.Refusal, out *gateway.Actions) {
-	out.Add(gateway.Refuse{ID: f.ID, Refusal: refusal, RetryAfter: retryAfter(refusal)})
+	refuseAfter(now, f, refusal, retryAfter(refusal), out)
+}
+
+// refuseAfter answers a request with a refusal and a retry delay.
+func refuseAfter(now cs.Instant, f *gateway.Forward, refusal cs.Refusal, delay cs.Span, out *gateway.Actions) {
+	out.Add(gateway.Refuse{ID: f.ID, Refusal: refusal, RetryAfter: delay})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteRequestRefused, Request: f.Request, Route: f.Route.Name, Runner: f.Runner, Attempt: f.Attempt,
 		Version: f.Version, Duration: now.Sub(f.Arrived), Outcome: refusal.Ran.String(), Reason: refusal.Message,
--- a/forward/rank.go
+++ b/forward/rank.go
@@ -19,13 +19,13 @@
 	return f.LastEvent > 0 || f.Route.Target == 0 || now.Sub(f.Arrived) <= cs.Span(latestSendRatio*float64(f.Route.Target))
 }
 
-// sortByRank sorts requests by the priority of their route. Within a priority, requests that can
+// sortByRank sorts requests by the priority of their workspace or, without one, of their route. Within a priority, requests that can
 // still meet their target come first, then older requests before newer ones.
 func sortByRank(t *gateway.Tables, ids []gateway.ForwardID, now cs.Instant) {
 	slices.SortFunc(ids, func(a, b gateway.ForwardID) int {
 		x, y := t.Forwards.Get(a), t.Forwards.Get(b)
 		return cmp.Or(
-			cmp.Compare(x.Route.Priority, y.Route.Priority), compareBool(canMeetTarget(y, now), canMeetTarget(x, now)),
+			cmp.Compare(x.Priority, y.Priority), compareBool(canMeetTarget(y, now), canMeetTarget(x, now)),
 			cmp.Compare(x.Arrived, y.Arrived), cmp.Compare(a, b),
 		)
 	})
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/gateway"
 )
 
 // RunnerRequest is a request of a caller, which is sent to a runner unchanged.
@@ -16,6 +17,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Access tells for which workspace the request is sent.
+	Access gateway.RunnerAccess
 }
 
 // Destination says to which runner a request is sent, and with which options.
--- a/forward/session.go
+++ b/forward/session.go
@@ -104,6 +104,7 @@
 	defer cancel()
 	ctx, idleTimer := WithIdleTimeout(ctx, a.FirstByteTimeout)
 	defer idleTimer.Stop()
+	s.request.Access = a.Access
 	response, err := s.traffic.cfg.Runners.Dispatch(ctx, s.request, Destination{
 		Runner: a.Runner, Incarnation: a.Incarnation, Address: a.Address, TimeLeft: timeLeft, LastEvent: a.LastEvent, NewConnection: a.NewConnection,
 	})
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -30,6 +30,8 @@
 		// request is sent, and the request cannot be repeated then, since the runner may have started it. On one
 		// on which the runner has refused the request before, a faulty runner may write that refusal once more.
 		NewConnection bool
+		// Access tells for which workspace the request is sent.
+		Access RunnerAccess
 		// FirstByteTimeout is the time limit for the first byte of the response, and EventTimeout the one
 		// between two events of a stream; 0 means no limit. A dispatch that exceeds one is cancelled, and its
 		// outcome is TimedOut.
@@ -65,6 +67,8 @@
 		LastEvent cs.EventID
 		// NewConnection requests a new connection; see Dispatch.
 		NewConnection bool
+		// Access tells for which workspace the item is sent.
+		Access RunnerAccess
 		// EventTimeout is the time limit for each event; 0 means no limit. A run that exceeds it is
 		// cancelled, and its outcome is TimedOut.
 		EventTimeout cs.Span
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -49,6 +49,10 @@
 		Loaded bool
 		// AsOf is set if Loaded: everything that was in the feed at this instant has been read.
 		AsOf cs.Instant
+		// SentAt is when the read was sent, on the clock that counts suspension. It is set if Loaded.
+		SentAt cs.BootInstant
+		// Unreadable means that the newest record could not be decoded. It is set for the catalog.
+		Unreadable bool
 		// Next is the offset from which the feed reads on.
 		Next cs.Offset
 	}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -170,8 +170,11 @@
 	// AsOf is the latest instant for which everything that was in the feed then is known to have been read, or
 	// 0. The time that reads take, and reads that do not reach the end of the feed, do not advance it.
 	AsOf cs.Instant
-	// ConfirmedAt is AsOf on the clock that counts the time for which the machine was suspended, or 0.
+	// ConfirmedAt is when the last read was sent that confirmed the newest version, on the clock that counts the time for which the
+	// machine was suspended, or 0. It is set for the catalog.
 	ConfirmedAt cs.BootInstant
+	// Unreadable means that the newest record could not be decoded. It is set for the catalog.
+	Unreadable bool
 	// FailingSince is when the current series of failed reads began, or 0 if the last read succeeded.
 	FailingSince cs.Instant
 	// FailedAt is when the last series of failed reads began, whether or not it has ended, or 0.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -11,6 +11,12 @@
 	Catalog *cs.Catalog
 	// CatalogAsOf is the latest instant for which Catalog is known to have been the newest version, or 0.
 	CatalogAsOf cs.Instant
+	// CatalogConfirmedAt is when the read was sent that confirmed Catalog, on the clock that counts suspension, or 0.
+	CatalogConfirmedAt cs.BootInstant
+	// CatalogUnreadable means that a newer version of the catalog could not be decoded.
+	CatalogUnreadable bool
+	// RevokeBound is that of Config.
+	RevokeBound cs.Span
 	// Loaded means that the catalog and the list of runners are known, from the store or from a peer.
 	Loaded bool
 	// Ready is the answer to the platform's readiness probe: callers may be routed to this VM.
@@ -36,7 +42,9 @@
 	}
 	loaded := t.Catalog != nil && t.RunnersLoaded()
 	return View{
-		Catalog: t.Catalog, CatalogAsOf: t.Feeds[FeedCatalog].AsOf, Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
+		Catalog: t.Catalog, CatalogAsOf: t.Feeds[FeedCatalog].AsOf, CatalogConfirmedAt: t.Feeds[FeedCatalog].ConfirmedAt,
+		CatalogUnreadable: t.Feeds[FeedCatalog].Unreadable, RevokeBound: t.Config.RevokeBound,
+		Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
 		ReceivePause: t.receivePause(), ForwardsJobCalls: t.JobLog.Role == JobLogNone || !t.JobLog.Synced,
 		AppendSentAt: sentAt, ChangesAside: t.JobLog.ChangesAside(),
 	}
--- a/roster/feeds.go
+++ b/roster/feeds.go
@@ -36,6 +36,9 @@
 			}
 			f.Loaded = f.Loaded || e.Loaded
 			f.AsOf = max(f.AsOf, e.AsOf)
+			if e.Feed == gateway.FeedCatalog && e.Loaded {
+				recordConfirmation(f, e)
+			}
 		case gateway.FeedFailed:
 			if isIgnored(t, e.Feed) {
 				continue
@@ -51,6 +54,15 @@
 	}
 }
 
+// recordConfirmation records that the newest version of the catalog is known as of when a read was sent. A version that could not be
+// decoded may withdraw keys that are still in the catalog.
+func recordConfirmation(f *gateway.FeedState, e gateway.FeedRead) {
+	f.Unreadable = e.Unreadable
+	if !e.Unreadable {
+		f.ConfirmedAt = max(f.ConfirmedAt, e.SentAt)
+	}
+}
+
 // isIgnored reports whether a read of a feed began before this VM stopped following it.
 func isIgnored(t *gateway.Tables, name gateway.Feed) bool {
 	return name == gateway.FeedJobs && t.JobLog.Role == gateway.JobLogNone
--- a/route.go
+++ b/route.go
@@ -155,6 +155,18 @@
 	return all
 }
 
+// HasPublicJobs reports whether jobs may be submitted without a key.
+func (c *Catalog) HasPublicJobs() bool {
+	for _, hostRoutes := range c.routesByHost {
+		for i := range hostRoutes {
+			if hostRoutes[i].Kind == RouteBatch && hostRoutes[i].Public {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Match returns the host's route with the longest matching path prefix, or nil.
 func (c *Catalog) Match(host, path string) *Route {
 	var longest *Route
--- a/workspace.go
+++ b/workspace.go
@@ -12,8 +12,17 @@
 // KeyDigest is the SHA-256 digest of a key of a workspace. Keys are kept nowhere, and no textual form shows a digest.
 type KeyDigest [sha256.Size]byte
 
-// DigestKey returns the digest of a key.
-func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+// DigestKey returns the digest of a key. It does not allocate for keys of usual length.
+func DigestKey(key string) KeyDigest {
+	var buffer [128]byte
+	if len(key) > len(buffer) {
+		return sha256.Sum256([]byte(key))
+	}
+	return sha256.Sum256(buffer[:copy(buffer[:], key)])
+}
+
+// IsZero reports whether the digest is missing: no key has this digest.
+func (d KeyDigest) IsZero() bool { return d == KeyDigest{} }
 
 // String returns a fixed text, so that digests do not appear in logs or errors.
 func (KeyDigest) String() string { return "key" }
