--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -266,7 +266,7 @@
 	}
 	out.Add(gateway.RunItem{
 		Key: k, Attempt: w.Attempt, Runner: r.Spec.ID, Incarnation: r.Spec.Incarnation, Address: r.Spec.Address, Host: j.Spec.Host, Item: item, LastEvent: w.LastEvent,
-		NewConnection: sentBefore, EventTimeout: eventTimeout(item), MaxOutput: remainingOutput(t, w),
+		NewConnection: sentBefore, Access: t.RunnerAccess(j.Spec.Workspace), EventTimeout: eventTimeout(item), MaxOutput: remainingOutput(t, w),
 	})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteItemStarted, Job: k.Job, Item: item.ID, Runner: r.Spec.ID, Attempt: w.Attempt, Load: load,
--- a/gateway/job.go
+++ b/gateway/job.go
@@ -22,6 +22,8 @@
 	ID    cs.JobID     `cbor:"j"`
 	Route cs.RouteName `cbor:"r"`
 	Host  string       `cbor:"h"`
+	// Workspace is the workspace that submitted the job, or empty.
+	Workspace cs.WorkspaceID `cbor:"w,omitempty"`
 	// Accepted is the time of acceptance by the wall clock of the VM that accepted the job.
 	Accepted cs.Instant `cbor:"a"`
 	Items    []Item     `cbor:"i"`
--- a/wire/joblog_test.go
+++ b/wire/joblog_test.go
@@ -293,3 +293,31 @@
 	}
 	c.Assert(partial, qt.Equals, len(records)-len(jobChanges))
 }
+
+// Guards against jobs of an earlier version that cannot be read, against records of deployments without workspaces that change, and
+// against a workspace that is lost in the log.
+func TestWorkspaceInJobLog(t *testing.T) {
+	c := qt.New(t)
+	type earlierSpec struct {
+		ID       cs.JobID       `cbor:"j"`
+		Route    cs.RouteName   `cbor:"r"`
+		Host     string         `cbor:"h"`
+		Accepted cs.Instant     `cbor:"a"`
+		Items    []gateway.Item `cbor:"i"`
+	}
+	spec := jobChanges[0].(gateway.JobOpened).Spec
+	encoder, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical}.EncMode()
+	c.Assert(err, qt.IsNil)
+	earlier, err := encoder.Marshal(earlierSpec{spec.ID, spec.Route, spec.Host, spec.Accepted, spec.Items})
+	c.Assert(err, qt.IsNil)
+	for _, workspace := range []cs.WorkspaceID{"", "w"} {
+		spec.Workspace = workspace
+		records, err := wire.EncodeJobChanges(gateway.AppendID{}, []gateway.JobChange{gateway.JobOpened{Spec: spec}}, wire.NewestJobLogFormat, 1<<16)
+		c.Assert(err, qt.IsNil)
+		c.Assert(bytes.Contains(records[0].Value, earlier), qt.Equals, workspace == "")
+		var decoder wire.JobDecoder
+		decoded, err := decoder.Decode(records[0].Key, records[0].Value)
+		c.Assert(err, qt.IsNil)
+		c.Assert(decoded.Change, qt.DeepEquals, gateway.JobChange(gateway.JobOpened{Spec: spec}))
+	}
+}
