--- a/gateway/peerstate.go
+++ b/gateway/peerstate.go
@@ -7,6 +7,8 @@
 type PeerState struct {
 	// Catalog is nil if the VM does not know one.
 	Catalog *cs.Catalog
+	// NamesWorkspaces means that the catalog would contain workspaces if there were any. VMs of an earlier version leave them out.
+	NamesWorkspaces bool
 	Runners []cs.Runner
 	// Revisions holds the offsets of the runners' registrations, which order them and what is known of departures.
 	Revisions map[cs.RunnerID]cs.Offset
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -173,6 +174,65 @@
 	c.Check((<-events).(gateway.PeerStateRead).State.Runners, qt.DeepEquals, []cs.Runner{valid})
 }
 
+// exchangeState returns the state that a VM reads from a peer which has the given one.
+func exchangeState(c *qt.C, state gateway.PeerState) gateway.PeerState {
+	events := make(chan gateway.Event, 2)
+	var exchange *gossip.StateExchange
+	exchange = gossip.NewStateExchange(func(_ context.Context, e gateway.Event) error {
+		if request, ok := e.(gateway.PeerStateRequested); ok {
+			exchange.Answer(gateway.AnswerPeerState{Query: request.Query, State: state})
+			return nil
+		}
+		events <- e
+		return nil
+	})
+	server := httptest.NewServer(exchange)
+	defer server.Close()
+	c.Assert(exchange.Request(c.Context(), gateway.RequestPeerState{Address: cs.Address(server.Listener.Addr().String())}), qt.IsNil)
+	return (<-events).(gateway.PeerStateRead).State
+}
+
+// Guards against a VM that starts without the store and, by the state of a peer, accepts requests without keys, or refuses keys. A key
+// that two workspaces have must belong to the same one at each VM.
+func TestStateContainsWorkspaces(t *testing.T) {
+	c := qt.New(t)
+	routes := []cs.Route{{Name: "r", Host: "h", Prefix: "/p/", Public: true}}
+	plain := cs.NewCatalog(3, routes, nil, cs.CallerLimits{})
+	c.Assert(exchangeState(c, gateway.PeerState{Catalog: plain}).Catalog.RequiresKeys, qt.IsFalse)
+	c.Assert(exchangeState(c, gateway.PeerState{Catalog: plain.WithWorkspaces(nil)}).Catalog.RequiresKeys, qt.IsTrue)
+	shared, own := cs.DigestKey("shared"), cs.DigestKey("own")
+	for range 20 {
+		state := exchangeState(c, gateway.PeerState{Catalog: plain.WithWorkspaces([]cs.Workspace{
+			{ID: "a", Priority: 2, HasPriority: true, Rate: 1.5, Burst: 7, Keys: []cs.KeyDigest{shared}}, {ID: "b", Keys: []cs.KeyDigest{shared, own}},
+		})})
+		c.Assert(state.NamesWorkspaces, qt.IsTrue)
+		c.Assert(state.Catalog.Route("r").Public, qt.IsTrue)
+		a, b := state.Catalog.WorkspaceOf(shared), state.Catalog.WorkspaceOf(own)
+		c.Assert([]any{a.ID, a.Priority, a.HasPriority, a.Rate, a.Burst}, qt.DeepEquals, []any{cs.WorkspaceID("a"), 2, true, cs.PerSecond(1.5), 7.0})
+		c.Assert(b.ID, qt.Equals, cs.WorkspaceID("b"))
+	}
+}
+
+// Guards against the state of a VM of an earlier version being taken for one without workspaces, and against a digest of the wrong length.
+func TestStateOfEarlierVersionNamesNoWorkspaces(t *testing.T) {
+	c := qt.New(t)
+	for encoded, ok := range map[string]bool{
+		encode(c, map[string]any{"v": 1, "r": []map[string]any{{"Name": "r"}}}):                                                                 true,
+		encode(c, map[string]any{"v": 1, "r": []map[string]any{{"Name": "r"}}, "f": 1, "k": true, "w": []map[string]any{{"k": [][]byte{{1}}}}}): false,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(encoded)) }))
+		var read gateway.PeerStateRead
+		exchange := gossip.NewStateExchange(func(_ context.Context, e gateway.Event) error {
+			read = e.(gateway.PeerStateRead)
+			return nil
+		})
+		err := exchange.Request(c.Context(), gateway.RequestPeerState{Address: cs.Address(server.Listener.Addr().String())})
+		server.Close()
+		c.Check(err == nil, qt.Equals, ok)
+		c.Check(read.State.NamesWorkspaces, qt.IsFalse)
+	}
+}
+
 func encode(c *qt.C, report map[string]any) string {
 	data, err := cbor.Marshal(report)
 	c.Assert(err, qt.IsNil)
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -21,8 +21,8 @@
 	// stateRequestTimeout bounds a request for a peer's state; peers respond within milliseconds.
 	stateRequestTimeout = cs.Second
 	// maxStateBytes bounds the encoded size of a state: a few thousand routes and runners of about 200
-	// bytes each.
-	maxStateBytes = 4 << 20
+	// bytes each, and 11,000 workspaces of about 150 bytes.
+	maxStateBytes = 8 << 20
 )
 
 // wireState is the CBOR encoding of a gateway.PeerState.
@@ -34,12 +34,64 @@
 	Runners []cs.Runner                     `cbor:"u"`
 	// Revisions is missing in the state of a VM of an earlier version.
 	Revisions map[cs.RunnerID]cs.Offset `cbor:"o,omitempty"`
+	// Format is 0 in the state of a VM of an earlier version, and stateFormat otherwise.
+	Format int `cbor:"f,omitempty"`
+	// RequiresKeys and Workspaces are those of the catalog.
+	RequiresKeys bool            `cbor:"k,omitempty"`
+	Workspaces   []wireWorkspace `cbor:"w,omitempty"`
+}
+
+// stateFormat is that of a state with workspaces.
+const stateFormat = 1
+
+// wireWorkspace is the CBOR encoding of a workspace. A key is sent as its digest.
+type wireWorkspace struct {
+	ID          cs.WorkspaceID `cbor:"i"`
+	Priority    int            `cbor:"p,omitempty"`
+	HasPriority bool           `cbor:"h,omitempty"`
+	Rate        cs.PerSecond   `cbor:"r,omitempty"`
+	Burst       float64        `cbor:"b,omitempty"`
+	Keys        [][]byte       `cbor:"k,omitempty"`
+}
+
+// encodeWorkspaces returns the workspaces of a catalog. A key that several workspaces have is sent with the one that it belongs to, since
+// their order is lost.
+func encodeWorkspaces(c *cs.Catalog) []wireWorkspace {
+	workspaces := c.Workspaces()
+	out := make([]wireWorkspace, len(workspaces))
+	for i, w := range workspaces {
+		out[i] = wireWorkspace{ID: w.ID, Priority: w.Priority, HasPriority: w.HasPriority, Rate: w.Rate, Burst: w.Burst}
+		for _, key := range w.Keys {
+			if c.WorkspaceOf(key).ID == w.ID {
+				out[i].Keys = append(out[i].Keys, key[:])
+			}
+		}
+	}
+	return out
+}
+
+// decodeWorkspaces returns an error for a digest of another length, as no VM sends it.
+func decodeWorkspaces(in []wireWorkspace) ([]cs.Workspace, error) {
+	workspaces := make([]cs.Workspace, len(in))
+	for i, w := range in {
+		workspaces[i] = cs.Workspace{ID: w.ID, Priority: w.Priority, HasPriority: w.HasPriority, Rate: w.Rate, Burst: w.Burst}
+		for _, key := range w.Keys {
+			digest := cs.KeyDigest{}
+			if len(key) != len(digest) {
+				return nil, errors.Newf("key digest of %d bytes", len(key))
+			}
+			copy(digest[:], key)
+			workspaces[i].Keys = append(workspaces[i].Keys, digest)
+		}
+	}
+	return workspaces, nil
 }
 
 func encodeState(s gateway.PeerState) ([]byte, error) {
-	out := wireState{Runners: s.Runners, Revisions: s.Revisions}
+	out := wireState{Runners: s.Runners, Revisions: s.Revisions, Format: stateFormat}
 	if c := s.Catalog; c != nil {
 		out.Version, out.Routes, out.Groups, out.Limits = c.Version, c.Routes(), c.Groups, c.Limits
+		out.RequiresKeys, out.Workspaces = c.RequiresKeys, encodeWorkspaces(c)
 	}
 	return cbor.Marshal(out)
 }
@@ -52,10 +104,17 @@
 	}
 	s := gateway.PeerState{
 		Runners:   slices.DeleteFunc(in.Runners, func(r cs.Runner) bool { return r.Validate() != nil }),
-		Revisions: in.Revisions,
+		Revisions: in.Revisions, NamesWorkspaces: in.Format >= stateFormat,
 	}
 	if len(in.Routes) > 0 {
 		s.Catalog = cs.NewCatalog(in.Version, in.Routes, in.Groups, in.Limits)
+		if in.RequiresKeys {
+			workspaces, err := decodeWorkspaces(in.Workspaces)
+			if err != nil {
+				return gateway.PeerState{}, err
+			}
+			s.Catalog = s.Catalog.WithWorkspaces(workspaces)
+		}
 	}
 	return s, nil
 }
--- a/roster/bootstrap.go
+++ b/roster/bootstrap.go
@@ -69,6 +69,12 @@
 	return s
 }
 
+// lacksWorkspaces reports whether the state of a VM of an earlier version, which names no workspaces, may have lost some: the catalog
+// of this VM has workspaces, or its settings are those of a deployment with workspaces.
+func lacksWorkspaces(t *gateway.Tables, s gateway.PeerState) bool {
+	return !s.NamesWorkspaces && (t.Catalog != nil && t.Catalog.RequiresKeys || t.Config.RevokeBound > 0 || t.Config.Quota.Window > 0)
+}
+
 // adoptPeerState applies a peer's state, except for parts that were read from the store in the
 // meantime.
 func adoptPeerState(t *gateway.Tables, now cs.Instant, e gateway.PeerStateRead, out *gateway.Actions) {
@@ -76,6 +82,9 @@
 	if catalog == nil || len(e.State.Runners) == 0 {
 		return // the peer has not read the store yet either
 	}
+	if lacksWorkspaces(t, e.State) {
+		return // requests would run without keys; another peer is asked
+	}
 	if t.Catalog == nil || t.Catalog.Version < catalog.Version {
 		t.Catalog = catalog
 		out.Note(gateway.Note{Kind: gateway.NoteCatalogInForce, Version: catalog.Version, Peer: e.Peer})
