--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,7 +108,7 @@
 	v.jobExchange = gossip.NewJobStateExchange(gossip.JobStateConfig{Clock: clock, Post: post, Log: v.log})
 	v.feeds = platform.NewFeeds(platform.FeedsConfig{
 		Clock: clock, Store: v.store, Post: post, Log: v.log, GroupTimeout: max(groupTimeout, s.Store.MinGroupTimeout), Self: v.self, MaxRecord: s.Store.MaxRecord,
-		ObtainJobs: v.jobExchange.Obtain, WaitForRole: true,
+		ObtainJobs: v.jobExchange.Obtain, WaitForRole: true, RevokeBound: s.revokeBound(),
 	})
 	v.runners = platform.NewRunners(platform.RunnersConfig{Clock: clock, Post: post, Log: v.log})
 	v.forward = forward.NewTraffic(forward.TrafficConfig{
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -24,6 +24,7 @@
 		roster.Peers,
 		roster.Limits,
 		roster.Bootstrap,
+		roster.Confirmation, // after the systems that apply the catalog
 		roster.Drain,
 		slot.Allocate, // before the systems that use the slots granted
 		forward.Admit, // before ApplyOutcomes, since a caller may disconnect in the tick in which its request arrives
--- a/gateway/access.go
+++ b/gateway/access.go
@@ -55,6 +55,24 @@
 	return bound - min(max(bound/revokeMarginShare, 2*cs.Millisecond), maxRevokeMargin)
 }
 
+// Confirmation tells whether the catalog is known to be new enough for the withdrawal of keys.
+type Confirmation struct {
+	// Aged means that the age of the catalog exceeds half of the bound, so that callers should use other VMs before requests are refused.
+	Aged bool
+	// Expired means that requests with a key are refused.
+	Expired bool
+}
+
+// NeedsConfirmation reports whether keys are accepted only while the catalog is known to be new enough.
+func (t *Tables) NeedsConfirmation() bool {
+	return t.Config.RevokeBound > 0 && t.Catalog != nil && t.Catalog.RequiresKeys
+}
+
+// ConfirmationAges returns the ages of the catalog up to which this VM is ready, and up to which it accepts keys.
+func (t *Tables) ConfirmationAges() (ready, accepted cs.Span) {
+	return t.Config.RevokeBound / 2, maxConfirmedAge(t.Config.RevokeBound)
+}
+
 // RetryUnconfirmed is the retry delay given to callers whose key this VM cannot judge: another VM may serve them at once.
 const RetryUnconfirmed = 50 * cs.Millisecond
 
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -94,6 +94,10 @@
 	NoteFeedLost
 	// NoteFeedRegained: a feed of the store can be read again.
 	NoteFeedRegained
+	// NoteKeysRefused: requests with a key are refused, since the catalog may be older than the withdrawal of a key allows.
+	NoteKeysRefused
+	// NoteKeysAccepted: requests with a key are served again.
+	NoteKeysAccepted
 	// NotePartsChanged: the set of batch partitions that this VM owns has changed.
 	NotePartsChanged
 	// NoteDrainChanged: a phase of this VM's drain began.
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedkeysRefusedkeysAcceptedpartsChangeddrainChangedtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 528, 540, 551}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 527, 539, 551, 563, 574}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedkeysrefusedkeysacceptedpartschangeddrainchangedtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -64,12 +64,14 @@
 	_ = x[NotePeerLost-(37)]
 	_ = x[NoteFeedLost-(38)]
 	_ = x[NoteFeedRegained-(39)]
-	_ = x[NotePartsChanged-(40)]
-	_ = x[NoteDrainChanged-(41)]
-	_ = x[NoteTickDelayed-(42)]
+	_ = x[NoteKeysRefused-(40)]
+	_ = x[NoteKeysAccepted-(41)]
+	_ = x[NotePartsChanged-(42)]
+	_ = x[NoteDrainChanged-(43)]
+	_ = x[NoteTickDelayed-(44)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NoteKeysRefused, NoteKeysAccepted, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -112,9 +114,11 @@
 	_NoteKindName[488:496]: NotePeerLost,
 	_NoteKindName[496:504]: NoteFeedLost,
 	_NoteKindName[504:516]: NoteFeedRegained,
-	_NoteKindName[516:528]: NotePartsChanged,
-	_NoteKindName[528:540]: NoteDrainChanged,
-	_NoteKindName[540:551]: NoteTickDelayed,
+	_NoteKindName[516:527]: NoteKeysRefused,
+	_NoteKindName[527:539]: NoteKeysAccepted,
+	_NoteKindName[539:551]: NotePartsChanged,
+	_NoteKindName[551:563]: NoteDrainChanged,
+	_NoteKindName[563:574]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -158,9 +162,11 @@
 	_NoteKindLowerName[488:496]: NotePeerLost,
 	_NoteKindLowerName[496:504]: NoteFeedLost,
 	_NoteKindLowerName[504:516]: NoteFeedRegained,
-	_NoteKindLowerName[516:528]: NotePartsChanged,
-	_NoteKindLowerName[528:540]: NoteDrainChanged,
-	_NoteKindLowerName[540:551]: NoteTickDelayed,
+	_NoteKindLowerName[516:527]: NoteKeysRefused,
+	_NoteKindLowerName[527:539]: NoteKeysAccepted,
+	_NoteKindLowerName[539:551]: NotePartsChanged,
+	_NoteKindLowerName[551:563]: NoteDrainChanged,
+	_NoteKindLowerName[563:574]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -204,9 +210,11 @@
 	_NoteKindName[488:496],
 	_NoteKindName[496:504],
 	_NoteKindName[504:516],
-	_NoteKindName[516:528],
-	_NoteKindName[528:540],
-	_NoteKindName[540:551],
+	_NoteKindName[516:527],
+	_NoteKindName[527:539],
+	_NoteKindName[539:551],
+	_NoteKindName[551:563],
+	_NoteKindName[563:574],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/peerstate.go
+++ b/gateway/peerstate.go
@@ -9,7 +9,7 @@
 	Catalog *cs.Catalog
 	// NamesWorkspaces means that the catalog would contain workspaces if there were any. VMs of an earlier version leave them out.
 	NamesWorkspaces bool
-	Runners []cs.Runner
+	Runners         []cs.Runner
 	// Revisions holds the offsets of the runners' registrations, which order them and what is known of departures.
 	Revisions map[cs.RunnerID]cs.Offset
 }
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -24,7 +24,9 @@
 
 	// Catalog is the newest version known, or nil.
 	Catalog *cs.Catalog
-	Runners *fleet.Table[cs.RunnerID, Runner]
+	// Confirmation tells whether Catalog is known to be new enough for the withdrawal of keys.
+	Confirmation Confirmation
+	Runners      *fleet.Table[cs.RunnerID, Runner]
 	// Departures holds the runners that are leaving or have left, and those that were removed lately.
 	Departures *fleet.Table[cs.RunnerID, Departure]
 	// EmptiedAt holds, for each service whose last runner was removed, when that was.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -44,7 +44,7 @@
 	return View{
 		Catalog: t.Catalog, CatalogAsOf: t.Feeds[FeedCatalog].AsOf, CatalogConfirmedAt: t.Feeds[FeedCatalog].ConfirmedAt,
 		CatalogUnreadable: t.Feeds[FeedCatalog].Unreadable, RevokeBound: t.Config.RevokeBound,
-		Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0,
+		Loaded: loaded, Leaving: leaving, Ready: !leaving && loaded && t.Runners.Len() > 0 && !t.Confirmation.Aged,
 		ReceivePause: t.receivePause(), ForwardsJobCalls: t.JobLog.Role == JobLogNone || !t.JobLog.Synced,
 		AppendSentAt: sentAt, ChangesAside: t.JobLog.ChangesAside(),
 	}
--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -150,7 +150,7 @@
 
 // vmStateEvents are the events that describe the state of a VM itself.
 var vmStateEvents = eventNames(
-	gateway.NoteFeedLost, gateway.NoteFeedRegained, gateway.NoteDrainChanged, gateway.NoteCatalogInForce,
+	gateway.NoteFeedLost, gateway.NoteFeedRegained, gateway.NoteKeysRefused, gateway.NoteKeysAccepted, gateway.NoteDrainChanged, gateway.NoteCatalogInForce,
 	gateway.NotePartsChanged,
 )
 
