--- a/clock.go
+++ b/clock.go
@@ -96,6 +96,9 @@
 	return SpanOf(suspended() - c.suspendedAtStart)
 }
 
+// BootTime returns the current time on the clock that counts the time for which the machine was suspended.
+func (c *Clock) BootTime() BootInstant { return BootInstant(c.Now().Add(c.Suspended())) }
+
 // suspended returns the difference of the machine's boot-time and monotonic clocks: the time for which it was suspended since its
 // start.
 func suspended() time.Duration {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,7 +92,7 @@
 	limitMemory(s.MemoryMB)
 	tables := gateway.New(gateway.Config{
 		Grace: s.Grace, RegistrationGrace: registrationGrace, ResultRetention: s.ResultRetention, PartitionCount: s.Store.PartitionCount,
-		JobLogFollowers: s.JobLogFollowers, RevokeBound: s.revokeBound(), Quota: s.Quota,
+		GroupTimeout: s.groupTimeout(), JobLogFollowers: s.JobLogFollowers, RevokeBound: s.revokeBound(), Quota: s.Quota,
 		MaxAppend: s.Store.MaxAppend, MaxOutput: wire.MaxOutput(s.Store.MaxRecord),
 	}, v.self, clock.Now(), rand.Uint64())
 	v.loop = newLoop(clock, tables)
@@ -107,7 +107,7 @@
 	v.store = platform.NewStore(s.Store.Address)
 	v.jobExchange = gossip.NewJobStateExchange(gossip.JobStateConfig{Clock: clock, Post: post, Log: v.log})
 	v.feeds = platform.NewFeeds(platform.FeedsConfig{
-		Clock: clock, Store: v.store, Post: post, Log: v.log, GroupTimeout: max(groupTimeout, s.Store.MinGroupTimeout), Self: v.self, MaxRecord: s.Store.MaxRecord,
+		Clock: clock, Store: v.store, Post: post, Log: v.log, GroupTimeout: s.groupTimeout(), Self: v.self, MaxRecord: s.Store.MaxRecord,
 		ObtainJobs: v.jobExchange.Obtain, WaitForRole: true,
 	})
 	v.runners = platform.NewRunners(platform.RunnersConfig{Clock: clock, Post: post, Log: v.log})
@@ -146,7 +146,7 @@
 		forward: v.forward, batchjob: v.batchjob, runTask: v.startTask, appendJobs: v.appendJobs(clock), fenceJobs: v.feeds.FenceJobs, readJobs: v.feeds.WakeJobs,
 		leaveGroup: v.feeds.LeaveGroup, setJobLogRole: v.feeds.SetJobLogRole,
 		rereadJobs: func(a gateway.RereadJobs) { v.feeds.RereadJobs(a.From) },
-		sendReport: v.gossip.Send, sendSlots: v.gossip.SendSlots, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer,
+		sendReport: v.gossip.Send, sendSlots: v.gossip.SendSlots, sendAllowance: v.gossip.SendAllowance, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer,
 		answerJobState: v.jobExchange.AnswerState, answerStatePeer: v.jobExchange.AnswerPeer, logNote: v.noteLogger.logNote, itemsCtx: v.ctx,
 		drainComplete: func(e gateway.Exit) { v.drained <- e }, // a drain completes once
 	}
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/allowance"
 	"github.com/crocusstile/crocusstile/batchjob"
 	"github.com/crocusstile/crocusstile/forward"
 	"github.com/crocusstile/crocusstile/gateway"
@@ -37,7 +38,10 @@
 		batchjob.ApplySlotReplies,
 		roster.Crashes,
 		forward.StopRemaining,
+		allowance.Serve, // after the systems that leave the group
+		allowance.Take,
 		forward.Dispatch,
+		allowance.Settle, // right after Dispatch, since a request that was sent may end in the next tick
 		batchjob.PreemptRuns,
 		batchjob.Schedule,
 		batchjob.HandleQueries,
@@ -65,6 +69,7 @@
 	setJobLogRole    func(gateway.JobLogRole)
 	sendReport       func(gateway.SendReport)
 	sendSlots        func(gateway.SendSlots)
+	sendAllowance    func(gateway.SendAllowance)
 	requestPeerState func(context.Context, gateway.RequestPeerState)
 	answerPeerState  func(gateway.AnswerPeerState)
 	answerJobState   func(gateway.AnswerJobState)
@@ -170,6 +175,8 @@
 		h.sendReport(a)
 	case gateway.SendSlots:
 		h.sendSlots(a)
+	case gateway.SendAllowance:
+		h.sendAllowance(a)
 	case gateway.RequestPeerState:
 		h.runTask(func(ctx context.Context) { h.requestPeerState(ctx, a) })
 	case gateway.AnswerPeerState:
--- a/entry/notelog.go
+++ b/entry/notelog.go
@@ -60,6 +60,7 @@
 	event := l.log.Info()
 	for _, field := range []struct{ name, value string }{
 		{"request", string(n.Request)},
+		{"workspace", string(n.Workspace)},
 		{"job", string(n.Job)},
 		{"item", string(n.Item)},
 		{"runner", string(n.Runner)},
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -54,6 +54,9 @@
 	return s.Revoke
 }
 
+// groupTimeout returns the session timeout of the batch group.
+func (s Settings) groupTimeout() cs.Span { return max(groupTimeout, s.Store.MinGroupTimeout) }
+
 // Listen holds the addresses and ports on which an entry VM listens.
 type Listen struct {
 	// Callers is the address for callers, and Ready the address for the platform's readiness checks.
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -95,8 +95,15 @@
 			continue
 		}
 		estimate := estimateWait(t, f.Service, now, estimates, out)
-		if sendOrRequest(t, f, now, out) {
-			continue
+		switch {
+		case t.HasPermit(f, now):
+			if sendOrRequest(t, f, now, out) {
+				continue
+			}
+		case f.PermitUntil == 0:
+			continue // package allowance bounds the wait for the first permit
+		default:
+			wantPermit(t, f, now, out)
 		}
 		if !estimate.servable {
 			refuse(now, f, unavailableRefusal(f, estimate), out)
@@ -117,6 +124,15 @@
 	updateDemand(t, now) // peers are sent the demand of the requests that still wait
 }
 
+// wantPermit requests another permit for a request whose permit has ended, if there is a runner for it. Otherwise the requests that
+// wait in an overload would use up the limit of their workspace.
+func wantPermit(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) {
+	if !f.WantsPermit && (f.GrantedBy != "" || pickRunner(t, f, now, false) != nil) {
+		f.WantsPermit = true
+		out.WakeAt(now)
+	}
+}
+
 // quarantineRefusal returns the refusal of a request with a part that crashes runners.
 func quarantineRefusal(f *gateway.Forward) cs.Refusal {
 	return cs.Refusal{Reason: cs.ReasonQuarantined, Ran: ranSoFar(f), Message: "a part of the prompt has crashed runners"}
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -154,6 +154,11 @@
 		To      cs.Address
 		Message SlotMessage
 	}
+	// SendAllowance sends a message about the limits of workspaces to a peer; a lost one is not repeated.
+	SendAllowance struct {
+		To      cs.Address
+		Message AllowanceMessage
+	}
 	// RequestPeerState requests the state of a peer. A PeerStateRead event brings it if the peer responds.
 	RequestPeerState struct {
 		Peer    cs.VMID
@@ -197,6 +202,7 @@
 func (AnswerBody) isAction()       {}
 func (SendReport) isAction()       {}
 func (SendSlots) isAction()        {}
+func (SendAllowance) isAction()    {}
 func (RequestPeerState) isAction() {}
 func (AnswerPeerState) isAction()  {}
 func (AnswerStatePeer) isAction()  {}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -59,7 +59,11 @@
 	}
 	// PartitionsAssigned brings the batch partitions that the store has assigned to this VM. It comes with
 	// each renewal of the membership in the batch group.
-	PartitionsAssigned struct{ Partitions []int }
+	PartitionsAssigned struct {
+		Partitions []int
+		// SentAt is when the renewal was sent.
+		SentAt cs.BootInstant
+	}
 	// JobsAppended reports how an append to the job log ended.
 	JobsAppended struct {
 		// Number identifies the append; it is the Number of its AppendID.
@@ -201,6 +205,11 @@
 	}
 	// SlotsReceived brings a slot message of a peer.
 	SlotsReceived struct{ Message SlotMessage }
+	// AllowanceReceived brings a message about the limits of workspaces and the address from which it was sent.
+	AllowanceReceived struct {
+		Address cs.Address
+		Message AllowanceMessage
+	}
 	// PeerStateRead brings the state of a peer, as requested with RequestPeerState.
 	PeerStateRead struct {
 		Peer  cs.VMID
@@ -250,6 +259,7 @@
 func (RunnerAnnouncedLeaving) isEvent() {}
 func (PeerReported) isEvent()           {}
 func (SlotsReceived) isEvent()          {}
+func (AllowanceReceived) isEvent()      {}
 func (PeerStateRead) isEvent()          {}
 func (PeerStateRequested) isEvent()     {}
 func (StatePeerRequested) isEvent()     {}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,6 +49,11 @@
 	RequestedAt cs.Instant
 	// GrantedBy is the runner of which the request has a slot that it has not used yet, or empty.
 	GrantedBy cs.RunnerID
+	// PermitUntil is when the permit by which the request may be sent within the limit of its workspace ends, or 0 if it had none.
+	// WantsPermit means that the request waits for one, since PermitWantedAt.
+	PermitUntil    cs.BootInstant
+	WantsPermit    bool
+	PermitWantedAt cs.Instant
 	// Allocator is the VM that granted the slot of the current attempt, or empty.
 	Allocator cs.VMID
 	// DeniedBy lists the runners of which a slot was denied since the last pause.
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -98,6 +98,16 @@
 	NotePartsChanged
 	// NoteDrainChanged: a phase of this VM's drain began.
 	NoteDrainChanged
+	// NoteRequestLimited: an online request was refused, since its workspace has reached its limit.
+	NoteRequestLimited
+	// NoteWorkspaceLimited: requests of a workspace begin to be refused at this VM, since it has reached its limit.
+	NoteWorkspaceLimited
+	// NoteWorkspaceUnlimited: requests of a workspace are no longer refused at this VM.
+	NoteWorkspaceUnlimited
+	// NoteLimitOwnerMissing: requests are refused, since no VM grants permits for the limits of a partition.
+	NoteLimitOwnerMissing
+	// NoteLimitOwnerFound: a VM grants permits for the limits of a partition again.
+	NoteLimitOwnerFound
 	// NoteTickDelayed: a tick of the control loop began late, as on a machine without enough processor time.
 	NoteTickDelayed
 )
@@ -106,8 +116,10 @@
 type Note struct {
 	Kind    NoteKind
 	Request cs.RequestID
-	Job     cs.JobID
-	Item    cs.ItemID
+	// Workspace is that of the request or the limit.
+	Workspace cs.WorkspaceID
+	Job       cs.JobID
+	Item      cs.ItemID
 	// Content and Parts identify what a suspected request asks for.
 	Content cs.ContentHash
 	Parts   []cs.PromptPart
@@ -123,7 +135,7 @@
 	Offset cs.Offset
 	// Load is the number of requests in flight on the runner, as far as this VM knew.
 	Load cs.Slots
-	// Rate is the limit that a runner names.
+	// Rate is the limit that a runner names, or that of a workspace.
 	Rate cs.PerSecond
 	// Age is the age of the data on which the decision was based, such as the list of runners.
 	Age cs.Span
@@ -141,7 +153,7 @@
 // own, so that the lines of normal traffic do not displace them.
 func (n Note) Urgent() bool {
 	switch n.Kind {
-	case NoteRequestSent, NoteRequestAnswered, NoteJobCallForwarded, NoteItemStarted, NoteItemStopped, NoteItemListed:
+	case NoteRequestSent, NoteRequestAnswered, NoteJobCallForwarded, NoteItemStarted, NoteItemStopped, NoteItemListed, NoteRequestLimited:
 		return false
 	default:
 		return true
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedrequestLimitedworkspaceLimitedworkspaceUnlimitedlimitOwnerMissinglimitOwnerFoundtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 528, 540, 551}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 528, 540, 554, 570, 588, 605, 620, 631}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedrequestlimitedworkspacelimitedworkspaceunlimitedlimitownermissinglimitownerfoundtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -66,10 +66,15 @@
 	_ = x[NoteFeedRegained-(39)]
 	_ = x[NotePartsChanged-(40)]
 	_ = x[NoteDrainChanged-(41)]
-	_ = x[NoteTickDelayed-(42)]
+	_ = x[NoteRequestLimited-(42)]
+	_ = x[NoteWorkspaceLimited-(43)]
+	_ = x[NoteWorkspaceUnlimited-(44)]
+	_ = x[NoteLimitOwnerMissing-(45)]
+	_ = x[NoteLimitOwnerFound-(46)]
+	_ = x[NoteTickDelayed-(47)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteRequestLimited, NoteWorkspaceLimited, NoteWorkspaceUnlimited, NoteLimitOwnerMissing, NoteLimitOwnerFound, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -114,7 +119,12 @@
 	_NoteKindName[504:516]: NoteFeedRegained,
 	_NoteKindName[516:528]: NotePartsChanged,
 	_NoteKindName[528:540]: NoteDrainChanged,
-	_NoteKindName[540:551]: NoteTickDelayed,
+	_NoteKindName[540:554]: NoteRequestLimited,
+	_NoteKindName[554:570]: NoteWorkspaceLimited,
+	_NoteKindName[570:588]: NoteWorkspaceUnlimited,
+	_NoteKindName[588:605]: NoteLimitOwnerMissing,
+	_NoteKindName[605:620]: NoteLimitOwnerFound,
+	_NoteKindName[620:631]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -160,7 +170,12 @@
 	_NoteKindLowerName[504:516]: NoteFeedRegained,
 	_NoteKindLowerName[516:528]: NotePartsChanged,
 	_NoteKindLowerName[528:540]: NoteDrainChanged,
-	_NoteKindLowerName[540:551]: NoteTickDelayed,
+	_NoteKindLowerName[540:554]: NoteRequestLimited,
+	_NoteKindLowerName[554:570]: NoteWorkspaceLimited,
+	_NoteKindLowerName[570:588]: NoteWorkspaceUnlimited,
+	_NoteKindLowerName[588:605]: NoteLimitOwnerMissing,
+	_NoteKindLowerName[605:620]: NoteLimitOwnerFound,
+	_NoteKindLowerName[620:631]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -206,7 +221,12 @@
 	_NoteKindName[504:516],
 	_NoteKindName[516:528],
 	_NoteKindName[528:540],
-	_NoteKindName[540:551],
+	_NoteKindName[540:554],
+	_NoteKindName[554:570],
+	_NoteKindName[570:588],
+	_NoteKindName[588:605],
+	_NoteKindName[605:620],
+	_NoteKindName[620:631],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -31,6 +31,12 @@
 	// SlotSeq is the sequence number of the last slot message with holdings of the incarnation SlotIncarnation.
 	SlotSeq         uint64
 	SlotIncarnation cs.Incarnation
+	// Partitions are those of which the peer grants permits for the limits of workspaces, as reported since PartitionsAt.
+	Partitions   PartitionSet
+	PartitionsAt cs.Instant
+	// AllowanceID is the last request for permits of the incarnation AllowanceIncarnation.
+	AllowanceID          AllowanceRequestID
+	AllowanceIncarnation cs.Incarnation
 	// StoreUnreadable means that the peer cannot read the store.
 	StoreUnreadable bool
 	// Registrations tells how the peer reads the registrations of runners.
@@ -92,6 +98,8 @@
 	BatchDemand int `cbor:"q,omitempty"`
 	// Demands is the sender's demand for the free capacity of services.
 	Demands []DemandReport `cbor:"k,omitempty"`
+	// Partitions are those of which the sender grants permits for the limits of workspaces.
+	Partitions PartitionSet `cbor:"b,omitempty"`
 	// Ejected lists the runners that the sender has ejected after a failure.
 	Ejected []cs.RunnerID `cbor:"w,omitempty"`
 	// Refusing lists the runners at whose addresses nothing listened when the sender last tried to connect.
@@ -142,6 +150,9 @@
 			return errors.Newf("limit out of range: %g a second", l.Rate)
 		}
 	}
+	if len(r.Partitions) > maxPartitionSetBytes {
+		return errors.Newf("set of partitions of %d bytes", len(r.Partitions))
+	}
 	for i := range r.Relayed {
 		relayed := &r.Relayed[i].Report
 		if len(relayed.Relayed) > 0 {
@@ -226,6 +237,8 @@
 	// Sent is the load in the last report, and SentAllocated that of the runners of this VM. Loads that differ from them are
 	// reported sooner.
 	Sent, SentAllocated []RunnerLoad
+	// SentPartitions are the partitions in the last report.
+	SentPartitions PartitionSet
 	// SentDigest are the loads at the runners of the group in the last digest.
 	SentDigest []RunnerLoad
 	// RemoteAt is when this VM last reported to VMs of other data centres itself.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -34,7 +34,9 @@
 	RunnerChanges uint64
 	// LiveChanges counts the changes of the set of peers that report and are not leaving.
 	LiveChanges uint64
-	Senders     Senders
+	// PartitionChanges counts the changes of the partitions that peers report to own.
+	PartitionChanges uint64
+	Senders          Senders
 	// DataCentres has a row for each data centre of which a VM has reported.
 	DataCentres *fleet.Table[cs.DataCentreID, DataCentreState]
 	Forwards    *fleet.Table[ForwardID, Forward]
@@ -62,6 +64,7 @@
 	Drain      Drain
 	Gossip     GossipState
 	Slots      Slots
+	Allowance  Allowance
 	Bootstrap  Bootstrap
 }
 
@@ -74,6 +77,7 @@
 	return &Tables{
 		Config: c, Self: self, Started: now, Pace: defaultPace, JobLog: JobLog{Epoch: 1, Role: role}, Rand: rand.New(rand.NewPCG(seed, 1)),
 		Slots:          newSlots(),
+		Allowance:      newAllowance(),
 		Runners:        fleet.NewTable[cs.RunnerID, Runner](),
 		Departures:     fleet.NewTable[cs.RunnerID, Departure](),
 		EmptiedAt:      fleet.NewTable[cs.ServiceID, cs.Instant](),
@@ -108,6 +112,9 @@
 	ResultRetention cs.Span
 	// PartitionCount is the number of partitions by which jobs are distributed over the VMs.
 	PartitionCount int
+	// GroupTimeout is the session timeout of the batch group: a VM that does not renew its membership for so long loses its
+	// partitions.
+	GroupTimeout cs.Span
 	// JobLogFollowers is the number of VMs of each data centre that follow the job log; 0 means that all do.
 	JobLogFollowers int
 	// MaxAppend is the maximum size of one append to the job log.
--- a/gossip/datagram_internal_test.go
+++ b/gossip/datagram_internal_test.go
@@ -28,6 +28,15 @@
 		f.Add(data)
 		f.Add(data[:len(data)/2])
 	}
+	allowance, err := encodeAllowance(gateway.AllowanceMessage{
+		From: "a", Incarnation: 1, For: 2, Requests: []gateway.AllowanceRequest{{ID: 1, Workspace: "w", Permits: 2}},
+		Replies: []gateway.AllowanceReply{{ID: 1, Granted: 1, Next: 20, Retry: 40}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(allowance)
+	f.Add(allowance[:len(allowance)/2])
 	f.Add([]byte{})
 	f.Add([]byte{0x9f, 0xff})
 	g := Gossip{malformed: zerolog.Nop()}
@@ -39,6 +48,10 @@
 			if !isReport || e.Report.From == "" || e.Report.Validate() != nil {
 				t.Fatalf("report %+v", e)
 			}
+		case gateway.AllowanceReceived:
+			if isReport || e.Message.From == "" || e.Message.Validate() != nil {
+				t.Fatalf("allowance message %+v", e)
+			}
 		case gateway.SlotsReceived:
 			if isReport || e.Message.From == "" || e.Message.Validate() != nil {
 				t.Fatalf("slot message %+v", e)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -123,6 +123,19 @@
 	}
 }
 
+// SendAllowance sends a message about limits to a peer. It must be called from the goroutine that calls Send.
+func (g *Gossip) SendAllowance(a gateway.SendAllowance) {
+	data, err := encodeAllowance(a.Message)
+	if err != nil || len(data) > maxReportBytes {
+		g.cfg.Log.Error().Err(err).Int("bytes", len(data)).Msg("allowance message cannot be encoded or is too large")
+		return
+	}
+	g.sent.Add(1)
+	if addr := g.resolve(a.To); addr != nil {
+		_, _ = g.conn.WriteToUDP(data, addr) // a lost grant is lost allowance
+	}
+}
+
 // resolve returns the address of a peer, or nil if reports cannot be sent there.
 func (g *Gossip) resolve(a cs.Address) *net.UDPAddr {
 	if addr, known := g.resolved[a]; known {
@@ -214,6 +227,34 @@
 	return b.conn.SetReadDeadline(time.Time{})
 }
 
+// cborTag is the major type of a tagged value in the first byte of an encoding. Messages about limits are tagged with
+// allowanceTag, which is local to the exchange between VMs.
+const (
+	cborTag      = 6
+	allowanceTag = 60001
+)
+
+// encodeAllowance encodes a message about limits.
+func encodeAllowance(m gateway.AllowanceMessage) ([]byte, error) {
+	return cbor.Marshal(cbor.Tag{Number: allowanceTag, Content: m})
+}
+
+// decodeAllowance decodes a message about limits and returns an error for one that no VM can have sent.
+func decodeAllowance(data []byte) (gateway.AllowanceMessage, error) {
+	var tagged cbor.RawTag
+	if err := decoder.Unmarshal(data, &tagged); err != nil {
+		return gateway.AllowanceMessage{}, err
+	}
+	if tagged.Number != allowanceTag {
+		return gateway.AllowanceMessage{}, errors.Newf("unknown tag %d", tagged.Number)
+	}
+	var m gateway.AllowanceMessage
+	if err := decoder.Unmarshal(tagged.Content, &m); err != nil {
+		return gateway.AllowanceMessage{}, err
+	}
+	return m, m.Validate()
+}
+
 // cborArray is the major type of an array in the first byte of an encoding (RFC 8949, section 3.1). Slot messages are arrays,
 // and reports are maps.
 const cborArray = 4
@@ -246,11 +287,19 @@
 		}
 		return gateway.SlotsReceived{Message: m}, false
 	}
+	address := cs.Address(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String())
+	if len(data) > 0 && data[0]>>5 == cborTag {
+		m, err := decodeAllowance(data)
+		if err != nil {
+			g.malformed.Warn().Err(err).Stringer("from", from).Msg("allowance message cannot be decoded")
+			return nil, false
+		}
+		return gateway.AllowanceReceived{Address: address, Message: m}, false
+	}
 	r, err := decodeReport(data)
 	if err != nil {
 		g.malformed.Warn().Err(err).Stringer("from", from).Msg("load report cannot be decoded")
 		return nil, true
 	}
-	address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
-	return gateway.PeerReported{Address: cs.Address(address), Report: r}, true
+	return gateway.PeerReported{Address: address, Report: r}, true
 }
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"bytes"
 	"slices"
 
 	cs "github.com/crocusstile/crocusstile"
@@ -110,7 +111,7 @@
 // differs reports whether VMs outside the group should soon learn what a VM of the group reports after its last report.
 func differs(last, r gateway.Report) bool {
 	return last.Leaving != r.Leaving || len(r.Ejected)+len(r.Refusing)+len(r.Limits) > 0 ||
-		!slices.Equal(last.Loads, r.Loads) || !slices.Equal(last.Demands, r.Demands) || !slices.Equal(last.ProbeClaims, r.ProbeClaims)
+		!bytes.Equal(last.Partitions, r.Partitions) || !slices.Equal(last.Loads, r.Loads) || !slices.Equal(last.Demands, r.Demands) || !slices.Equal(last.ProbeClaims, r.ProbeClaims)
 }
 
 // applyReport applies a report, unless it is out of date, and returns the peer that it is of, or nil.
@@ -162,6 +163,10 @@
 	if r.JobLogAge != nil {
 		p.JobLogAsOf = receivedAt.Add(-*r.JobLogAge)
 	}
+	if !bytes.Equal(p.Partitions, r.Partitions) {
+		p.Partitions, p.PartitionsAt = r.Partitions, receivedAt
+		t.PartitionChanges++
+	}
 	setPeerLoad(t, p, r.Loads, r.Demands)
 	t.ApplyAllocatedLoads(r.Allocated)
 	return p
--- a/roster/report.go
+++ b/roster/report.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"bytes"
 	"slices"
 
 	cs "github.com/crocusstile/crocusstile"
@@ -36,7 +37,7 @@
 func Report(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	gossip := &t.Gossip
 	loads, allocated := localLoads(t, now), t.AllocatedLoads(now)
-	due := timesOfReports(t, loads, allocated)
+	due := timesOfReports(t, now, loads, allocated)
 	var digest []gateway.RunnerLoad
 	if due.remote != 0 && now >= min(due.remote, due.relay) {
 		digest = slices.Concat(allocated, groupAllocated(t))
@@ -65,7 +66,7 @@
 				gossip.FullRelayAt = now
 			}
 		}
-		due = timesOfReports(t, loads, allocated)
+		due = timesOfReports(t, now, loads, allocated)
 	}
 	out.WakeAt(due.group)
 	if due.relay != 0 {
@@ -75,13 +76,17 @@
 }
 
 // timesOfReports returns when the next reports are due.
-func timesOfReports(t *gateway.Tables, loads, allocated []gateway.RunnerLoad) reportTimes {
+func timesOfReports(t *gateway.Tables, now cs.Instant, loads, allocated []gateway.RunnerLoad) reportTimes {
 	gossip := &t.Gossip
 	times := reportTimes{group: gossip.SentAt.Add(max(gateway.MaxReportInterval, t.ReportInterval()))}
 	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) || hasDepartureNews(t) {
 		times.group = gossip.SentAt.Add(t.ReportInterval())
 		gossip.GroupChanged = true
 	}
+	if !bytes.Equal(t.LimitPartitions(now), gossip.SentPartitions) {
+		times.group = gossip.SentAt.Add(t.ReportInterval())
+		gossip.GroupChanged = true
+	}
 	if t.RelayInterval() == 0 {
 		if !slices.Equal(allocated, gossip.SentAllocated) {
 			times.group = min(times.group, gossip.SentAt.Add(max(t.ReportInterval(), allocatedInterval)))
@@ -100,7 +105,7 @@
 func sendToGroup(t *gateway.Tables, now cs.Instant, r gateway.Report, to []cs.VMID, out *gateway.Actions) {
 	gossip := &t.Gossip
 	sendReport(t, r, to, out)
-	gossip.SentAt, gossip.Sent, gossip.SentAllocated = now, r.Loads, r.Allocated
+	gossip.SentAt, gossip.Sent, gossip.SentAllocated, gossip.SentPartitions = now, r.Loads, r.Allocated, r.Partitions
 	if now.Sub(gossip.FullAt) >= fullReportInterval {
 		gossip.FullAt = now
 	}
@@ -137,6 +142,7 @@
 		From: t.Self.ID, Incarnation: t.Self.Incarnation, DataCentre: t.Self.DataCentre, Seq: t.Gossip.Seq,
 		Loads: loads, Leaving: t.Drain.Phase != fleet.DrainNone, StoreUnreadable: t.StoreUnreadable(),
 		BatchDemand: t.Partitions.BatchDemand, JobLogFormat: t.Self.JobLogFormat, Memory: t.Self.Memory,
+		Partitions: t.LimitPartitions(now),
 	}
 	for id, runner := range t.Runners.All() {
 		if runner.Failures > 0 && now < runner.EjectedUntil {
