--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedkeysRefusedkeysAcceptedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedkeysRefusedkeysAcceptedpartsChangeddrainChangedrequestLimitedworkspaceLimitedworkspaceUnlimitedlimitOwnerMissinglimitOwnerFoundtickDelayed"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 527, 539, 551, 563, 574}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 527, 539, 551, 563, 577, 593, 611, 628, 643, 654}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedkeysrefusedkeysacceptedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedkeysrefusedkeysacceptedpartschangeddrainchangedrequestlimitedworkspacelimitedworkspaceunlimitedlimitownermissinglimitownerfoundtickdelayed"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -68,10 +68,15 @@
 	_ = x[NoteKeysAccepted-(41)]
 	_ = x[NotePartsChanged-(42)]
 	_ = x[NoteDrainChanged-(43)]
-	_ = x[NoteTickDelayed-(44)]
+	_ = x[NoteRequestLimited-(44)]
+	_ = x[NoteWorkspaceLimited-(45)]
+	_ = x[NoteWorkspaceUnlimited-(46)]
+	_ = x[NoteLimitOwnerMissing-(47)]
+	_ = x[NoteLimitOwnerFound-(48)]
+	_ = x[NoteTickDelayed-(49)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NoteKeysRefused, NoteKeysAccepted, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NoteKeysRefused, NoteKeysAccepted, NotePartsChanged, NoteDrainChanged, NoteRequestLimited, NoteWorkspaceLimited, NoteWorkspaceUnlimited, NoteLimitOwnerMissing, NoteLimitOwnerFound, NoteTickDelayed}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -118,7 +123,12 @@
 	_NoteKindName[527:539]: NoteKeysAccepted,
 	_NoteKindName[539:551]: NotePartsChanged,
 	_NoteKindName[551:563]: NoteDrainChanged,
-	_NoteKindName[563:574]: NoteTickDelayed,
+	_NoteKindName[563:577]: NoteRequestLimited,
+	_NoteKindName[577:593]: NoteWorkspaceLimited,
+	_NoteKindName[593:611]: NoteWorkspaceUnlimited,
+	_NoteKindName[611:628]: NoteLimitOwnerMissing,
+	_NoteKindName[628:643]: NoteLimitOwnerFound,
+	_NoteKindName[643:654]: NoteTickDelayed,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -166,7 +176,12 @@
 	_NoteKindLowerName[527:539]: NoteKeysAccepted,
 	_NoteKindLowerName[539:551]: NotePartsChanged,
 	_NoteKindLowerName[551:563]: NoteDrainChanged,
-	_NoteKindLowerName[563:574]: NoteTickDelayed,
+	_NoteKindLowerName[563:577]: NoteRequestLimited,
+	_NoteKindLowerName[577:593]: NoteWorkspaceLimited,
+	_NoteKindLowerName[593:611]: NoteWorkspaceUnlimited,
+	_NoteKindLowerName[611:628]: NoteLimitOwnerMissing,
+	_NoteKindLowerName[628:643]: NoteLimitOwnerFound,
+	_NoteKindLowerName[643:654]: NoteTickDelayed,
 }
 
 var _NoteKindNames = []string{
@@ -214,7 +229,12 @@
 	_NoteKindName[527:539],
 	_NoteKindName[539:551],
 	_NoteKindName[551:563],
-	_NoteKindName[563:574],
+	_NoteKindName[563:577],
+	_NoteKindName[577:593],
+	_NoteKindName[593:611],
+	_NoteKindName[611:628],
+	_NoteKindName[628:643],
+	_NoteKindName[643:654],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
