--- a/forward/access.go
+++ b/forward/access.go
@@ -44,6 +44,9 @@
 		f.Workspace = ""
 		return nil
 	}
+	if t.Catalog.WorkspaceOf(f.Key) != nil {
+		return &cs.Refusal{Reason: cs.ReasonUnavailable, Ran: ranSoFar(f), Message: "the key belongs to another workspace now"}
+	}
 	return &cs.Refusal{Reason: cs.ReasonUnauthorized, Ran: ranSoFar(f), Message: "the key has been withdrawn"}
 }
 
--- a/forward/access_test.go
+++ b/forward/access_test.go
@@ -9,7 +9,7 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// requireKeys makes requests need a key: "k" of workspace "w" with priority 0, or "l" of workspace "v" without one.
+// requireKeys returns a catalog with workspace "w", which has the given keys and priority 0, and workspace "v", which has the key "l".
 func (vm *testVM) requireKeys(version cs.CatalogVersion, keysOfW ...string) *cs.Catalog {
 	w := cs.Workspace{ID: "w", HasPriority: true}
 	for _, key := range keysOfW {
@@ -114,3 +114,18 @@
 	c.Assert(dispatches, qt.HasLen, 1)
 	c.Assert(dispatches[0].ID, qt.Equals, gateway.ForwardID(2))
 }
+
+// Guards against a final 401 for a valid key that was moved to another workspace while its request waited, and against a request that runs
+// for the former workspace.
+func TestMovedKeyIsRefusedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	vm := newTestVM()
+	vm.addRunner("a1", "a").Online = 10
+	vm.tick(gateway.CatalogRead{Catalog: vm.requireKeys(1, "k")}, vm.confirm())
+	vm.tick(vm.keyedArrival(1, onceRoute, "k"))
+	moved := cs.NewCatalog(2, nil, nil, cs.CallerLimits{}).WithWorkspaces([]cs.Workspace{{ID: "v", Keys: []cs.KeyDigest{cs.DigestKey("k")}}})
+	_, refusals := vm.tick(gateway.CatalogRead{Catalog: moved})
+	c.Assert(refusals, qt.HasLen, 1)
+	c.Assert(refusals[0].Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
+	c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
+}
