--- a/allowance/calm_test.go
+++ b/allowance/calm_test.go
@@ -73,20 +73,30 @@
 	}
 }
 
-// BenchmarkLimitTraffic measures what 300 VMs send for limits, each with the online requests of the users' site, in bytes of
-// datagrams a second and VM, without the headers of UDP and IP.
+// BenchmarkLimitTraffic measures what VMs send for limits, in bytes of datagrams a second and VM, without the headers of UDP and
+// IP: at the rate of requests of the users' site, at that of its peaks, and at the target scale. Idle workspaces must cost nothing.
 func BenchmarkLimitTraffic(b *testing.B) {
-	const vms, perVM, active = 300, 3.2, 88
-	for _, idle := range []int{0, 10_912} {
-		b.Run(fmt.Sprint(idle, " idle workspaces"), func(b *testing.B) {
+	for _, test := range []struct {
+		name              string
+		vms, active, idle int
+		// perVM is the number of requests a second and VM.
+		perVM  float64
+		length cs.Span
+	}{
+		{"300 VMs, 88 workspaces", 300, 88, 0, 3.2, 5 * cs.Second},
+		{"300 VMs, 88 workspaces and 10,912 idle", 300, 88, 10_912, 3.2, 5 * cs.Second},
+		{"300 VMs, 88 workspaces, peak", 300, 88, 0, 6, 5 * cs.Second},
+		{"390 VMs, 11,000 workspaces, target scale", 390, 11_000, 0, 82, cs.Second},
+	} {
+		b.Run(test.name, func(b *testing.B) {
 			var workspaces []cs.Workspace
-			for i := range active + idle {
-				workspaces = append(workspaces, cs.Workspace{ID: cs.WorkspaceID(fmt.Sprint("workspace-", i)), Rate: 30, Burst: 30})
+			for i := range test.active + test.idle {
+				workspaces = append(workspaces, cs.Workspace{ID: cs.WorkspaceID(fmt.Sprint("workspace-", i)), Rate: 60, Burst: 60})
 			}
 			for b.Loop() {
-				s := newSim(1, vms, testConfig(), workspaces)
+				s := newSim(1, test.vms, testConfig(), workspaces)
 				s.runUntil(simStart.Add(3 * cs.Second))
-				sent, messages, length := 0, 0, 5*cs.Second
+				sent, messages := 0, 0
 				s.observeMessage = func(m gateway.AllowanceMessage) {
 					data, err := cbor.Marshal(m)
 					if err != nil {
@@ -95,12 +105,12 @@
 					sent += len(data) + 3 // the tag
 					messages++
 				}
-				for n := range int(perVM * vms * float64(length) / 1000) {
-					w := workspaces[s.rand.IntN(active)].ID
-					s.after(cs.Span(s.rand.IntN(int(length))), func() { s.request(n%vms, w) })
+				for n := range int(test.perVM * float64(test.vms) * float64(test.length) / 1000) {
+					w := workspaces[s.rand.IntN(test.active)].ID
+					s.after(cs.Span(s.rand.IntN(int(test.length))), func() { s.request(n%test.vms, w) })
 				}
-				s.runUntil(s.now.Add(length))
-				seconds := float64(length) / 1000 * vms
+				s.runUntil(s.now.Add(test.length))
+				seconds := float64(test.length) / 1000 * float64(test.vms)
 				b.ReportMetric(float64(sent)/seconds, "B/s/VM")
 				b.ReportMetric(float64(messages)/seconds, "datagrams/s/VM")
 				b.ReportMetric(float64(s.limited+s.noOwner), "refused")
--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -63,7 +63,6 @@
 	incarnation   cs.Incarnation
 	generation    int
 	seq           uint64
-	reportedFor   gateway.PartitionSet
 }
 
 // simMember is a member of the store's group.
@@ -106,7 +105,6 @@
 	workspaceOf      map[gateway.ForwardID]cs.WorkspaceID
 	limited, noOwner int
 	arrived          int
-	messages, bytes  int
 	retries          []cs.Instant
 	service          cs.Span
 	observeMessage   func(gateway.AllowanceMessage)
--- a/gossip/datagram_internal_test.go
+++ b/gossip/datagram_internal_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
@@ -61,3 +64,41 @@
 		}
 	})
 }
+
+// Guards against a message about limits that is taken for another kind, or that no VM can have sent.
+func TestAllowanceDatagram(t *testing.T) {
+	request := gateway.AllowanceRequest{ID: 1, Workspace: "w", Permits: 2}
+	reply := gateway.AllowanceReply{ID: 1, Granted: 1, Next: 20, Retry: 40}
+	g := Gossip{malformed: zerolog.Nop()}
+	for name, test := range map[string]struct {
+		message gateway.AllowanceMessage
+		valid   bool
+	}{
+		"request and reply":  {gateway.AllowanceMessage{From: "a", Incarnation: 1, For: 2, Requests: []gateway.AllowanceRequest{request}, Replies: []gateway.AllowanceReply{reply}}, true},
+		"no sender":          {gateway.AllowanceMessage{Requests: []gateway.AllowanceRequest{request}}, false},
+		"no workspace":       {gateway.AllowanceMessage{From: "a", Requests: []gateway.AllowanceRequest{{ID: 1, Permits: 1}}}, false},
+		"no permits":         {gateway.AllowanceMessage{From: "a", Requests: []gateway.AllowanceRequest{{ID: 1, Workspace: "w"}}}, false},
+		"negative grant":     {gateway.AllowanceMessage{From: "a", Replies: []gateway.AllowanceReply{{ID: 1, Granted: -1}}}, false},
+		"negative time":      {gateway.AllowanceMessage{From: "a", Replies: []gateway.AllowanceReply{{ID: 1, Next: -1}}}, false},
+		"too many requests":  {gateway.AllowanceMessage{From: "a", Requests: slices.Repeat([]gateway.AllowanceRequest{request}, 200)}, false},
+		"too large a grant":  {gateway.AllowanceMessage{From: "a", Replies: []gateway.AllowanceReply{{ID: 1, Granted: 1 << 20}}}, false},
+		"too large a demand": {gateway.AllowanceMessage{From: "a", Requests: []gateway.AllowanceRequest{{ID: 1, Workspace: "w", Permits: 1 << 20}}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			data, err := encodeAllowance(test.message)
+			c.Assert(err, qt.IsNil)
+			e, isReport := g.decode(data, netip.MustParseAddrPort("10.0.0.1:80"))
+			c.Check(isReport, qt.IsFalse)
+			if !test.valid {
+				c.Check(e, qt.IsNil)
+				return
+			}
+			received, ok := e.(gateway.AllowanceReceived)
+			c.Assert(ok, qt.IsTrue)
+			c.Check(received.Address, qt.Equals, cs.Address("10.0.0.1:80"))
+			c.Check(received.Message.Requests, qt.DeepEquals, test.message.Requests)
+			c.Check(received.Message.Replies, qt.DeepEquals, test.message.Replies)
+		})
+	}
+}
