--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -108,6 +108,8 @@
 	sentTwice int
 	// batch is the batch load, or nil.
 	batch *simBatch
+	// engine runs the requests and items, if it is set.
+	engine *engineFleet
 
 	// observeReport is called with each report, if it is set.
 	observeReport func(gateway.Report)
@@ -251,6 +253,10 @@
 	for _, a := range out.List {
 		switch a := a.(type) {
 		case gateway.Dispatch:
+			if f.engine != nil {
+				f.engine.send(v, a)
+				continue
+			}
 			f.dispatch(v, a)
 		case gateway.Refuse:
 			f.counts.refused++
@@ -261,8 +267,16 @@
 		case gateway.SendSlots:
 			f.sendSlots(v, a)
 		case gateway.RunItem:
+			if f.engine != nil {
+				f.engine.runItem(v, a)
+				continue
+			}
 			f.batch.run(f, v, a)
 		case gateway.StopItem:
+			if f.engine != nil {
+				f.engine.stopItem(v, a)
+				continue
+			}
 			f.batch.stop(f, v, a)
 		default:
 		}
