--- a/entry/loop.go
+++ b/entry/loop.go
@@ -23,6 +23,7 @@
 		roster.Runners,
 		roster.Peers,
 		roster.Limits,
+		roster.Loads,
 		roster.Bootstrap,
 		roster.Drain,
 		slot.Allocate, // before the systems that use the slots granted
--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -82,13 +82,18 @@
 	order   []*engineRunner
 	prompts map[gateway.ForwardID]enginePrompt
 	jobs    bool
+	// figures lets the engines state the figure by which requests are placed by their work.
+	figures bool
 	// sharedRead counts the tokens of shared parts that runners have read.
 	sharedRead int
-	firsts     []cs.Span
-	rejected   int
-	sends      int
-	itemsDone  int
-	itemStops  int
+	// factor is the load as a multiple of that of the site.
+	factor    float64
+	begin     cs.Instant // of the time that is measured
+	firsts    []cs.Span
+	rejected  int
+	sends     int
+	itemsDone int
+	itemStops int
 }
 
 // placementResult is what became of the load.
@@ -106,9 +111,9 @@
 func (r placementResult) share() float64 { return float64(r.within) / float64(r.arrived) }
 
 // newEngineFleet returns a fleet in three data centres with engines of three speeds.
-func newEngineFleet(seed uint64, jobs bool) *engineFleet {
+func newEngineFleet(seed uint64, jobs, figures bool) *engineFleet {
 	f := newSimFleetWith(simFleetConfig{dataCentres: []cs.DataCentreID{"a", "b", "c"}, seed: seed, vms: placementVMs, runners: placementRunners})
-	e := &engineFleet{simFleet: f, engines: make(map[cs.RunnerID]*engineRunner), prompts: make(map[gateway.ForwardID]enginePrompt), jobs: jobs}
+	e := &engineFleet{simFleet: f, engines: make(map[cs.RunnerID]*engineRunner), prompts: make(map[gateway.ForwardID]enginePrompt), jobs: jobs, figures: figures}
 	f.engine = e
 	mark := cs.Route{
 		Name: "mark", Kind: cs.RouteBatch, MaxAttempts: 3, Target: 1200, Completion: 18 * cs.Second,
@@ -131,15 +136,19 @@
 func (e *engineFleet) play(length cs.Span) placementResult {
 	e.firsts, e.rejected, e.sends, e.sharedRead, e.itemsDone, e.itemStops = nil, 0, 0, 0, 0, 0
 	refused, arrived := e.counts.refused, 0
-	for begin := e.now; e.now < begin.Add(length); e.step() {
+	e.begin = e.now + 1
+	for begin := e.now; e.now < begin.Add(length+drainTime); e.step() {
 		if e.now%500 == 0 {
 			e.renewMemberships()
 		}
-		factor := 0.38
+		factor := valleyShare
 		if e.now.Sub(begin)%peakPeriod >= valleyLength {
 			factor = valleyPeakFactor
 		}
-		for n := placementRate * factor * float64(simStep) / 1000; n > 0; n-- {
+		if e.now >= begin.Add(length) {
+			factor = 0 // lets the requests end that are measured
+		}
+		for n := placementRate * e.factor * factor * float64(simStep) / 1000; n > 0; n-- {
 			if e.rand.Float64() < n {
 				e.arrive()
 				arrived++
@@ -168,8 +177,12 @@
 	return result
 }
 
-// valleyPeakFactor is the load in peaks as a multiple of the mean.
-const valleyPeakFactor = 1.87
+// The load in valleys and in peaks as a multiple of the mean, and the time after a load in which its requests end.
+const (
+	valleyShare      = 0.38
+	valleyPeakFactor = 1.87
+	drainTime        = 2 * cs.Second
+)
 
 // arrive sends a request with a size of its own to one of the VMs.
 func (e *engineFleet) arrive() {
@@ -186,6 +199,9 @@
 	v.inbox = append(v.inbox, gateway.ForwardArrived{Forward: gateway.Forward{
 		ID: e.lastID, Request: cs.RequestID(fmt.Sprint(e.lastID)), Route: e.route, Content: cs.ContentHash(e.lastID) + 1<<40, Parts: []cs.PromptPart{part},
 		Arrived: e.now, Deadline: e.now.Add(e.route.Timeout),
+		Size: cs.RequestSize{
+			Prompt: cs.Tokens(partTokens(part) + ownPartTokens), Maximum: maxEvents * engineEventSize, Hint: p.hint, Parts: []cs.Tokens{cs.Tokens(partTokens(part))},
+		},
 	}})
 }
 
@@ -328,30 +344,59 @@
 	a := q.attempt
 	if !q.begun && q.outputMs <= float64(q.events-1)*engineEventSize*engineStepMs {
 		q.begun = true
-		e.firsts = append(e.firsts, e.now.Sub(a.vm.arrived[a.id]))
+		if e.figures {
+			a.vm.inbox = append(a.vm.inbox, gateway.RunnerLoadRead{Runner: r.spec.ID, Figure: r.figure(e.now)})
+		}
+		if at := a.vm.arrived[a.id]; at >= e.begin {
+			e.firsts = append(e.firsts, e.now.Sub(at))
+		}
 		a.vm.inbox = append(a.vm.inbox, gateway.ForwardStarted{ID: a.id, Attempt: a.attempt})
 	}
 	if q.outputMs > 0 {
 		return false
 	}
-	a.end(gateway.OutcomeAnswered{Status: 200})
+	a.end(gateway.OutcomeAnswered{Status: 200, LastEvent: q.events})
 	return true
 }
 
 // placementSeeds are the seeds of the simulated loads.
 var placementSeeds = []uint64{1, 2, 3}
 
-// BenchmarkPlacement plays the load without and with batch work.
+// BenchmarkPlacement compares requests as the weight with work as the weight, without and with batch work.
 func BenchmarkPlacement(b *testing.B) {
-	for _, jobs := range []bool{false, true} {
-		for _, seed := range placementSeeds {
-			b.Run(fmt.Sprintf("jobs=%t/seed=%d", jobs, seed), func(b *testing.B) {
-				for b.Loop() {
-					e := newEngineFleet(seed, jobs)
-					e.play(peakPeriod)
-					b.Log(e.play(2 * peakPeriod))
-				}
-			})
+	for _, load := range []float64{1, 1.3} {
+		for _, jobs := range []bool{false, true} {
+			for _, figures := range []bool{false, true} {
+				b.Run(fmt.Sprintf("load=%g/jobs=%t/work=%t", load, jobs, figures), func(b *testing.B) {
+					for b.Loop() {
+						b.Log(playPlacement(load, jobs, figures))
+					}
+				})
+			}
 		}
 	}
 }
+
+// playPlacement plays the load with each seed, and returns the results together.
+func playPlacement(load float64, jobs, figures bool) placementResult {
+	var sum placementResult
+	var firsts []cs.Span
+	for _, seed := range placementSeeds {
+		e := newEngineFleet(seed, jobs, figures)
+		e.factor = load
+		e.play(peakPeriod)
+		r := e.play(2 * peakPeriod)
+		firsts = append(firsts, e.firsts...)
+		sum.arrived += r.arrived
+		sum.within += r.within
+		sum.sends += r.sends
+		sum.rejected += r.rejected
+		sum.refused += r.refused
+		sum.sharedRead += r.sharedRead
+		sum.itemsDone += r.itemsDone
+		sum.itemStops += r.itemStops
+	}
+	slices.Sort(firsts)
+	sum.p50, sum.p99 = firsts[len(firsts)/2], firsts[len(firsts)*99/100]
+	return sum
+}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -75,6 +75,7 @@
 // served.
 func Dispatch(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	expireSlotRequests(t, now)
+	updateWork(t, now)
 	updateDemand(t, now) // mayDispatch divides the free capacity by this demand
 	estimates := make(map[cs.ServiceID]*waitEstimate)
 	var done []gateway.ForwardID
@@ -183,6 +184,7 @@
 	r.Online++
 	r.TakeToken(now)
 	f.Phase, f.Runner, f.SentAt = gateway.ForwardRunning, r.Spec.ID, now
+	estimateAttempt(t, f, r, load, now)
 	f.Attempt++
 	sentBefore := slices.Contains(f.SentTo, r.Spec.ID)
 	if !sentBefore {
--- a/forward/outcomes.go
+++ b/forward/outcomes.go
@@ -26,6 +26,7 @@
 		case gateway.ForwardStarted:
 			if f := t.Forwards.Get(e.ID); f != nil && f.Attempt == e.Attempt {
 				f.MayHaveRun, f.Begun = true, true
+				f.Estimate.StartedAt = now
 				t.RecordBegun(f.Parts, now, now)
 				if r := t.Runners.Get(f.Runner); r != nil {
 					r.ResetFailures()
@@ -95,6 +96,7 @@
 			t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
 		}
 		observeServiceTime(t, f, now)
+		observeCost(t, f, runner, o, now)
 		t.Forwards.Delete(e.ID)
 		return
 	case gateway.OutcomeNotRun:
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -16,7 +16,7 @@
 func pickRunner(t *gateway.Tables, f *gateway.Forward, now cs.Instant, onlyLimited bool) *gateway.Runner {
 	var best *gateway.Runner
 	bestCost, jitter := 0.0, pickJitter(t)
-	allTried := triedAllReachable(t, f, now)
+	allTried, work := triedAllReachable(t, f, now), costOf(t, f)
 	maxQueued := cs.Slots(0)
 	if canMeetTarget(f, now) {
 		maxQueued = maxQueuedPerRunner
@@ -36,7 +36,7 @@
 		if reach == gateway.ReachCut && !mayProbe(t, f, r.Spec.DataCentre, now) {
 			continue
 		}
-		cost := cost(t, r, now) + preference(t, r, jitter, now)
+		cost := loadCost(f, &work, r, now) + preference(t, r, jitter, now)
 		if now.Sub(r.DeniedAt) < deniedTime {
 			cost += fullPenalty
 		}
@@ -133,11 +133,15 @@
 // only a response shows whether the limit still holds.
 const limitRefreshInterval = cs.Second
 
-// cost returns a runner's load as a share of its slots, plus the penalties that apply.
-func cost(t *gateway.Tables, r *gateway.Runner, now cs.Instant) float64 {
+// loadCost returns a runner's load as a share of its slots, or what stands for it where requests are placed by their work, plus the
+// penalties that apply.
+func loadCost(f *gateway.Forward, work *requestCost, r *gateway.Runner, now cs.Instant) float64 {
 	slots := float64(r.Spec.Slots)
 	total := float64(r.Load()) / slots
-	if r.Load() >= r.Spec.Slots {
+	switch {
+	case work.service != nil:
+		total = workCost(f, work, r, now)
+	case r.Load() >= r.Spec.Slots:
 		total = fullPenalty + float64(r.OnlineLoad())/slots
 	}
 	if r.MissingSince != 0 {
--- a/forward/session.go
+++ b/forward/session.go
@@ -217,5 +217,5 @@
 	if s.lastEvent == s.forward.LastEvent || !received && response.EndsWithConnection {
 		return s.failure(ctx, &InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection})
 	}
-	return gateway.OutcomeAnswered{Status: response.Status}
+	return gateway.OutcomeAnswered{Status: response.Status, LastEvent: s.lastEvent}
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -188,6 +188,12 @@
 		Named bool
 		Limit cs.PerSecond
 	}
+	// RunnerLoadRead brings the figure by which a runner stated in a response how long work takes on its machine; 100 is the
+	// usual value.
+	RunnerLoadRead struct {
+		Runner cs.RunnerID
+		Figure float64
+	}
 	// RunnerAnnouncedLeaving reports that a runner said in a response that it is leaving.
 	RunnerAnnouncedLeaving struct {
 		Runner cs.RunnerID
@@ -247,6 +253,7 @@
 func (QueryCancelled) isEvent()         {}
 func (ItemRunEnded) isEvent()           {}
 func (RunnerLimitRead) isEvent()        {}
+func (RunnerLoadRead) isEvent()         {}
 func (RunnerAnnouncedLeaving) isEvent() {}
 func (PeerReported) isEvent()           {}
 func (SlotsReceived) isEvent()          {}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,7 +36,10 @@
 	// ArrivedBoot is Arrived on the clock that counts the time for which the machine was suspended.
 	ArrivedBoot cs.BootInstant
 	// Parts are the parts of the prompt that other requests may share.
-	Parts    []cs.PromptPart
+	Parts []cs.PromptPart
+	// Size is the size that the request states, and Estimate what the attempt in progress is expected to cost.
+	Size     cs.RequestSize
+	Estimate ForwardEstimate
 	Arrived  cs.Instant
 	Deadline cs.Instant
 	Phase    ForwardPhase
@@ -74,6 +77,23 @@
 	LastEvent cs.EventID
 }
 
+// ForwardEstimate is what an attempt is expected to cost at its runner. It is zero for a service whose requests are placed by their
+// number.
+type ForwardEstimate struct {
+	// Units is the number of events, and Read that of the prompt tokens that the runner has to read.
+	Units float64
+	Read  cs.Tokens
+	// Time is the expected time of the response after its first unit may begin, and Excess what the figure of the runner's machine
+	// stated; see cost.Response.
+	Time   cs.Span
+	Excess float64
+	// Unqueued means that the runner had a free slot.
+	Unqueued bool
+	// From is the event after which the attempt began, and StartedAt when its first event arrived, or 0.
+	From      cs.EventID
+	StartedAt cs.Instant
+}
+
 // Outcome is the result of one attempt at a runner; a sealed type.
 type Outcome interface{ isOutcome() }
 
@@ -89,7 +109,11 @@
 		Unreachable, Refused bool
 	}
 	// OutcomeAnswered means that the runner's complete response was passed to the caller.
-	OutcomeAnswered struct{ Status int }
+	// LastEvent is the id of the last event, or 0 if the response is no stream.
+	OutcomeAnswered struct {
+		Status    int
+		LastEvent cs.EventID
+	}
 	// OutcomeFailed means that the runner responded with a server error, which has not been passed to the
 	// caller, since another attempt may follow.
 	OutcomeFailed struct{ Status int }
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -1,6 +1,9 @@
 package gateway
 
-import cs "github.com/crocusstile/crocusstile"
+import (
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/cost"
+)
 
 // Runner is a back end with its load and its health as this VM sees them.
 type Runner struct {
@@ -24,6 +27,8 @@
 	RequestedOnline, RequestedBatch cs.Slots
 	// affinity is the preference of this VM for the runner, or 0 until it is computed; see Tables.Affinity.
 	affinity float64
+	// Cost is what responses have shown of the work that requests cause at the runner.
+	Cost cost.Runner
 	// DeniedAt is when this VM was last denied a slot, or 0.
 	DeniedAt cs.Instant
 	// BatchDueAt is when the least urgent of the items that this VM has started there is due.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/cost"
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
@@ -63,6 +64,8 @@
 	Gossip     GossipState
 	Slots      Slots
 	Bootstrap  Bootstrap
+	// Costs are the estimates of what requests cost, for services whose runners state how long work takes on their machines.
+	Costs *cost.Estimates
 }
 
 // New returns empty tables. The seed determines the random choices of the systems.
@@ -74,6 +77,7 @@
 	return &Tables{
 		Config: c, Self: self, Started: now, Pace: defaultPace, JobLog: JobLog{Epoch: 1, Role: role}, Rand: rand.New(rand.NewPCG(seed, 1)),
 		Slots:          newSlots(),
+		Costs:          cost.New(),
 		Runners:        fleet.NewTable[cs.RunnerID, Runner](),
 		Departures:     fleet.NewTable[cs.RunnerID, Departure](),
 		EmptiedAt:      fleet.NewTable[cs.ServiceID, cs.Instant](),
--- a/request.go
+++ b/request.go
@@ -51,3 +51,12 @@
 	Waiting Slots `json:"waiting"`
 	Slots   Slots `json:"slots"`
 }
+
+// RequestSize is what a request states about its size; a number that it does not state is 0.
+type RequestSize struct {
+	// Prompt is the number of prompt tokens, Maximum that of the tokens that may be generated, and Hint that expected by the
+	// caller.
+	Prompt, Maximum, Hint Tokens
+	// Parts are the sizes of the shareable parts of the prompt, in order.
+	Parts []Tokens
+}
--- a/route.go
+++ b/route.go
@@ -74,6 +74,8 @@
 	ID ServiceID
 	// Kind distinguishes model engines from plain services.
 	Kind RunnerKind
+	// Memory is the number of tokens that an engine can hold of all requests that it runs, or 0 if that is not known.
+	Memory Tokens `cbor:",omitempty"`
 }
 
 // CallerLimits limits the size of the requests that callers may send.
