--- a/batchjob/outcomes.go
+++ b/batchjob/outcomes.go
@@ -45,7 +45,7 @@
 		runner.Batch--
 	}
 	if e.LastEvent > 0 {
-		recordOutput(t, w, e, now)
+		recordOutput(t, item, w, e, now)
 		t.RecordBegun(item.Parts, w.Started, now) // the run began at some time since then
 	}
 	recordResponse(t, runner, e.Outcome, now, out)
@@ -121,10 +121,11 @@
 }
 
 // recordOutput appends the output of a run to that of the item's earlier runs, and records that its runner works.
-func recordOutput(t *gateway.Tables, w *gateway.ItemWork, e gateway.ItemRunEnded, now cs.Instant) {
+func recordOutput(t *gateway.Tables, item *gateway.Item, w *gateway.ItemWork, e gateway.ItemRunEnded, now cs.Instant) {
 	updatePace(&t.Pace, now.Sub(w.Started), e.LastEvent-w.LastEvent, 0)
 	if runner := t.Runners.Get(w.Runner); runner != nil {
 		runner.ResetFailures()
+		t.Costs.ObserveRun(&runner.Cost, runner.Spec.Service, item.Tokens, float64(e.LastEvent-w.LastEvent), now.Sub(w.Started))
 	}
 	if w.LastEvent > 0 {
 		w.Text = append(w.Text, '\n')
--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -259,7 +259,7 @@
 	w := &j.ItemWork[k.Index]
 	w.Phase, w.Runner, w.Started = gateway.ItemRunning, r.Spec.ID, now
 	w.Attempt++
-	recordDue(t, j, w, r, now)
+	recordDue(t, j, k.Index, r, now)
 	sentBefore := slices.Contains(w.SentTo, r.Spec.ID)
 	if !sentBefore {
 		w.SentTo = append(w.SentTo, r.Spec.ID)
@@ -284,15 +284,16 @@
 // lateDueTime is the time until a late item counts as due, after all that can be in time.
 const lateDueTime = cs.Minute
 
-// recordDue records when an item that was started on a runner is due.
-func recordDue(t *gateway.Tables, j *gateway.Job, w *gateway.ItemWork, r *gateway.Runner, now cs.Instant) {
-	u := urgencyOf(t, j, w, now)
+// recordDue records when an item that was started on a runner is due, and its size.
+func recordDue(t *gateway.Tables, j *gateway.Job, index int, r *gateway.Runner, now cs.Instant) {
+	u := urgencyOf(t, j, &j.ItemWork[index], now)
 	if u.late {
 		u.dueTime = now.Add(lateDueTime)
 	}
 	if r.Batch == 1 { // which counts the item
-		r.BatchDueAt = 0
+		r.BatchDueAt, r.Cost.Item = 0, 0
 	}
+	r.Cost.Item = max(r.Cost.Item, j.Spec.Items[index].Tokens)
 	r.BatchDueAt = max(r.BatchDueAt, u.dueTime)
 }
 
@@ -305,18 +306,22 @@
 	return max(t.Config.MaxOutput-cs.Bytes(len(w.Text))-1, 1) // a line feed joins the outputs
 }
 
-// pickRunner picks a random runner of a route's services, weighted by its free batch slots, or returns nil
-// if none has any. It prefers runners that name a limit, since an item occupies a slot for longer than an
+// pickRunner picks a random runner of a route's services, weighted by its free batch slots and its speed, or returns nil if none has
+// any with room for the item. It prefers runners that name a limit, since an item occupies a slot for longer than an
 // online request and counts as one request as well, and takes one whose registration is missing or whose data centre may be
 // unreachable only if there is no other.
-func pickRunner(t *gateway.Tables, route *cs.Route, now cs.Instant) *gateway.Runner {
+func pickRunner(t *gateway.Tables, route *cs.Route, item *gateway.Item, now cs.Instant) *gateway.Runner {
 	var picked, pickedLimited, pickedDoubtful *gateway.Runner
 	sum, limited, doubtful := 0, 0, 0
+	weigh := weighing{t: t, item: item}
 	for _, r := range t.Runners.All() {
 		slots := batchSlots(t, r, now)
 		if slots == 0 || !routeUsesService(route, r.Spec.Service) {
 			continue
 		}
+		if slots = weigh.weight(r, slots, now); slots == 0 {
+			continue
+		}
 		switch {
 		case r.MissingSince != 0 || t.Reach(r.Spec.DataCentre, now) != gateway.ReachGood:
 			if doubtful += slots; t.Rand.IntN(doubtful) < slots {
--- a/batchjob/slots.go
+++ b/batchjob/slots.go
@@ -62,7 +62,8 @@
 // startOrRequest starts an item on a runner with a free slot, or requests a slot from the allocator of one. It reports whether
 // there was such a runner.
 func startOrRequest(t *gateway.Tables, k gateway.ItemKey, now cs.Instant, out *gateway.Actions) bool {
-	r := pickRunner(t, t.Catalog.Route(t.Jobs.Get(k.Job).Spec.Route), now)
+	j := t.Jobs.Get(k.Job)
+	r := pickRunner(t, t.Catalog.Route(j.Spec.Route), &j.Spec.Items[k.Index], now)
 	if r == nil {
 		return false
 	}
--- a/cost/estimates.go
+++ b/cost/estimates.go
@@ -44,6 +44,8 @@
 	unitMs, readMs Average
 	// units is the number of units of a response.
 	units Average
+	// tokens is the number of tokens that a request may hold at a runner.
+	tokens Average
 	// figureTrust is the part of the excess that a figure states which responses have shown, from 0 to 1.
 	figureTrust Average
 	// Error is the mean error of the estimated times of responses, as a share of their real times.
@@ -118,6 +120,7 @@
 		return
 	}
 	e.observeRoute(o)
+	s.tokens.Add(float64(o.Size.Tokens()), serviceWindow)
 	s.units.Add(o.Units, serviceWindow)
 	if unitMs := unitTime(o); unitMs > 0 {
 		s.unitMs.Add(unitMs, serviceWindow)
@@ -135,6 +138,24 @@
 	}
 }
 
+// minRunUnits is the number of events of a run of an item by which its runner is timed: the time includes that of the prompt.
+const minRunUnits = 30
+
+// ObserveRun corrects the estimates by a run of an item with a number of tokens, which need not be complete.
+func (e *Estimates) ObserveRun(r *Runner, id cs.ServiceID, tokens cs.Tokens, units float64, total cs.Span) {
+	s := e.Service(id)
+	if s == nil || units < minRunUnits || total <= 0 {
+		return
+	}
+	s.tokens.Add(float64(tokens), serviceWindow)
+	unitMs := float64(total) / units
+	s.unitMs.Add(unitMs, serviceWindow)
+	r.observe(min(unitMs/s.unitMs.Value, maxPace))
+}
+
+// Held returns the number of tokens that other requests at a runner hold on average.
+func (s *Service) Held() float64 { return s.tokens.Value }
+
 // unitTime returns the time of a unit of a response in milliseconds, or 0 if the response is too short to tell.
 func unitTime(o Response) float64 {
 	switch {
--- a/cost/runner.go
+++ b/cost/runner.go
@@ -37,6 +37,9 @@
 	next  uint8
 	// Own is the remaining time of the requests that this VM has sent to the runner, as of the current tick.
 	Own cs.Span
+	// Held is the number of tokens that these requests may hold there at most, and Item that of the largest of the items that this
+	// VM runs there.
+	Held, Item cs.Tokens
 }
 
 // observe adds the pace of a response, as a multiple of the mean of the service.
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -32,6 +32,9 @@
 		if online >= r.Spec.Slots+maxQueued {
 			continue
 		}
+		if work.service != nil && !r.HasMemory(work.limit, work.memory, work.meanMemory) {
+			continue
+		}
 		reach := t.Reach(r.Spec.DataCentre, now)
 		if reach == gateway.ReachCut && !mayProbe(t, f, r.Spec.DataCentre, now) {
 			continue
--- a/forward/placement.go
+++ b/forward/placement.go
@@ -13,12 +13,12 @@
 	workWeight = 1.0
 )
 
-// demandOfRequest is what a request is expected to cost, wherever it runs.
+// requestCost is what a request is expected to cost, wherever it runs.
 type requestCost struct {
 	service *cost.Service
 	units   float64
-	// meanMs is the time of a mean response of the service, and ownMs that of the request at a mean runner, without reading.
-	meanMs, ownMs float64
+	// meanMs is the time of a mean response of the service.
+	meanMs float64
 	// memory is what the request may hold at a runner at most, and limit what a runner can hold, or 0.
 	memory, limit cs.Tokens
 	// meanMemory is what other requests hold on average.
@@ -32,7 +32,10 @@
 		return requestCost{}
 	}
 	units := t.Costs.Units(f.Route.Name, f.Size)
-	c := requestCost{service: s, units: units, meanMs: s.MeanMs(), ownMs: units * s.UnitMs()}
+	c := requestCost{service: s, units: units, meanMs: s.MeanMs(), memory: f.Size.Tokens(), meanMemory: s.Held()}
+	if t.Catalog != nil {
+		c.limit = t.Catalog.Groups[f.Service].Memory
+	}
 	return c
 }
 
@@ -57,7 +60,7 @@
 		return
 	}
 	for _, r := range t.Runners.All() {
-		r.Cost.Own = 0
+		r.Cost.Own, r.Cost.Held = 0, 0
 	}
 	for _, f := range t.Forwards.All() {
 		if f.Phase != gateway.ForwardRunning || f.Estimate.Time == 0 {
@@ -65,6 +68,7 @@
 		}
 		if r := t.Runners.Get(f.Runner); r != nil {
 			r.Cost.Own += remainingTime(f, now)
+			r.Cost.Held += f.Size.Tokens()
 		}
 	}
 }
@@ -95,6 +99,7 @@
 	}
 	r.Cost.Send(f.Parts)
 	r.Cost.Own += f.Estimate.Time
+	r.Cost.Held += f.Size.Tokens()
 }
 
 // observeCost corrects the estimates by a complete response.
--- a/request.go
+++ b/request.go
@@ -60,3 +60,6 @@
 	// Parts are the sizes of the shareable parts of the prompt, in order.
 	Parts []Tokens
 }
+
+// Tokens returns the largest number of tokens that a runner holds for the request.
+func (s RequestSize) Tokens() Tokens { return s.Prompt + s.Maximum }
