--- a/cost/estimates.go
+++ b/cost/estimates.go
@@ -53,6 +53,8 @@
 	// WrongSince is since when Error has been above the bound, or 0, and Told means that this was logged.
 	WrongSince cs.Instant
 	Told       bool
+	// RecordedAt is when Error was last recorded as a metric.
+	RecordedAt cs.Instant
 }
 
 // route is what responses have shown of a route.
--- a/cost/runner.go
+++ b/cost/runner.go
@@ -35,9 +35,7 @@
 	// parts are the prompt parts that were last sent to the runner, and next the place of the next one.
 	parts [rememberedParts]cs.PromptPart
 	next  uint8
-	// Own is the remaining time of the requests that this VM has sent to the runner, as of the current tick.
-	Own cs.Span
-	// Held is the number of tokens that these requests may hold there at most, and Item that of the largest of the items that this
+	// Held is the number of tokens that the online requests of this VM may hold at the runner, and Item that of the largest of the items that this
 	// VM runs there.
 	Held, Item cs.Tokens
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -148,6 +148,9 @@
 		rereadJobs: func(a gateway.RereadJobs) { v.feeds.RereadJobs(a.From) },
 		sendReport: v.gossip.Send, sendSlots: v.gossip.SendSlots, requestPeerState: v.requestPeerState, answerPeerState: v.stateExchange.Answer,
 		answerJobState: v.jobExchange.AnswerState, answerStatePeer: v.jobExchange.AnswerPeer, logNote: v.noteLogger.logNote, itemsCtx: v.ctx,
+		recordEstimateError: func(a gateway.RecordEstimateError) {
+			v.meter.SetServiceGauge(meter.EstimateErrorRatio, a.Service, float64(a.Error))
+		},
 		drainComplete: func(e gateway.Exit) { v.drained <- e }, // a drain completes once
 	}
 	return nil
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -72,6 +72,8 @@
 	answerStatePeer  func(gateway.AnswerStatePeer)
 	logNote          func(gateway.Note)
 	drainComplete    func(gateway.Exit)
+	// recordEstimateError sets the metric of a service.
+	recordEstimateError func(gateway.RecordEstimateError)
 	// itemsCtx is the context in which batch items run.
 	itemsCtx context.Context
 }
@@ -181,6 +183,8 @@
 		h.answerStatePeer(a)
 	case gateway.Exit:
 		h.drainComplete(a)
+	case gateway.RecordEstimateError:
+		h.recordEstimateError(a)
 	case gateway.Note:
 		h.logNote(a)
 	}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -75,7 +75,7 @@
 // served.
 func Dispatch(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	expireSlotRequests(t, now)
-	updateWork(t, now)
+	updateHeld(t)
 	updateDemand(t, now) // mayDispatch divides the free capacity by this demand
 	estimates := make(map[cs.ServiceID]*waitEstimate)
 	var done []gateway.ForwardID
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -14,43 +14,84 @@
 // where it would delay requests that still can. If onlyLimited is set, it returns only runners that
 // name a limit, which the VMs do not divide by their demand.
 func pickRunner(t *gateway.Tables, f *gateway.Forward, now cs.Instant, onlyLimited bool) *gateway.Runner {
-	var best *gateway.Runner
-	bestCost, jitter := 0.0, pickJitter(t)
-	allTried, work := triedAllReachable(t, f, now), costOf(t, f)
-	maxQueued := cs.Slots(0)
+	c := choice{tables: t, forward: f, now: now, onlyLimited: onlyLimited, jitter: pickJitter(t), allTried: triedAllReachable(t, f, now), work: costOf(t, f)}
 	if canMeetTarget(f, now) {
-		maxQueued = maxQueuedPerRunner
+		c.maxQueued = maxQueuedPerRunner
+	}
+	if c.work.service != nil {
+		return c.amongCandidates()
 	}
 	for id, r := range t.Runners.All() {
-		if r.Spec.Service != f.Service || !r.Usable(now) || mayHaveRunOn(f, id) && !allTried {
-			continue
-		}
-		if !r.WithinLimit(now) || onlyLimited && !r.Limit.Named && !t.HasAllocator(r, now) || slices.Contains(f.DeniedBy, id) {
-			continue
-		}
-		online := r.OnlineLoad()
-		if online >= r.Spec.Slots+maxQueued {
-			continue
-		}
-		if work.service != nil && !r.HasMemory(work.limit, work.memory, work.meanMemory) {
-			continue
-		}
-		reach := t.Reach(r.Spec.DataCentre, now)
-		if reach == gateway.ReachCut && !mayProbe(t, f, r.Spec.DataCentre, now) {
-			continue
-		}
-		cost := loadCost(f, &work, r, now) + preference(t, r, jitter, now)
-		if now.Sub(r.DeniedAt) < deniedTime {
-			cost += fullPenalty
-		}
-		if reach != gateway.ReachGood {
-			cost += doubtfulPenalty
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = r, cost
+		c.consider(id, r)
+	}
+	return c.best
+}
+
+// choice is the choice of a runner for a request.
+type choice struct {
+	tables      *gateway.Tables
+	forward     *gateway.Forward
+	now         cs.Instant
+	onlyLimited bool
+	jitter      float64
+	maxQueued   cs.Slots
+	allTried    bool
+	// work is what the request is expected to cost.
+	work     requestCost
+	best     *gateway.Runner
+	bestCost float64
+}
+
+// maxCandidates is the number of runners that can take a request among which one is chosen. Further ones would be chosen only if all of
+// these were much slower or full, and looking at 3,700 runners takes 0.4 ms for each request.
+const maxCandidates = 128
+
+// amongCandidates returns the runner with the least cost among those that this VM prefers.
+func (c *choice) amongCandidates() *gateway.Runner {
+	considered := 0
+	for _, id := range c.tables.CandidatesOf(c.forward.Service, remoteDistance) {
+		if r := c.tables.Runners.Get(id); r != nil && c.consider(id, r) {
+			if considered++; considered >= maxCandidates {
+				break
+			}
 		}
 	}
-	return best
+	return c.best
+}
+
+// consider takes a runner if it can take the request at a lower cost than the best one so far, and reports whether it can take it.
+func (c *choice) consider(id cs.RunnerID, r *gateway.Runner) bool {
+	t, f, now := c.tables, c.forward, c.now
+	if r.Spec.Service != f.Service || !r.Usable(now) || mayHaveRunOn(f, id) && !c.allTried {
+		return false
+	}
+	if !r.WithinLimit(now) || c.onlyLimited && !r.Limit.Named && !t.HasAllocator(r, now) || slices.Contains(f.DeniedBy, id) {
+		return false
+	}
+	if r.OnlineLoad() >= r.Spec.Slots+c.maxQueued {
+		return false
+	}
+	if c.work.service != nil && !r.HasMemory(c.work.limit, c.work.memory, c.work.meanMemory) {
+		return false
+	}
+	reach := t.Reach(r.Spec.DataCentre, now)
+	if reach == gateway.ReachCut && !mayProbe(t, f, r.Spec.DataCentre, now) {
+		return false
+	}
+	cost := loadCost(r, now) + preference(t, r, c.jitter, now)
+	if c.work.service != nil {
+		cost += timeCost(f, &c.work, r, now)
+	}
+	if now.Sub(r.DeniedAt) < deniedTime {
+		cost += fullPenalty
+	}
+	if reach != gateway.ReachGood {
+		cost += doubtfulPenalty
+	}
+	if c.best == nil || cost < c.bestCost {
+		c.best, c.bestCost = r, cost
+	}
+	return true
 }
 
 // mayProbe reports whether a request may be sent to a data centre that seems to be unreachable. One that may run only once is
@@ -83,6 +124,8 @@
 	// affinityWeight is the weight of a VM's own preference among runners with an allocator. The loads that it knows are old, and
 	// other VMs know the same, so that the preferences spread the VMs; an allocator denies a slot where the load is higher.
 	affinityWeight = 2.5
+	// remoteDistance is how much later a runner of another data centre comes in the order of preference, on the scale of the affinity.
+	remoteDistance = 0.5
 	// remotePenalty is added for a runner in another data centre: its load must be lower than that
 	// of a local runner by this share to be picked instead.
 	remotePenalty = 0.1
@@ -127,7 +170,7 @@
 		p += affinityWeight // full runners stay behind those with free slots
 	}
 	if isRemote {
-		p += affinityWeight / 2
+		p += affinityWeight * remoteDistance
 	}
 	return p
 }
@@ -136,15 +179,11 @@
 // only a response shows whether the limit still holds.
 const limitRefreshInterval = cs.Second
 
-// loadCost returns a runner's load as a share of its slots, or what stands for it where requests are placed by their work, plus the
-// penalties that apply.
-func loadCost(f *gateway.Forward, work *requestCost, r *gateway.Runner, now cs.Instant) float64 {
+// loadCost returns a runner's load as a share of its slots, plus the penalties that apply.
+func loadCost(r *gateway.Runner, now cs.Instant) float64 {
 	slots := float64(r.Spec.Slots)
 	total := float64(r.Load()) / slots
-	switch {
-	case work.service != nil:
-		total = workCost(f, work, r, now)
-	case r.Load() >= r.Spec.Slots:
+	if r.Load() >= r.Spec.Slots {
 		total = fullPenalty + float64(r.OnlineLoad())/slots
 	}
 	if r.MissingSince != 0 {
--- a/forward/placement.go
+++ b/forward/placement.go
@@ -6,11 +6,13 @@
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
-// Weights of the expected times in the runner choice, as shares of a runner's slots like its other terms.
-var (
-	slowWeight = 2.5
+// Weights of the expected times in the runner choice, on the scale of its other terms. They are below affinityWeight: with higher ones
+// VMs collide at the runners that seem to be fast (BenchmarkPlacement).
+const (
+	// slowWeight is the weight of the time of an event, as a multiple of the mean of the service.
+	slowWeight = 1.0
+	// readWeight is the weight of the time to read the prompt, as a share of the time of a mean response.
 	readWeight = 2.5
-	workWeight = 1.0
 )
 
 // requestCost is what a request is expected to cost, wherever it runs.
@@ -39,52 +41,32 @@
 	return c
 }
 
-// workCost returns what is added to the cost of a runner in place of its load.
-func workCost(f *gateway.Forward, c *requestCost, r *gateway.Runner, now cs.Instant) float64 {
-	slots := float64(r.Spec.Slots)
-	half := c.meanMs / 2 // a running request is half done on average
-	own := float64(r.Cost.Own) / half
-	total := (float64(r.Load()-r.Online) + workWeight*own + (1-workWeight)*float64(r.Online)) / slots
-	if r.Load() >= r.Spec.Slots {
-		total += fullPenalty - float64(r.Batch+max(r.PeerBatch, r.Allocation.Batch))/slots
-	}
+// timeCost returns what is added to the cost of a runner for the time that the request is expected to take there: that of its events and
+// that to read the part of its prompt that the runner does not hold.
+func timeCost(f *gateway.Forward, c *requestCost, r *gateway.Runner, now cs.Instant) float64 {
 	slow := c.service.Slowness(&r.Cost, now)
-	total += slowWeight * (slow - 1)
-	total += readWeight * c.service.ReadMs(r.Cost.TokensToRead(f.Parts, f.Size)) * slow / c.meanMs
-	return total
+	read := c.service.ReadMs(r.Cost.TokensToRead(f.Parts, f.Size)) * slow
+	return slowWeight*(slow-1) + readWeight*read/c.meanMs
 }
 
-// updateWork updates the remaining time of the requests that this VM has sent to runners.
-func updateWork(t *gateway.Tables, now cs.Instant) {
+// updateHeld updates the tokens that the requests of this VM hold at runners.
+func updateHeld(t *gateway.Tables) {
 	if t.Costs.Services.Len() == 0 {
 		return
 	}
 	for _, r := range t.Runners.All() {
-		r.Cost.Own, r.Cost.Held = 0, 0
+		r.Cost.Held = 0
 	}
 	for _, f := range t.Forwards.All() {
 		if f.Phase != gateway.ForwardRunning || f.Estimate.Time == 0 {
 			continue
 		}
 		if r := t.Runners.Get(f.Runner); r != nil {
-			r.Cost.Own += remainingTime(f, now)
 			r.Cost.Held += f.Size.Tokens()
 		}
 	}
 }
 
-// minRemainingShare is the least part of its expected time that a request is expected to go on for.
-const minRemainingShare = 0.1
-
-// remainingTime returns how much longer the attempt of a request is expected to take.
-func remainingTime(f *gateway.Forward, now cs.Instant) cs.Span {
-	begin := f.SentAt
-	if f.Estimate.StartedAt != 0 {
-		begin = f.Estimate.StartedAt
-	}
-	return max(f.Estimate.Time-now.Sub(begin), cs.Span(minRemainingShare*float64(f.Estimate.Time)))
-}
-
 // estimateAttempt records what a request that is sent to a runner is expected to cost there. The load is that without the request.
 func estimateAttempt(t *gateway.Tables, f *gateway.Forward, r *gateway.Runner, load cs.Slots, now cs.Instant) {
 	f.Estimate = gateway.ForwardEstimate{}
@@ -98,7 +80,6 @@
 		Unqueued: load < r.Spec.Slots, From: f.LastEvent,
 	}
 	r.Cost.Send(f.Parts)
-	r.Cost.Own += f.Estimate.Time
 	r.Cost.Held += f.Size.Tokens()
 }
 
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -164,6 +164,12 @@
 		Query StateQueryID
 		State PeerState
 	}
+	// RecordEstimateError sets the metric of the mean error of the expected times of a service's requests, as a share of their real
+	// times.
+	RecordEstimateError struct {
+		Service cs.ServiceID
+		Error   cs.Ratio
+	}
 	// Exit lets the process exit, since the drain is complete or its time limit has passed. The answers that are still
 	// being written must be complete at By.
 	Exit struct{ By cs.Instant }
@@ -180,26 +186,27 @@
 	}
 )
 
-func (Dispatch) isAction()         {}
-func (StopForward) isAction()      {}
-func (Refuse) isAction()           {}
-func (RunItem) isAction()          {}
-func (StopItem) isAction()         {}
-func (AppendJobs) isAction()       {}
-func (FenceJobs) isAction()        {}
-func (LeaveGroup) isAction()       {}
-func (SetJobLogRole) isAction()    {}
-func (AnswerJobPeer) isAction()    {}
-func (ReadJobs) isAction()         {}
-func (RereadJobs) isAction()       {}
-func (AnswerJob) isAction()        {}
-func (AnswerResults) isAction()    {}
-func (AnswerBody) isAction()       {}
-func (SendReport) isAction()       {}
-func (SendSlots) isAction()        {}
-func (RequestPeerState) isAction() {}
-func (AnswerPeerState) isAction()  {}
-func (AnswerStatePeer) isAction()  {}
-func (AnswerJobState) isAction()   {}
-func (Exit) isAction()             {}
-func (Note) isAction()             {}
+func (Dispatch) isAction()            {}
+func (StopForward) isAction()         {}
+func (Refuse) isAction()              {}
+func (RunItem) isAction()             {}
+func (StopItem) isAction()            {}
+func (AppendJobs) isAction()          {}
+func (FenceJobs) isAction()           {}
+func (LeaveGroup) isAction()          {}
+func (SetJobLogRole) isAction()       {}
+func (AnswerJobPeer) isAction()       {}
+func (ReadJobs) isAction()            {}
+func (RereadJobs) isAction()          {}
+func (AnswerJob) isAction()           {}
+func (AnswerResults) isAction()       {}
+func (AnswerBody) isAction()          {}
+func (SendReport) isAction()          {}
+func (SendSlots) isAction()           {}
+func (RequestPeerState) isAction()    {}
+func (AnswerPeerState) isAction()     {}
+func (AnswerStatePeer) isAction()     {}
+func (AnswerJobState) isAction()      {}
+func (RecordEstimateError) isAction() {}
+func (Exit) isAction()                {}
+func (Note) isAction()                {}
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -100,6 +100,10 @@
 	NoteDrainChanged
 	// NoteTickDelayed: a tick of the control loop began late, as on a machine without enough processor time.
 	NoteTickDelayed
+	// NoteEstimatesInaccurate: the expected times of the requests of a service are off by more than half.
+	NoteEstimatesInaccurate
+	// NoteEstimatesAccurate: this has ended.
+	NoteEstimatesAccurate
 )
 
 // Note is one structured log line; fields that do not apply are zero and left out of the line.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -66,6 +66,8 @@
 	Bootstrap  Bootstrap
 	// Costs are the estimates of what requests cost, for services whose runners state how long work takes on their machines.
 	Costs *cost.Estimates
+	// Candidates holds the order of preference among the runners of services with estimates.
+	Candidates *fleet.Table[cs.ServiceID, Candidates]
 }
 
 // New returns empty tables. The seed determines the random choices of the systems.
@@ -78,6 +80,7 @@
 		Config: c, Self: self, Started: now, Pace: defaultPace, JobLog: JobLog{Epoch: 1, Role: role}, Rand: rand.New(rand.NewPCG(seed, 1)),
 		Slots:          newSlots(),
 		Costs:          cost.New(),
+		Candidates:     fleet.NewTable[cs.ServiceID, Candidates](),
 		Runners:        fleet.NewTable[cs.RunnerID, Runner](),
 		Departures:     fleet.NewTable[cs.RunnerID, Departure](),
 		EmptiedAt:      fleet.NewTable[cs.ServiceID, cs.Instant](),
--- a/meter/gauge_enumer.go
+++ b/meter/gauge_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _GaugeName = "append_age_secondschanges_aside"
+const _GaugeName = "append_age_secondschanges_asideestimate_error_ratio"
 
-var _GaugeIndex = [...]uint8{0, 18, 31}
+var _GaugeIndex = [...]uint8{0, 18, 31, 51}
 
-const _GaugeLowerName = "append_age_secondschanges_aside"
+const _GaugeLowerName = "append_age_secondschanges_asideestimate_error_ratio"
 
 func (i Gauge) String() string {
 	if i < 0 || i >= Gauge(len(_GaugeIndex)-1) {
@@ -26,23 +26,27 @@
 	var x [1]struct{}
 	_ = x[AppendAgeSeconds-(0)]
 	_ = x[ChangesAside-(1)]
+	_ = x[EstimateErrorRatio-(2)]
 }
 
-var _GaugeValues = []Gauge{AppendAgeSeconds, ChangesAside}
+var _GaugeValues = []Gauge{AppendAgeSeconds, ChangesAside, EstimateErrorRatio}
 
 var _GaugeNameToValueMap = map[string]Gauge{
 	_GaugeName[0:18]:  AppendAgeSeconds,
 	_GaugeName[18:31]: ChangesAside,
+	_GaugeName[31:51]: EstimateErrorRatio,
 }
 
 var _GaugeLowerNameToValueMap = map[string]Gauge{
 	_GaugeLowerName[0:18]:  AppendAgeSeconds,
 	_GaugeLowerName[18:31]: ChangesAside,
+	_GaugeLowerName[31:51]: EstimateErrorRatio,
 }
 
 var _GaugeNames = []string{
 	_GaugeName[0:18],
 	_GaugeName[18:31],
+	_GaugeName[31:51],
 }
 
 // GaugeString retrieves an enum value from the enum constants string name.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -50,6 +50,8 @@
 	AppendAgeSeconds Gauge = iota
 	// ChangesAside is the number of changes of the job log that the store has refused and that are sent apart from others.
 	ChangesAside
+	// EstimateErrorRatio is the mean error of the expected times of the requests of a service, as a share of their real times.
+	EstimateErrorRatio
 )
 
 // maxTenants bounds the number of tenants with time series of their own, so that metrics use bounded
@@ -122,6 +124,11 @@
 // SetGauge sets a gauge.
 func (m *Meter) SetGauge(g Gauge, v float64) { m.scope.Gauge(g.String()).Update(v) }
 
+// SetServiceGauge sets a gauge of a service. The services are those of the operator's configuration, so that there are few.
+func (m *Meter) SetServiceGauge(g Gauge, service cs.ServiceID, v float64) {
+	m.scope.Tagged(map[string]string{"service": string(service)}).Gauge(g.String()).Update(v)
+}
+
 // Time records a duration in the histogram of a tenant and class.
 func (m *Meter) Time(kind Timing, tenant cs.TenantID, class cs.Class, s cs.Span) {
 	key := histogramKey{kind, m.tenantLabel(tenant), class}
