--- a/cost/estimates.go
+++ b/cost/estimates.go
@@ -61,6 +61,8 @@
 type route struct {
 	units, unitsError     Average
 	perToken, perTokenErr Average
+	// callMs is the time of a response that is no stream, in milliseconds.
+	callMs Average
 }
 
 // Activate adds a service whose runners state how long work takes on their machines.
@@ -78,8 +80,8 @@
 	return e.Services.Get(id)
 }
 
-// Units returns the expected number of units of the response to a request of a route: by its hint and by other responses of the
-// route, each weighted by its errors.
+// Units returns the expected number of events of a stream of a route: by its hint and by other streams of the route, each weighted by
+// its errors.
 func (e *Estimates) Units(name cs.RouteName, size cs.RequestSize) float64 {
 	r := e.routes.Get(name)
 	if r == nil {
@@ -104,8 +106,10 @@
 	Size    cs.RequestSize
 	// Read is the number of prompt tokens that were expected to be read.
 	Read cs.Tokens
-	// Units is the number of events, or 1.
-	Units float64
+	// Stream means that the response is a stream of events, and Resumed that its first events came in an earlier attempt. Units is the
+	// number of events of this attempt, or 1.
+	Stream, Resumed bool
+	Units           float64
 	// First is the time from sending to the first event, and Total that to the end.
 	First, Total cs.Span
 	// Expected is the time to the end that was expected without the figure, and Excess the excess that its last figure stated.
@@ -121,22 +125,45 @@
 	if s == nil || o.Units <= 0 || o.Total <= 0 {
 		return
 	}
-	e.observeRoute(o)
 	s.tokens.Add(float64(o.Size.Tokens()), serviceWindow)
+	row := e.routes.Get(o.Route)
+	if row == nil {
+		row = e.routes.Insert(o.Route, route{})
+	}
+	if o.Stream {
+		s.observeStream(r, o)
+		if !o.Resumed {
+			row.observeStream(o)
+		}
+	} else {
+		row.callMs.Add(float64(o.Total), routeWindow)
+		r.observe(min(float64(o.Total)/row.callMs.Value, maxPace))
+	}
+	s.observeError(o)
+}
+
+// observeStream corrects the estimates by a stream.
+func (s *Service) observeStream(r *Runner, o Response) {
 	s.units.Add(o.Units, serviceWindow)
 	if unitMs := unitTime(o); unitMs > 0 {
 		s.unitMs.Add(unitMs, serviceWindow)
 		r.observe(min(unitMs/s.unitMs.Value, maxPace))
-		if o.Prompt && o.Read > 0 && o.Units > 1 {
+		if o.Prompt && o.Read > 0 {
 			s.readMs.Add(max(float64(o.First)-unitMs, 0)/float64(o.Read), serviceWindow)
 		}
 	}
-	if o.Expected > 0 {
-		s.Error.Add(math.Abs(float64(o.Total-o.Expected))/float64(o.Total), serviceWindow)
-		if o.Excess >= minExcess {
-			shown := (float64(o.Total)/float64(o.Expected) - 1) / (o.Excess * meanExcess(float64(o.Total)))
-			s.figureTrust.Add(min(max(shown, 0), 1), routeWindow)
-		}
+}
+
+// observeError records how far the expected time of a response was from the real one, and how much of the excess of its machine it has
+// shown.
+func (s *Service) observeError(o Response) {
+	if o.Expected <= 0 {
+		return
+	}
+	s.Error.Add(math.Abs(float64(o.Total-o.Expected))/float64(o.Total), serviceWindow)
+	if o.Excess >= minExcess {
+		shown := (float64(o.Total)/float64(o.Expected) - 1) / (o.Excess * meanExcess(float64(o.Total)))
+		s.figureTrust.Add(min(max(shown, 0), 1), routeWindow)
 	}
 }
 
@@ -158,24 +185,16 @@
 // Held returns the number of tokens that other requests at a runner hold on average.
 func (s *Service) Held() float64 { return s.tokens.Value }
 
-// unitTime returns the time of a unit of a response in milliseconds, or 0 if the response is too short to tell.
+// unitTime returns the time of an event of a stream in milliseconds, or 0 if the stream is too short to tell.
 func unitTime(o Response) float64 {
-	switch {
-	case o.Units == 1:
-		return float64(o.Total)
-	case o.Units >= minTimedUnits:
-		return float64(o.Total-o.First) / (o.Units - 1)
-	default:
+	if o.Units < minTimedUnits {
 		return 0
 	}
+	return float64(o.Total-o.First) / (o.Units - 1)
 }
 
-// observeRoute corrects the estimates of a route.
-func (e *Estimates) observeRoute(o Response) {
-	r := e.routes.Get(o.Route)
-	if r == nil {
-		r = e.routes.Insert(o.Route, route{})
-	}
+// observeStream corrects the estimates by a whole stream.
+func (r *route) observeStream(o Response) {
 	r.unitsError.Add(math.Abs(o.Units-r.units.Or(o.Units)), routeWindow)
 	r.units.Add(o.Units, routeWindow)
 	if o.Size.Hint > 0 {
@@ -208,10 +227,18 @@
 	return r.Pace() * (1 + s.figureTrust.Or(1)*r.excess(now))
 }
 
-// Time returns the expected time of a request at a runner in milliseconds without waiting, and without the figure of its machine.
-func (s *Service) Time(r *Runner, units float64, read cs.Tokens) float64 {
+// StreamMs returns the expected time of a stream at a runner in milliseconds without waiting, and without the figure of its machine.
+func (s *Service) StreamMs(r *Runner, units float64, read cs.Tokens) float64 {
 	return (s.ReadMs(read) + units*s.UnitMs()) * r.Pace()
 }
 
+// CallMs returns the expected time of a response that is no stream, or 0 before the first one.
+func (e *Estimates) CallMs(r *Runner, name cs.RouteName) float64 {
+	if row := e.routes.Get(name); row != nil {
+		return row.callMs.Value * r.Pace()
+	}
+	return 0
+}
+
 // Excess returns the excess that the last figure of a runner states now.
 func (r *Runner) Excess(now cs.Instant) float64 { return r.excess(now) }
--- a/cost/estimates_test.go
+++ b/cost/estimates_test.go
@@ -14,7 +14,7 @@
 // response returns a response with a number of events, at a runner that takes so long for each.
 func response(events, unitMs float64, hint cs.Tokens) cost.Response {
 	return cost.Response{
-		Route: "r", Service: "s", Size: cs.RequestSize{Prompt: 500, Maximum: 420, Hint: hint}, Read: 500, Units: events, Prompt: true,
+		Route: "r", Service: "s", Size: cs.RequestSize{Prompt: 500, Maximum: 420, Hint: hint}, Read: 500, Units: events, Stream: true, Prompt: true,
 		First: cs.Span(50 + unitMs), Total: cs.Span(50 + events*unitMs), Expected: cs.Span(50 + events*30),
 	}
 }
@@ -93,6 +93,24 @@
 	c.Check(without > 14 && without < 19, qt.IsTrue, qt.Commentf("%g units without a hint", without))
 }
 
+// Guards against the time of plain calls that is mixed with that of the events of streams, and against calls of a slow route by which a
+// runner is taken for slow.
+func TestCallsAreTimedByRoute(t *testing.T) {
+	c := qt.New(t)
+	e := cost.New()
+	e.Activate("s")
+	var r cost.Runner
+	for range 100 {
+		e.Observe(&r, response(20, 30, 300))
+		e.Observe(&r, cost.Response{Route: "quick", Service: "s", Units: 1, First: 30, Total: 30})
+		e.Observe(&r, cost.Response{Route: "slow", Service: "s", Units: 1, First: 300, Total: 300})
+	}
+	c.Check(math.Abs(e.CallMs(&r, "quick")-30) < 1, qt.IsTrue)
+	c.Check(math.Abs(e.CallMs(&r, "slow")-300) < 1, qt.IsTrue)
+	c.Check(math.Abs(e.Service("s").UnitMs()-30) < 1, qt.IsTrue)
+	c.Check(math.Abs(r.Pace()-1) < 0.01, qt.IsTrue)
+}
+
 // Guards against prompt parts that count as held although an earlier part of the prompt is not.
 func TestTokensToRead(t *testing.T) {
 	c := qt.New(t)
--- a/forward/placement.go
+++ b/forward/placement.go
@@ -18,7 +18,6 @@
 // requestCost is what a request is expected to cost, wherever it runs.
 type requestCost struct {
 	service *cost.Service
-	units   float64
 	// meanMs is the time of a mean response of the service.
 	meanMs float64
 	// memory is what the request may hold at a runner at most, and limit what a runner can hold, or 0.
@@ -33,8 +32,7 @@
 	if s == nil {
 		return requestCost{}
 	}
-	units := t.Costs.Units(f.Route.Name, f.Size)
-	c := requestCost{service: s, units: units, meanMs: s.MeanMs(), memory: f.Size.Tokens(), meanMemory: s.Held()}
+	c := requestCost{service: s, meanMs: s.MeanMs(), memory: f.Size.Tokens(), meanMemory: s.Held()}
 	if t.Catalog != nil {
 		c.limit = t.Catalog.Groups[f.Service].Memory
 	}
@@ -58,7 +56,7 @@
 		r.Cost.Held = 0
 	}
 	for _, f := range t.Forwards.All() {
-		if f.Phase != gateway.ForwardRunning || f.Estimate.Time == 0 {
+		if f.Phase != gateway.ForwardRunning || !f.Estimate.Known {
 			continue
 		}
 		if r := t.Runners.Get(f.Runner); r != nil {
@@ -75,9 +73,12 @@
 		return
 	}
 	read := r.Cost.TokensToRead(f.Parts, f.Size)
+	ms := t.Costs.CallMs(&r.Cost, f.Route.Name)
+	if f.Route.Kind == cs.RouteStreaming {
+		ms = c.service.StreamMs(&r.Cost, max(t.Costs.Units(f.Route.Name, f.Size)-float64(f.LastEvent), 1), read)
+	}
 	f.Estimate = gateway.ForwardEstimate{
-		Units: c.units, Read: read, Time: max(cs.Span(c.service.Time(&r.Cost, c.units, read)), 1), Excess: r.Cost.Excess(now),
-		Unqueued: load < r.Spec.Slots, From: f.LastEvent,
+		Known: true, Read: read, Time: cs.Span(ms), Excess: r.Cost.Excess(now), Unqueued: load < r.Spec.Slots, From: f.LastEvent,
 	}
 	r.Cost.Send(f.Parts)
 	r.Cost.Held += f.Size.Tokens()
@@ -85,19 +86,20 @@
 
 // observeCost corrects the estimates by a complete response.
 func observeCost(t *gateway.Tables, f *gateway.Forward, r *gateway.Runner, o gateway.OutcomeAnswered, now cs.Instant) {
-	if r == nil || f.Estimate.Time == 0 || o.Status < 200 || o.Status >= 300 {
+	if r == nil || !f.Estimate.Known || o.Status < 200 || o.Status >= 300 {
 		return
 	}
 	first := now
 	if f.Estimate.StartedAt != 0 {
 		first = f.Estimate.StartedAt
 	}
-	units := 1.0
-	if f.Route.Kind == cs.RouteStreaming {
+	units, isStream := 1.0, f.Route.Kind == cs.RouteStreaming
+	if isStream {
 		units = float64(o.LastEvent - f.Estimate.From)
 	}
 	t.Costs.Observe(&r.Cost, cost.Response{
-		Route: f.Route.Name, Service: f.Service, Size: f.Size, Read: f.Estimate.Read, Units: units,
+		Route: f.Route.Name, Service: f.Service, Size: f.Size, Read: f.Estimate.Read,
+		Stream: isStream, Resumed: f.Estimate.From > 0, Units: units,
 		First: first.Sub(f.SentAt), Total: now.Sub(f.SentAt), Expected: f.Estimate.Time, Excess: f.Estimate.Excess, Prompt: f.Estimate.Unqueued,
 	})
 }
--- a/forward/placement_test.go
+++ b/forward/placement_test.go
@@ -17,7 +17,7 @@
 	vm.Costs.Activate("s")
 	for range 40 {
 		vm.Costs.Observe(&vm.Runners.Get(id).Cost, cost.Response{
-			Service: "s", Size: cs.RequestSize{Prompt: 500, Maximum: 400}, Read: 500, Units: 20, First: 50 + unitMs, Total: 50 + 20*unitMs, Prompt: true,
+			Service: "s", Size: cs.RequestSize{Prompt: 500, Maximum: 400}, Read: 500, Units: 20, Stream: true, First: 50 + unitMs, Total: 50 + 20*unitMs, Prompt: true,
 		})
 	}
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -80,10 +80,11 @@
 // ForwardEstimate is what an attempt is expected to cost at its runner. It is zero for a service whose requests are placed by their
 // number.
 type ForwardEstimate struct {
-	// Units is the number of events, and Read that of the prompt tokens that the runner has to read.
-	Units float64
-	Read  cs.Tokens
-	// Time is the expected time of the response after its first unit may begin, and Excess what the figure of the runner's machine
+	// Known means that the service has estimates.
+	Known bool
+	// Read is the number of prompt tokens that the runner is expected to read.
+	Read cs.Tokens
+	// Time is the expected time of the response, or 0 if it is not known, and Excess what the figure of the runner's machine
 	// stated; see cost.Response.
 	Time   cs.Span
 	Excess float64
--- a/roster/loads_test.go
+++ b/roster/loads_test.go
@@ -20,7 +20,7 @@
 	var kinds []gateway.NoteKind
 	play := func(length, expected cs.Span) {
 		for end := now.Add(length); now < end; now = now.Add(100) {
-			vm.Costs.Observe(&r.Cost, cost.Response{Route: "q", Service: "s", Units: 20, First: 50, Total: 600, Expected: expected})
+			vm.Costs.Observe(&r.Cost, cost.Response{Route: "q", Service: "s", Units: 20, Stream: true, First: 50, Total: 600, Expected: expected})
 			var out gateway.Actions
 			vm.Events = []gateway.Event{gateway.RunnerLoadRead{Runner: "r", Figure: 100}}
 			roster.Loads(vm, now, &out)
