--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
+
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/gateway"
 )
@@ -362,6 +364,25 @@
 // placementSeeds are the seeds of the simulated loads.
 var placementSeeds = []uint64{1, 2, 3}
 
+// Guards against a choice by expected times that is worse than the one by the number of requests on the same loads: first events that
+// come late, sends that runners reject, and parts of prompts that are read again.
+func TestPlacementByWork(t *testing.T) {
+	for _, jobs := range []bool{false, true} {
+		t.Run(fmt.Sprintf("jobs=%t", jobs), func(t *testing.T) {
+			c := qt.New(t)
+			requests, work := playPlacement(1, jobs, false), playPlacement(1, jobs, true)
+			c.Logf("requests: %v", requests)
+			c.Logf("work:     %v", work)
+			c.Check(work.share() >= requests.share()-0.0005, qt.IsTrue)
+			c.Check(work.p99 <= requests.p99, qt.IsTrue)
+			c.Check(work.rejected <= requests.rejected+work.sends/1000, qt.IsTrue)
+			c.Check(work.sharedRead <= requests.sharedRead, qt.IsTrue)
+			c.Check(float64(work.itemsDone) >= 0.98*float64(requests.itemsDone), qt.IsTrue)
+			c.Check(work.itemStops <= requests.itemStops, qt.IsTrue)
+		})
+	}
+}
+
 // BenchmarkPlacement compares requests as the weight with work as the weight, without and with batch work.
 func BenchmarkPlacement(b *testing.B) {
 	for _, load := range []float64{1, 1.3} {
