--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -1,6 +1,9 @@
 package gateway
 
-import cs "github.com/crocusstile/crocusstile"
+import (
+	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/cost"
+)
 
 // Runner is a back end with its load and its health as this VM sees them.
 type Runner struct {
@@ -24,6 +27,8 @@
 	RequestedOnline, RequestedBatch cs.Slots
 	// affinity is the preference of this VM for the runner, or 0 until it is computed; see Tables.Affinity.
 	affinity float64
+	// Cost is what responses have shown of the work that requests cause at the runner.
+	Cost cost.Runner
 	// DeniedAt is when this VM was last denied a slot, or 0.
 	DeniedAt cs.Instant
 	// BatchDueAt is when the least urgent of the items that this VM has started there is due.
@@ -56,6 +61,16 @@
 // OnlineLoad returns the online requests in flight on the runner.
 func (r *Runner) OnlineLoad() cs.Slots { return r.Online + max(r.PeerOnline, r.Allocation.Online) }
 
+// HasMemory reports whether a runner that can hold so many tokens, 0 if that is not known, has room for a request, as far as this VM
+// knows: other VMs' requests count with the mean that requests hold. A runner without any request takes each.
+func (r *Runner) HasMemory(limit, request cs.Tokens, mean float64) bool {
+	if limit == 0 || r.Load() == 0 {
+		return true
+	}
+	others := float64(r.Load()-r.Online-r.Batch) * mean
+	return others+float64(r.Cost.Held)+float64(r.Batch)*float64(r.Cost.Item)+float64(request) <= float64(limit)
+}
+
 const (
 	// probationPeriod is how long a runner stays on probation after its ejection or after a lost connection,
 	// unless it responds before.
--- a/gateway/suspectkind_enumer.go
+++ b/gateway/suspectkind_enumer.go
@@ -24,8 +24,8 @@
 // Re-run the stringer command to generate them again.
 func _SuspectKindNoOp() {
 	var x [1]struct{}
-	_ = x[SuspectContent-(0)]
-	_ = x[SuspectPart-(1)]
+	_ = x[SuspectContent-0]
+	_ = x[SuspectPart-1]
 }
 
 var _SuspectKindValues = []SuspectKind{SuspectContent, SuspectPart}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/cost"
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
@@ -68,6 +69,10 @@
 	Slots      Slots
 	Allowance  Allowance
 	Bootstrap  Bootstrap
+	// Costs are the estimates of what requests cost, for services whose runners state how long work takes on their machines.
+	Costs *cost.Estimates
+	// Candidates holds the order of preference among the runners of services with estimates.
+	Candidates *fleet.Table[cs.ServiceID, Candidates]
 }
 
 // New returns empty tables. The seed determines the random choices of the systems.
@@ -80,6 +85,8 @@
 		Config: c, Self: self, Started: now, Pace: defaultPace, JobLog: JobLog{Epoch: 1, Role: role}, Rand: rand.New(rand.NewPCG(seed, 1)),
 		Slots:          newSlots(),
 		Allowance:      newAllowance(),
+		Costs:          cost.New(),
+		Candidates:     fleet.NewTable[cs.ServiceID, Candidates](),
 		Runners:        fleet.NewTable[cs.RunnerID, Runner](),
 		Departures:     fleet.NewTable[cs.RunnerID, Departure](),
 		EmptiedAt:      fleet.NewTable[cs.ServiceID, cs.Instant](),
