--- a/entry/activity.go
+++ b/entry/activity.go
@@ -42,6 +42,7 @@
 			logDifference(v.log.Info(), last, now)
 			v.meter.SetGauge(meter.AppendAgeSeconds, now.appendAge.Std().Seconds())
 			v.meter.SetGauge(meter.ChangesAside, float64(now.changesAside))
+			v.measureClients()
 			last = now
 		}
 	}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/budget"
 )
 
 // Timing of the end of the connections of callers.
@@ -24,6 +26,12 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*callerConn]struct{}
+	// budget has the connections of the pool; nil means that they are not limited.
+	budget *budget.Budget
+	pool   budget.Pool
+	clock  *cs.Clock
+	// maxFields bounds the number of lines of a request's header.
+	maxFields int
 }
 
 // callerConn is the connection of a caller.
@@ -34,11 +42,24 @@
 	unansweredBytes bool
 	// newUntil is when a connection without a request yet counts as idle.
 	newUntil time.Time
+	conns    *callerConns
+	// holder is the row of the connection in the budget, or nil. header belongs to the goroutine that serves the connection.
+	holder *budget.Holder
+	header headerCount
+	// readEnded means that nothing more is read, since the client makes no progress.
+	readEnded atomic.Bool
 }
 
 // newCallerConns returns a callerConns without connections.
 func newCallerConns() *callerConns { return &callerConns{conns: make(map[*callerConn]struct{})} }
 
+// newClientConns returns a callerConns whose connections are those of a pool of a budget.
+func newClientConns(b *budget.Budget, p budget.Pool, clock *cs.Clock, maxFields int) *callerConns {
+	c := newCallerConns()
+	c.budget, c.pool, c.clock, c.maxFields = b, p, clock, maxFields
+	return c
+}
+
 // callerListener accepts connections of callers.
 type callerListener struct {
 	net.Listener
@@ -53,15 +74,20 @@
 
 // Accept accepts a connection.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.conns.acceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		tcp := &callerConn{TCPConn: conn, newUntil: time.Now().Add(newConnTime.Std()), conns: l.conns}
+		if !l.conns.admit(tcp) {
+			continue
+		}
+		l.conns.mu.Lock()
+		l.conns.conns[tcp] = struct{}{}
+		l.conns.mu.Unlock()
+		return tcp, nil
 	}
-	tcp := &callerConn{TCPConn: conn.(*net.TCPConn), newUntil: time.Now().Add(newConnTime.Std())} //nolint:forcetypeassert // of a listener for TCP
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	l.conns.conns[tcp] = struct{}{}
-	return tcp, nil
 }
 
 // Read reads from the connection.
@@ -71,6 +97,9 @@
 		c.mu.Lock()
 		c.unansweredBytes = true
 		c.mu.Unlock()
+		if refused := c.received(p[:n]); refused != nil {
+			return 0, refused
+		}
 	}
 	return n, err
 }
@@ -87,7 +116,12 @@
 		tracked.mu.Lock()
 		tracked.unansweredBytes, tracked.newUntil = state == http.StateActive, time.Time{}
 		tracked.mu.Unlock()
+		if state == http.StateIdle && tracked.holder != nil {
+			tracked.endRequest()
+			tracked.holder.Enter(budget.PhaseIdle, c.clock.Now())
+		}
 	case http.StateClosed, http.StateHijacked:
+		tracked.endRequest()
 		c.mu.Lock()
 		delete(c.conns, tracked)
 		c.mu.Unlock()
@@ -129,6 +163,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.unansweredBytes && !time.Now().Before(c.newUntil) {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed already
+		_ = c.SetReadDeadline(past) // fails only if the connection is closed already
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/batchjob"
+	"github.com/crocusstile/crocusstile/budget"
 	"github.com/crocusstile/crocusstile/forward"
 	"github.com/crocusstile/crocusstile/gateway"
 	"github.com/crocusstile/crocusstile/gossip"
@@ -60,7 +61,9 @@
 	forward       *forward.Traffic
 	batchjob      *batchjob.Traffic
 	callers       *http.Server
+	budget        *budget.Budget
 	callerConns   *callerConns
+	checkConns    *callerConns
 	ingress       *platform.Ingress
 	ready         *http.Server
 	metrics       *http.Server
@@ -104,6 +107,7 @@
 	s, post := v.settings, v.loop.Post
 	v.meter = meter.New(v.log)
 	v.noteLogger = newNoteLogger(v.log, v.meter)
+	v.budget = budget.New(budget.Config{Clock: clock, Limits: s.clients().limits(), Observe: v.observeLimit})
 	v.store = platform.NewStore(s.Store.Address)
 	v.jobExchange = gossip.NewJobStateExchange(gossip.JobStateConfig{Clock: clock, Post: post, Log: v.log})
 	v.feeds = platform.NewFeeds(platform.FeedsConfig{
@@ -113,6 +117,7 @@
 	v.runners = platform.NewRunners(platform.RunnersConfig{Clock: clock, Post: post, Log: v.log})
 	v.forward = forward.NewTraffic(forward.TrafficConfig{
 		Clock: clock, Runners: v.runners, Post: post, ObserveFirstByte: v.noteLogger.recordFirstByte, ObserveDuration: v.noteLogger.recordResponse,
+		Budget: v.budget,
 	})
 	v.batchjob = batchjob.NewTraffic(v.runners, post)
 	var err error
@@ -127,16 +132,11 @@
 	peerHandler.Handle(gossip.JobStatePath, v.jobExchange)
 	v.ingress = platform.NewIngress(platform.IngressConfig{
 		Clock: clock, Forward: v.forward, BatchJobs: v.batchjob, View: v.loop.View, Note: v.noteLogger.logNote, Loaded: v.loop.loaded,
-		WallClock: func() cs.Instant { return cs.Instant(time.Now().UnixMilli()) },
+		WallClock: func() cs.Instant { return cs.Instant(time.Now().UnixMilli()) }, Budget: v.budget,
 	})
 	peerHandler.Handle(platform.ForwardedPath, v.ingress.Forwarded())
 	v.peers = &http.Server{Addr: string(v.self.Address), Handler: peerHandler, ReadHeaderTimeout: readHeaderTimeout.Std()}
-	v.callerConns = newCallerConns()
-	v.callers = &http.Server{
-		Addr: string(s.Listen.Callers), Handler: v.ingress, ReadHeaderTimeout: readHeaderTimeout.Std(), IdleTimeout: callerIdleTimeout.Std(),
-		ConnState: v.callerConns.track,
-	}
-	v.ready = &http.Server{Addr: string(s.Listen.Ready), Handler: platform.Ready(v.loop.View), ReadHeaderTimeout: readHeaderTimeout.Std()}
+	v.buildClientServers(clock)
 	if s.Listen.MetricsPort > 0 {
 		v.metrics = &http.Server{
 			Addr: string(s.addressOf(s.Listen.MetricsPort)), Handler: v.meter.Handler(), ReadHeaderTimeout: readHeaderTimeout.Std(),
@@ -153,6 +153,21 @@
 	return nil
 }
 
+// buildClientServers creates the servers for callers and for readiness checks.
+func (v *VM) buildClientServers(clock *cs.Clock) {
+	s, limits := v.settings, v.settings.clients()
+	v.callerConns = newClientConns(v.budget, budget.Callers, clock, limits.MaxFields)
+	v.callers = &http.Server{
+		Addr: string(s.Listen.Callers), Handler: v.callerConns.guard(v.ingress), ReadHeaderTimeout: readHeaderTimeout.Std(), IdleTimeout: callerIdleTimeout.Std(),
+		MaxHeaderBytes: int(limits.MaxHeader), ConnState: v.callerConns.track, ConnContext: connContext,
+	}
+	v.checkConns = newClientConns(v.budget, budget.Checks, clock, limits.MaxFields)
+	v.ready = &http.Server{
+		Addr: string(s.Listen.Ready), Handler: v.checkConns.guard(platform.Ready(v.loop.View)), ReadHeaderTimeout: readHeaderTimeout.Std(),
+		IdleTimeout: callerIdleTimeout.Std(), MaxHeaderBytes: int(limits.MaxHeader), ConnState: v.checkConns.track, ConnContext: connContext,
+	}
+}
+
 // appendJobs returns a handler that appends to the job log and records how long that took.
 func (v *VM) appendJobs(clock *cs.Clock) func(context.Context, gateway.AppendJobs) {
 	return func(ctx context.Context, a gateway.AppendJobs) {
@@ -183,7 +198,7 @@
 	var g run.Group
 	for _, f := range []func(context.Context) error{
 		v.loop.Run, v.feeds.RunCatalog, v.feeds.RunRunners, v.feeds.RunVMs, v.feeds.RunJobs, v.feeds.RunMembership,
-		v.noteLogger.run, v.logActivity, v.watchSettings,
+		v.noteLogger.run, v.logActivity, v.watchSettings, v.budget.Run,
 	} {
 		g.Add(func() error { return f(v.ctx) }, func(error) { v.cancel() })
 	}
@@ -222,7 +237,7 @@
 func (v *VM) listen() ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, s := range v.servers() {
-		l, err := net.Listen("tcp4", s.Addr)
+		l, err := v.listenFor(s)
 		if err != nil {
 			for _, l := range listeners {
 				_ = l.Close() // nothing has been accepted
@@ -232,9 +247,22 @@
 		listeners = append(listeners, l)
 	}
 	listeners[0] = v.callerConns.wrap(listeners[0])
+	listeners[len(listeners)-1] = v.checkConns.wrap(listeners[len(listeners)-1])
 	return listeners, nil
 }
 
+// listenFor opens the listener of a server.
+func (v *VM) listenFor(s *http.Server) (net.Listener, error) {
+	switch s {
+	case v.callers:
+		return listenBounded(s.Addr, callerBuffer)
+	case v.ready:
+		return listenBounded(s.Addr, checkBuffer)
+	default:
+		return net.Listen("tcp4", s.Addr)
+	}
+}
+
 // serve runs an HTTP server until v.ctx ends. Serve returns as soon as a shutdown begins, while the last
 // responses are still being written, so a server that shuts down must not end the run group.
 func (v *VM) serve(s *http.Server, l net.Listener) error {
@@ -276,7 +304,7 @@
 	}
 }
 
-// reload reads the settings file again and applies the memory limit. Changed addresses and store settings
+// reload reads the settings file again and applies the limits of memory and of clients. Changed addresses and store settings
 // take effect when this VM restarts.
 func (v *VM) reload() {
 	next, err := LoadSettings(v.settingsPath)
@@ -285,6 +313,7 @@
 		return
 	}
 	limitMemory(next.MemoryMB)
+	v.budget.SetLimits(next.clients().limits())
 	v.log.Info().Bool("restartNeeded", next.needsRestart(v.settings)).Msg("settings read again")
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -52,8 +52,12 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 func newCluster(t *testing.T) *cluster {
-	c := qt.New(t)
-	s := &cluster{C: c, store: standin.NewStore(), dir: t.TempDir()}
+	return newClusterOf(qt.New(t), t.TempDir())
+}
+
+// newClusterOf starts the stand-ins for a test or a benchmark, with a directory for the settings of the VMs.
+func newClusterOf(c *qt.C, dir string) *cluster {
+	s := &cluster{C: c, store: standin.NewStore(), dir: dir}
 	s.storeAddr = serve(c, s.store)
 	c.Cleanup(s.store.Close)
 	s.store.Put("keyed.op", "config", []byte(catalogJSON))
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/budget"
 	"github.com/crocusstile/crocusstile/gateway"
 	"github.com/crocusstile/crocusstile/setting"
 )
@@ -37,6 +39,82 @@
 	// JobLogFollowers is the number of VMs of each data centre that follow the job log; if it is missing,
 	// defaultJobLogFollowers.
 	JobLogFollowers int `json:"jobLogFollowers"`
+	// Clients limits what clients may make the VM hold.
+	Clients ClientSettings `json:"clients"`
+}
+
+// ClientSettings limits what clients may make a VM hold. A field that is missing or 0 has its default.
+type ClientSettings struct {
+	// MaxBodies, MaxHeaders and MaxResponses limit the bytes of all request bodies, header fields and held responses; the
+	// defaults are parts of MemoryMB.
+	MaxBodies    cs.Bytes `json:"maxBodies"`
+	MaxHeaders   cs.Bytes `json:"maxHeaders"`
+	MaxResponses cs.Bytes `json:"maxResponses"`
+	// MaxCallers and MaxChecks limit the connections of callers and of readiness checks; the defaults are parts of
+	// MaxDescriptors, and for callers of MemoryMB.
+	MaxCallers int `json:"maxCallers"`
+	MaxChecks  int `json:"maxChecks"`
+	// MaxHeader and MaxFields limit the size and the number of fields of the header of a request, also before the
+	// configuration is known. net/http reads up to 4 KB more.
+	MaxHeader cs.Bytes `json:"maxHeader"`
+	MaxFields int      `json:"maxFields"`
+	// Window is the time within which a client must send or read ProgressBytes of a body.
+	Window        cs.Span  `json:"window"`
+	ProgressBytes cs.Bytes `json:"progressBytes"`
+}
+
+// Defaults of ClientSettings. The operator's limit of a header is 16 KB, and a field has at least four bytes.
+const (
+	defaultMaxHeader cs.Bytes = 32 << 10
+	defaultMaxFields          = 4096
+)
+
+// withDefaults returns the settings with the defaults of the fields that are missing.
+func (c ClientSettings) withDefaults(memoryMB, maxDescriptors int) ClientSettings {
+	l := budget.DefaultLimits(cs.Bytes(memoryMB)<<20, maxDescriptors)
+	return ClientSettings{
+		MaxBodies:     cmp.Or(c.MaxBodies, l.Shares[budget.Bodies]),
+		MaxHeaders:    cmp.Or(c.MaxHeaders, l.Shares[budget.Headers]),
+		MaxResponses:  cmp.Or(c.MaxResponses, l.Shares[budget.Responses]),
+		MaxCallers:    cmp.Or(c.MaxCallers, l.Connections[budget.Callers]),
+		MaxChecks:     cmp.Or(c.MaxChecks, l.Connections[budget.Checks]),
+		MaxHeader:     cmp.Or(c.MaxHeader, defaultMaxHeader),
+		MaxFields:     cmp.Or(c.MaxFields, defaultMaxFields),
+		Window:        cmp.Or(c.Window, l.Window),
+		ProgressBytes: cmp.Or(c.ProgressBytes, l.ProgressBytes),
+	}
+}
+
+// clients returns the limits of clients, with their defaults.
+func (s Settings) clients() ClientSettings {
+	return s.Clients.withDefaults(s.MemoryMB, s.MaxDescriptors)
+}
+
+// limits returns the limits of the budget.
+func (c ClientSettings) limits() budget.Limits {
+	l := budget.Limits{Window: c.Window, ProgressBytes: c.ProgressBytes}
+	l.Shares[budget.Bodies], l.Shares[budget.Headers], l.Shares[budget.Responses] = c.MaxBodies, c.MaxHeaders, c.MaxResponses
+	l.Connections[budget.Callers], l.Connections[budget.Checks] = c.MaxCallers, c.MaxChecks
+	return l
+}
+
+// validate adds the errors in the settings, whose defaults are filled in.
+func (c ClientSettings) validate(s Settings, addError func(path, message string)) {
+	for path, n := range map[string]int64{
+		"clients.maxBodies": int64(c.MaxBodies), "clients.maxHeaders": int64(c.MaxHeaders), "clients.maxResponses": int64(c.MaxResponses),
+		"clients.maxCallers": int64(c.MaxCallers), "clients.maxChecks": int64(c.MaxChecks), "clients.maxHeader": int64(c.MaxHeader),
+		"clients.maxFields": int64(c.MaxFields), "clients.window": int64(c.Window), "clients.progressBytes": int64(c.ProgressBytes),
+	} {
+		if n <= 0 {
+			addError(path, "must be positive")
+		}
+	}
+	if sum := c.MaxBodies + c.MaxHeaders + c.MaxResponses; sum > cs.Bytes(s.MemoryMB)<<20 {
+		addError("clients", "maxBodies, maxHeaders and maxResponses must not exceed memoryMB together")
+	}
+	if c.MaxCallers+c.MaxChecks > s.MaxDescriptors {
+		addError("clients", "maxCallers and maxChecks must not exceed maxDescriptors together")
+	}
 }
 
 // defaultJobLogFollowers is the size of a small data centre: where all VMs follow the job log, partitions are dealt anew only
@@ -136,6 +214,9 @@
 			addError(path, "must be positive")
 		}
 	}
+	if s.MemoryMB > 0 && s.MaxDescriptors > 0 {
+		s.clients().validate(s, addError)
+	}
 	if s.StrictRevoke && s.Revoke <= 0 {
 		addError("revoke", "must be positive if strictRevoke is set")
 	}
--- a/forward/session.go
+++ b/forward/session.go
@@ -153,7 +153,7 @@
 // passBuffered reads a complete response and sends it to the caller. A server error of a repeatable
 // request is held back, so that another runner can be tried.
 func (s *session) passBuffered(ctx context.Context, a gateway.Dispatch, response *RunnerResponse) gateway.Outcome {
-	body, err := readHeld(response.Body, s.traffic.held)
+	body, err := readHeld(ctx, response.Body, s.traffic.cfg.Budget)
 	if err != nil {
 		return s.failure(ctx, err)
 	}
--- a/forward/traffic.go
+++ b/forward/traffic.go
@@ -6,9 +6,8 @@
 	"sync"
 	"sync/atomic"
 
-	"golang.org/x/sync/semaphore"
-
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/budget"
 	"github.com/crocusstile/crocusstile/gateway"
 )
 
@@ -20,13 +19,14 @@
 	// ObserveFirstByte is called with the time from arrival to the first byte of the response, and
 	// ObserveDuration with the time to its end.
 	ObserveFirstByte, ObserveDuration func(route cs.RouteName, s cs.Span)
+	// Budget has the bytes that responses may take until they are complete and sent; nil means that of a VM with
+	// defaultMemory.
+	Budget *budget.Budget
 }
 
 // Traffic carries the bytes of online requests between callers and runners.
 type Traffic struct {
-	cfg TrafficConfig
-	// held has the bytes that responses may still take until they are complete.
-	held     *semaphore.Weighted
+	cfg      TrafficConfig
 	lastID   atomic.Uint64
 	mu       sync.Mutex
 	sessions map[gateway.ForwardID]*session
@@ -34,7 +34,10 @@
 
 // NewTraffic returns a Traffic without sessions.
 func NewTraffic(c TrafficConfig) *Traffic {
-	return &Traffic{cfg: c, held: semaphore.NewWeighted(maxHeldBytes), sessions: make(map[gateway.ForwardID]*session)}
+	if c.Budget == nil {
+		c.Budget = budget.New(budget.Config{Clock: c.Clock, Limits: budget.DefaultLimits(defaultMemory, 0)})
+	}
+	return &Traffic{cfg: c, sessions: make(map[gateway.ForwardID]*session)}
 }
 
 // actionBuffer is the capacity of a session's action channel. At most one action is in transit at a
--- a/meter/gauge_enumer.go
+++ b/meter/gauge_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _GaugeName = "append_age_secondschanges_aside"
+const _GaugeName = "append_age_secondschanges_asideclient_body_bytesclient_header_bytesclient_response_bytescaller_connectionscheck_connectionsclients_refusedclients_stopped"
 
-var _GaugeIndex = [...]uint8{0, 18, 31}
+var _GaugeIndex = [...]uint8{0, 18, 31, 48, 67, 88, 106, 123, 138, 153}
 
-const _GaugeLowerName = "append_age_secondschanges_aside"
+const _GaugeLowerName = "append_age_secondschanges_asideclient_body_bytesclient_header_bytesclient_response_bytescaller_connectionscheck_connectionsclients_refusedclients_stopped"
 
 func (i Gauge) String() string {
 	if i < 0 || i >= Gauge(len(_GaugeIndex)-1) {
@@ -26,23 +26,51 @@
 	var x [1]struct{}
 	_ = x[AppendAgeSeconds-(0)]
 	_ = x[ChangesAside-(1)]
+	_ = x[ClientBodyBytes-(2)]
+	_ = x[ClientHeaderBytes-(3)]
+	_ = x[ClientResponseBytes-(4)]
+	_ = x[CallerConnections-(5)]
+	_ = x[CheckConnections-(6)]
+	_ = x[ClientsRefused-(7)]
+	_ = x[ClientsStopped-(8)]
 }
 
-var _GaugeValues = []Gauge{AppendAgeSeconds, ChangesAside}
+var _GaugeValues = []Gauge{AppendAgeSeconds, ChangesAside, ClientBodyBytes, ClientHeaderBytes, ClientResponseBytes, CallerConnections, CheckConnections, ClientsRefused, ClientsStopped}
 
 var _GaugeNameToValueMap = map[string]Gauge{
-	_GaugeName[0:18]:  AppendAgeSeconds,
-	_GaugeName[18:31]: ChangesAside,
+	_GaugeName[0:18]:    AppendAgeSeconds,
+	_GaugeName[18:31]:   ChangesAside,
+	_GaugeName[31:48]:   ClientBodyBytes,
+	_GaugeName[48:67]:   ClientHeaderBytes,
+	_GaugeName[67:88]:   ClientResponseBytes,
+	_GaugeName[88:106]:  CallerConnections,
+	_GaugeName[106:123]: CheckConnections,
+	_GaugeName[123:138]: ClientsRefused,
+	_GaugeName[138:153]: ClientsStopped,
 }
 
 var _GaugeLowerNameToValueMap = map[string]Gauge{
-	_GaugeLowerName[0:18]:  AppendAgeSeconds,
-	_GaugeLowerName[18:31]: ChangesAside,
+	_GaugeLowerName[0:18]:    AppendAgeSeconds,
+	_GaugeLowerName[18:31]:   ChangesAside,
+	_GaugeLowerName[31:48]:   ClientBodyBytes,
+	_GaugeLowerName[48:67]:   ClientHeaderBytes,
+	_GaugeLowerName[67:88]:   ClientResponseBytes,
+	_GaugeLowerName[88:106]:  CallerConnections,
+	_GaugeLowerName[106:123]: CheckConnections,
+	_GaugeLowerName[123:138]: ClientsRefused,
+	_GaugeLowerName[138:153]: ClientsStopped,
 }
 
 var _GaugeNames = []string{
 	_GaugeName[0:18],
 	_GaugeName[18:31],
+	_GaugeName[31:48],
+	_GaugeName[48:67],
+	_GaugeName[67:88],
+	_GaugeName[88:106],
+	_GaugeName[106:123],
+	_GaugeName[123:138],
+	_GaugeName[138:153],
 }
 
 // GaugeString retrieves an enum value from the enum constants string name.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -50,6 +50,17 @@
 	AppendAgeSeconds Gauge = iota
 	// ChangesAside is the number of changes of the job log that the store has refused and that are sent apart from others.
 	ChangesAside
+	// ClientBodyBytes, ClientHeaderBytes and ClientResponseBytes are the bytes that clients hold of the shares of the budget.
+	ClientBodyBytes
+	ClientHeaderBytes
+	ClientResponseBytes
+	// CallerConnections and CheckConnections are the open connections at the addresses for callers and for readiness checks.
+	CallerConnections
+	CheckConnections
+	// ClientsRefused and ClientsStopped count since the start what found no room, and the connections that were ended since
+	// they made too little progress.
+	ClientsRefused
+	ClientsStopped
 )
 
 // maxTenants bounds the number of tenants with time series of their own, so that metrics use bounded
