--- a/meter/gauge_enumer.go
+++ b/meter/gauge_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _GaugeName = "append_age_secondschanges_asideestimate_error_ratio"
+const _GaugeName = "append_age_secondschanges_asideestimate_error_ratioclient_body_bytesclient_header_bytesclient_response_bytescaller_connectionscheck_connectionsclients_refusedclients_stopped"
 
-var _GaugeIndex = [...]uint8{0, 18, 31, 51}
+var _GaugeIndex = [...]uint8{0, 18, 31, 51, 68, 87, 108, 126, 143, 158, 173}
 
-const _GaugeLowerName = "append_age_secondschanges_asideestimate_error_ratio"
+const _GaugeLowerName = "append_age_secondschanges_asideestimate_error_ratioclient_body_bytesclient_header_bytesclient_response_bytescaller_connectionscheck_connectionsclients_refusedclients_stopped"
 
 func (i Gauge) String() string {
 	if i < 0 || i >= Gauge(len(_GaugeIndex)-1) {
@@ -27,26 +27,54 @@
 	_ = x[AppendAgeSeconds-(0)]
 	_ = x[ChangesAside-(1)]
 	_ = x[EstimateErrorRatio-(2)]
+	_ = x[ClientBodyBytes-(3)]
+	_ = x[ClientHeaderBytes-(4)]
+	_ = x[ClientResponseBytes-(5)]
+	_ = x[CallerConnections-(6)]
+	_ = x[CheckConnections-(7)]
+	_ = x[ClientsRefused-(8)]
+	_ = x[ClientsStopped-(9)]
 }
 
-var _GaugeValues = []Gauge{AppendAgeSeconds, ChangesAside, EstimateErrorRatio}
+var _GaugeValues = []Gauge{AppendAgeSeconds, ChangesAside, EstimateErrorRatio, ClientBodyBytes, ClientHeaderBytes, ClientResponseBytes, CallerConnections, CheckConnections, ClientsRefused, ClientsStopped}
 
 var _GaugeNameToValueMap = map[string]Gauge{
-	_GaugeName[0:18]:  AppendAgeSeconds,
-	_GaugeName[18:31]: ChangesAside,
-	_GaugeName[31:51]: EstimateErrorRatio,
+	_GaugeName[0:18]:    AppendAgeSeconds,
+	_GaugeName[18:31]:   ChangesAside,
+	_GaugeName[31:51]:   EstimateErrorRatio,
+	_GaugeName[51:68]:   ClientBodyBytes,
+	_GaugeName[68:87]:   ClientHeaderBytes,
+	_GaugeName[87:108]:  ClientResponseBytes,
+	_GaugeName[108:126]: CallerConnections,
+	_GaugeName[126:143]: CheckConnections,
+	_GaugeName[143:158]: ClientsRefused,
+	_GaugeName[158:173]: ClientsStopped,
 }
 
 var _GaugeLowerNameToValueMap = map[string]Gauge{
-	_GaugeLowerName[0:18]:  AppendAgeSeconds,
-	_GaugeLowerName[18:31]: ChangesAside,
-	_GaugeLowerName[31:51]: EstimateErrorRatio,
+	_GaugeLowerName[0:18]:    AppendAgeSeconds,
+	_GaugeLowerName[18:31]:   ChangesAside,
+	_GaugeLowerName[31:51]:   EstimateErrorRatio,
+	_GaugeLowerName[51:68]:   ClientBodyBytes,
+	_GaugeLowerName[68:87]:   ClientHeaderBytes,
+	_GaugeLowerName[87:108]:  ClientResponseBytes,
+	_GaugeLowerName[108:126]: CallerConnections,
+	_GaugeLowerName[126:143]: CheckConnections,
+	_GaugeLowerName[143:158]: ClientsRefused,
+	_GaugeLowerName[158:173]: ClientsStopped,
 }
 
 var _GaugeNames = []string{
 	_GaugeName[0:18],
 	_GaugeName[18:31],
 	_GaugeName[31:51],
+	_GaugeName[51:68],
+	_GaugeName[68:87],
+	_GaugeName[87:108],
+	_GaugeName[108:126],
+	_GaugeName[126:143],
+	_GaugeName[143:158],
+	_GaugeName[158:173],
 }
 
 // GaugeString retrieves an enum value from the enum constants string name.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -52,6 +52,17 @@
 	ChangesAside
 	// EstimateErrorRatio is the mean error of the expected times of the requests of a service, as a share of their real times.
 	EstimateErrorRatio
+	// ClientBodyBytes, ClientHeaderBytes and ClientResponseBytes are the bytes that clients hold of the shares of the budget.
+	ClientBodyBytes
+	ClientHeaderBytes
+	ClientResponseBytes
+	// CallerConnections and CheckConnections are the open connections at the addresses for callers and for readiness checks.
+	CallerConnections
+	CheckConnections
+	// ClientsRefused and ClientsStopped count since the start what found no room, and the connections that were ended since
+	// they made too little progress.
+	ClientsRefused
+	ClientsStopped
 )
 
 // maxTenants bounds the number of tenants with time series of their own, so that metrics use bounded
