--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -151,12 +151,12 @@
 // vmStateEvents are the events that describe the state of a VM itself.
 var vmStateEvents = eventNames(
 	gateway.NoteFeedLost, gateway.NoteFeedRegained, gateway.NoteDrainChanged, gateway.NoteCatalogInForce,
-	gateway.NotePartsChanged,
+	gateway.NotePartsChanged, gateway.NoteLimitOwnerMissing, gateway.NoteLimitOwnerFound,
 )
 
 // terminalEvents are the events that end a request, job or item.
 var terminalEvents = eventNames(
-	gateway.NoteRequestAnswered, gateway.NoteRequestRefused, gateway.NoteRequestRejected, gateway.NoteRequestAbandoned,
+	gateway.NoteRequestAnswered, gateway.NoteRequestRefused, gateway.NoteRequestLimited, gateway.NoteRequestRejected, gateway.NoteRequestAbandoned,
 	gateway.NoteJobRefused, gateway.NoteJobEnded, gateway.NoteItemListed, gateway.NoteItemGivenUp,
 )
 
--- a/logtrace/logtrace_test.go
+++ b/logtrace/logtrace_test.go
@@ -39,6 +39,7 @@
 func TestFindCause(t *testing.T) {
 	for _, test := range []struct{ file, id, event, reason string }{
 		{"refused.log", "e4c1b02d91aa7f30", "requestRefused", "no runner of the service can be reached"},
+		{"limited.log", "7a01c3b52d6e88f1", "requestLimited", "the workspace has reached its limit of requests"},
 		{"broken.log", "007b61a84d3c7e9d", "requestRetried", "unexpected EOF"},
 		{"givenup.log", "df24b4e468444dcc", "itemReturned", "error of the runner"},
 		{"rejected.log", "11aa22bb33cc44dd", "requestRejected", "no route for h.example/none/1"},
