--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -206,6 +206,22 @@
 	c.Check(b.t.FilledBucket(w, b.now).Level, qt.Equals, 0.0)
 }
 
+// Guards against a number of permits that does not fit, with limits that nobody means.
+func TestExtremeLimits(t *testing.T) {
+	c := qt.New(t)
+	for _, w := range []cs.Workspace{{ID: "w", Rate: 1e-300}, {ID: "w", Rate: 1e300, Burst: 1e300}, {ID: "w", Rate: 1e-3, Burst: 1e19}} {
+		b := newBench(testConfig())
+		b.t.AssignLimits([]int{0, 1, 2}, cs.BootInstant(b.now), b.now)
+		b.now = b.now.Add(cs.Second)
+		for range 50 {
+			granted, next, retry := b.t.TakePermits(b.t.FilledBucket(&w, b.now), &w, 20, b.now)
+			m := gateway.AllowanceMessage{From: "a", Replies: []gateway.AllowanceReply{{ID: 1, Granted: granted, Next: next, Retry: retry}}}
+			c.Assert(m.Validate(), qt.IsNil)
+			c.Assert(granted <= 20, qt.IsTrue)
+		}
+	}
+}
+
 // Guards against memory for workspaces that send nothing any more.
 func TestIdleRowsAreRemoved(t *testing.T) {
 	c := qt.New(t)
--- a/allowance/take.go
+++ b/allowance/take.go
@@ -63,6 +63,7 @@
 // waitingByWorkspace returns the requests that need a permit, in a fixed order.
 func waitingByWorkspace(t *gateway.Tables, now cs.Instant) []waitingGroup {
 	var groups []waitingGroup
+	index := make(map[cs.WorkspaceID]int)
 	for id, f := range t.Forwards.All() {
 		if f.Phase != gateway.ForwardWaiting || f.Attempt > 0 {
 			continue
@@ -71,9 +72,10 @@
 		if w == nil || t.HasPermit(f, now) || f.PermitUntil != 0 && !f.WantsPermit {
 			continue // a request whose permit has ended waits for a runner before it takes another one
 		}
-		i := slices.IndexFunc(groups, func(g waitingGroup) bool { return g.workspace.ID == w.ID })
-		if i < 0 {
+		i, known := index[w.ID]
+		if !known {
 			i = len(groups)
+			index[w.ID] = i
 			groups = append(groups, waitingGroup{workspace: w})
 		}
 		groups[i].requests = append(groups[i].requests, id)
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -258,7 +258,7 @@
 // TakePermits takes permits from a bucket and returns their number. If there are fewer than requested, it also returns the time
 // until the next one, and that after which the first of the refused requests should come back; the others follow at the rate.
 func (t *Tables) TakePermits(b *Bucket, w *cs.Workspace, requested Permits, now cs.Instant) (granted Permits, next, retry cs.Span) {
-	granted = min(requested, Permits(b.Level))
+	granted = min(requested, Permits(min(b.Level, MaxPermits)))
 	b.Level -= float64(granted)
 	if granted == requested {
 		return granted, 0, 0
