--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -283,8 +283,12 @@
 		return
 	}
 	v.seq++
+	partitions := v.tables.LimitPartitions(v.local(s.now))
+	if partitions == nil {
+		partitions = gateway.NoPartitions
+	}
 	r := gateway.Report{
-		From: v.tables.Self.ID, Incarnation: v.incarnation, Seq: v.seq, Partitions: v.tables.LimitPartitions(v.local(s.now)),
+		From: v.tables.Self.ID, Incarnation: v.incarnation, Seq: v.seq, Partitions: partitions,
 	}
 	for j := range s.vms {
 		if j != i && !s.vms[j].cut && s.rand.Float64() >= s.lost {
--- a/gateway/allowancemessage.go
+++ b/gateway/allowancemessage.go
@@ -74,6 +74,9 @@
 // PartitionSet is a set of partitions: bit i of byte j stands for partition 8j + i.
 type PartitionSet []byte
 
+// NoPartitions is the empty set in a report, in which an empty string of bytes is left out.
+var NoPartitions = PartitionSet{0}
+
 // maxPartitionSetBytes bounds a set in a report.
 const maxPartitionSetBytes = 512
 
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -98,7 +98,8 @@
 	BatchDemand int `cbor:"q,omitempty"`
 	// Demands is the sender's demand for the free capacity of services.
 	Demands []DemandReport `cbor:"k,omitempty"`
-	// Partitions are those of which the sender grants permits for the limits of workspaces.
+	// Partitions are those of which the sender grants permits for the limits of workspaces, NoPartitions for none, and nil if the
+	// report does not tell.
 	Partitions PartitionSet `cbor:"b,omitempty"`
 	// Ejected lists the runners that the sender has ejected after a failure.
 	Ejected []cs.RunnerID `cbor:"w,omitempty"`
@@ -237,8 +238,9 @@
 	// Sent is the load in the last report, and SentAllocated that of the runners of this VM. Loads that differ from them are
 	// reported sooner.
 	Sent, SentAllocated []RunnerLoad
-	// SentPartitions are the partitions in the last report.
-	SentPartitions PartitionSet
+	// Partitions are those of which this VM grants permits, since PartitionsAt.
+	Partitions   PartitionSet
+	PartitionsAt cs.Instant
 	// SentDigest are the loads at the runners of the group in the last digest.
 	SentDigest []RunnerLoad
 	// RemoteAt is when this VM last reported to VMs of other data centres itself.
--- a/roster/peers.go
+++ b/roster/peers.go
@@ -111,7 +111,7 @@
 // differs reports whether VMs outside the group should soon learn what a VM of the group reports after its last report.
 func differs(last, r gateway.Report) bool {
 	return last.Leaving != r.Leaving || len(r.Ejected)+len(r.Refusing)+len(r.Limits) > 0 ||
-		!bytes.Equal(last.Partitions, r.Partitions) || !slices.Equal(last.Loads, r.Loads) || !slices.Equal(last.Demands, r.Demands) || !slices.Equal(last.ProbeClaims, r.ProbeClaims)
+		!slices.Equal(last.Loads, r.Loads) || !slices.Equal(last.Demands, r.Demands) || !slices.Equal(last.ProbeClaims, r.ProbeClaims)
 }
 
 // applyReport applies a report, unless it is out of date, and returns the peer that it is of, or nil.
@@ -131,7 +131,8 @@
 		t.LiveChanges++
 	}
 	if r.Incarnation != p.VM.Incarnation {
-		p.SentTo = nil
+		p.SentTo, p.Partitions = nil, nil
+		t.PartitionChanges++
 	}
 	p.VM.Incarnation, p.VM.DataCentre, p.VM.Address, p.VM.Leaving = r.Incarnation, r.DataCentre, e.Address, r.Leaving
 	p.VM.JobLogFormat, p.VM.Memory = r.JobLogFormat, r.Memory
@@ -163,9 +164,10 @@
 	if r.JobLogAge != nil {
 		p.JobLogAsOf = receivedAt.Add(-*r.JobLogAge)
 	}
-	if !bytes.Equal(p.Partitions, r.Partitions) {
+	if r.Partitions != nil && !bytes.Equal(p.Partitions, r.Partitions) {
 		p.Partitions, p.PartitionsAt = r.Partitions, receivedAt
 		t.PartitionChanges++
+		t.Gossip.GroupChanged = t.Gossip.GroupChanged || t.InOwnGroup(r.From)
 	}
 	setPeerLoad(t, p, r.Loads, r.Demands)
 	t.ApplyAllocatedLoads(r.Allocated)
--- a/roster/report.go
+++ b/roster/report.go
@@ -36,8 +36,11 @@
 // relays the reports of the group and digests of the loads at their runners to other VMs.
 func Report(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	gossip := &t.Gossip
+	if partitions := t.LimitPartitions(now); !bytes.Equal(partitions, gossip.Partitions) {
+		gossip.Partitions, gossip.PartitionsAt = partitions, now
+	}
 	loads, allocated := localLoads(t, now), t.AllocatedLoads(now)
-	due := timesOfReports(t, now, loads, allocated)
+	due := timesOfReports(t, loads, allocated)
 	var digest []gateway.RunnerLoad
 	if due.remote != 0 && now >= min(due.remote, due.relay) {
 		digest = slices.Concat(allocated, groupAllocated(t))
@@ -60,13 +63,13 @@
 			sendDigest(t, now, r, digest, relays, out)
 		}
 		if relays {
-			relayReports(t, now, r, routes.Relay, out)
+			relayReports(t, now, r, routes.Relay, full, out)
 			gossip.RelayedAt, gossip.RelayDue, gossip.GroupChanged = now, now.Add(t.NextRelay()), false
 			if full {
 				gossip.FullRelayAt = now
 			}
 		}
-		due = timesOfReports(t, now, loads, allocated)
+		due = timesOfReports(t, loads, allocated)
 	}
 	out.WakeAt(due.group)
 	if due.relay != 0 {
@@ -76,14 +79,14 @@
 }
 
 // timesOfReports returns when the next reports are due.
-func timesOfReports(t *gateway.Tables, now cs.Instant, loads, allocated []gateway.RunnerLoad) reportTimes {
+func timesOfReports(t *gateway.Tables, loads, allocated []gateway.RunnerLoad) reportTimes {
 	gossip := &t.Gossip
 	times := reportTimes{group: gossip.SentAt.Add(max(gateway.MaxReportInterval, t.ReportInterval()))}
 	if !slices.Equal(loads, gossip.Sent) || hasSuspectNews(t) || hasLimitNews(t) || hasDepartureNews(t) {
 		times.group = gossip.SentAt.Add(t.ReportInterval())
 		gossip.GroupChanged = true
 	}
-	if !bytes.Equal(t.LimitPartitions(now), gossip.SentPartitions) {
+	if gossip.PartitionsAt > gossip.SentAt {
 		times.group = gossip.SentAt.Add(t.ReportInterval())
 		gossip.GroupChanged = true
 	}
@@ -105,7 +108,7 @@
 func sendToGroup(t *gateway.Tables, now cs.Instant, r gateway.Report, to []cs.VMID, out *gateway.Actions) {
 	gossip := &t.Gossip
 	sendReport(t, r, to, out)
-	gossip.SentAt, gossip.Sent, gossip.SentAllocated, gossip.SentPartitions = now, r.Loads, r.Allocated, r.Partitions
+	gossip.SentAt, gossip.Sent, gossip.SentAllocated = now, r.Loads, r.Allocated
 	if now.Sub(gossip.FullAt) >= fullReportInterval {
 		gossip.FullAt = now
 	}
@@ -142,7 +145,7 @@
 		From: t.Self.ID, Incarnation: t.Self.Incarnation, DataCentre: t.Self.DataCentre, Seq: t.Gossip.Seq,
 		Loads: loads, Leaving: t.Drain.Phase != fleet.DrainNone, StoreUnreadable: t.StoreUnreadable(),
 		BatchDemand: t.Partitions.BatchDemand, JobLogFormat: t.Self.JobLogFormat, Memory: t.Self.Memory,
-		Partitions: t.LimitPartitions(now),
+		Partitions: partitionsToReport(t, now, full),
 	}
 	for id, runner := range t.Runners.All() {
 		if runner.Failures > 0 && now < runner.EjectedUntil {
@@ -170,9 +173,23 @@
 	return r
 }
 
+// partitionsToReport returns the partitions of which this VM grants permits, in full reports and while they are news, and nil in
+// others.
+func partitionsToReport(t *gateway.Tables, now cs.Instant, full bool) gateway.PartitionSet {
+	gossip := &t.Gossip
+	switch {
+	case t.Config.Quota.Window == 0 || !full && (gossip.PartitionsAt == 0 || now.Sub(gossip.PartitionsAt) > gateway.NewsPeriod):
+		return nil
+	case gossip.Partitions == nil:
+		return gateway.NoPartitions
+	default:
+		return gossip.Partitions
+	}
+}
+
 // relayReports sends this VM's report, together with those that it has received from its group since the last relay, to
 // VMs outside the group.
-func relayReports(t *gateway.Tables, now cs.Instant, own gateway.Report, to []cs.VMID, out *gateway.Actions) {
+func relayReports(t *gateway.Tables, now cs.Instant, own gateway.Report, to []cs.VMID, full bool, out *gateway.Actions) {
 	if len(to) == 0 {
 		return
 	}
@@ -185,7 +202,11 @@
 			sendReport(t, own, to, out)
 			own.Relayed, rows = nil, rowCount(p.Last)
 		}
-		own.Relayed = append(own.Relayed, gateway.RelayedReport{Address: p.VM.Address, Age: now.Sub(p.DirectReportAt), Report: p.Last})
+		last := p.Last
+		if full && last.Partitions == nil && !bytes.Equal(p.Partitions, gateway.NoPartitions) {
+			last.Partitions = p.Partitions // few VMs own any, so that none is only told as news
+		}
+		own.Relayed = append(own.Relayed, gateway.RelayedReport{Address: p.VM.Address, Age: now.Sub(p.DirectReportAt), Report: last})
 	}
 	sendReport(t, own, to, out)
 }
