--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -18,7 +18,9 @@
 // newBench returns a VM in front of a runner, and a peer that reports to own all partitions.
 func newBench(c gateway.Config) *bench {
 	t := gateway.New(c, cs.VM{ID: "a", Address: "a:1", Incarnation: 7}, simStart, 1)
-	t.Catalog = cs.NewCatalog(1, nil, nil, cs.CallerLimits{}).WithWorkspaces([]cs.Workspace{{ID: "w", Rate: 10, Burst: 20}, {ID: "free"}})
+	t.Catalog = cs.NewCatalog(1, nil, nil, cs.CallerLimits{}).WithWorkspaces([]cs.Workspace{
+		{ID: "w", Rate: 10, Burst: 20, Keys: []cs.KeyDigest{cs.DigestKey("w")}}, {ID: "free", Keys: []cs.KeyDigest{cs.DigestKey("free")}},
+	})
 	t.Runners.Insert("r", gateway.Runner{Spec: cs.Runner{ID: "r", Service: "s", Slots: 1000}})
 	all := gateway.PartitionSet{}.With(0).With(1).With(2)
 	t.Peers.Insert("b", gateway.Peer{VM: cs.VM{ID: "b", Address: "b:1", Incarnation: 1}, LastReportAt: simStart, Partitions: all})
@@ -37,11 +39,11 @@
 	return out.List
 }
 
-// arrive returns the arrival of a request.
+// arrive returns the arrival of a request. One without a workspace has a public route.
 func (b *bench) arrive(id gateway.ForwardID, w cs.WorkspaceID) gateway.Event {
 	return gateway.ForwardArrived{Forward: gateway.Forward{
-		ID: id, Workspace: w, Arrived: b.now, Deadline: b.now.Add(3 * cs.Second),
-		Route: cs.Route{Name: "t", Kind: cs.RouteIdempotent, MaxAttempts: 3, Shares: []cs.ServiceShare{{Service: "s", Weight: 1}}},
+		ID: id, Key: cs.DigestKey(string(w)), Arrived: b.now, Deadline: b.now.Add(3 * cs.Second),
+		Route: cs.Route{Name: "t", Kind: cs.RouteIdempotent, MaxAttempts: 3, Public: w == "", Shares: []cs.ServiceShare{{Service: "s", Weight: 1}}},
 	}}
 }
 
@@ -206,6 +208,22 @@
 	c.Check(b.t.FilledBucket(w, b.now).Level, qt.Equals, 0.0)
 }
 
+// Guards against a number of permits that does not fit, with limits that nobody means.
+func TestExtremeLimits(t *testing.T) {
+	c := qt.New(t)
+	for _, w := range []cs.Workspace{{ID: "w", Rate: 1e-300}, {ID: "w", Rate: 1e300, Burst: 1e300}, {ID: "w", Rate: 1e-3, Burst: 1e19}} {
+		b := newBench(testConfig())
+		b.t.AssignLimits([]int{0, 1, 2}, cs.BootInstant(b.now), b.now)
+		b.now = b.now.Add(cs.Second)
+		for range 50 {
+			granted, next, retry := b.t.TakePermits(b.t.FilledBucket(&w, b.now), &w, 20, b.now)
+			m := gateway.AllowanceMessage{From: "a", Replies: []gateway.AllowanceReply{{ID: 1, Granted: granted, Next: next, Retry: retry}}}
+			c.Assert(m.Validate(), qt.IsNil)
+			c.Assert(granted <= 20, qt.IsTrue)
+		}
+	}
+}
+
 // Guards against memory for workspaces that send nothing any more.
 func TestIdleRowsAreRemoved(t *testing.T) {
 	c := qt.New(t)
--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -129,7 +129,12 @@
 	return s
 }
 
+// addCatalog adds a version of the catalog. Each workspace has its ID as its key.
 func (s *sim) addCatalog(workspaces []cs.Workspace) {
+	workspaces = slices.Clone(workspaces)
+	for i := range workspaces {
+		workspaces[i].Keys = []cs.KeyDigest{cs.DigestKey(string(workspaces[i].ID))}
+	}
 	s.catalogs = append(s.catalogs, cs.NewCatalog(cs.CatalogVersion(len(s.catalogs)+1), nil, nil, cs.CallerLimits{}).WithWorkspaces(workspaces))
 }
 
@@ -283,8 +288,12 @@
 		return
 	}
 	v.seq++
+	partitions := v.tables.LimitPartitions(v.local(s.now))
+	if partitions == nil {
+		partitions = gateway.NoPartitions
+	}
 	r := gateway.Report{
-		From: v.tables.Self.ID, Incarnation: v.incarnation, Seq: v.seq, Partitions: v.tables.LimitPartitions(v.local(s.now)),
+		From: v.tables.Self.ID, Incarnation: v.incarnation, Seq: v.seq, Partitions: partitions,
 	}
 	for j := range s.vms {
 		if j != i && !s.vms[j].cut && s.rand.Float64() >= s.lost {
@@ -395,7 +404,7 @@
 	s.workspaceOf[s.lastID] = w
 	local := v.local(s.now)
 	s.deliver(i, gateway.ForwardArrived{Forward: gateway.Forward{
-		ID: s.lastID, Workspace: w, Arrived: local, Deadline: local.Add(3 * cs.Second),
+		ID: s.lastID, Key: cs.DigestKey(string(w)), Arrived: local, Deadline: local.Add(3 * cs.Second),
 		Route: cs.Route{Name: "t", Kind: cs.RouteIdempotent, MaxAttempts: 3, Timeout: 3 * cs.Second, Shares: []cs.ServiceShare{{Service: "s", Weight: 1}}},
 	}})
 }
