--- a/gateway/job.go
+++ b/gateway/job.go
@@ -25,6 +25,8 @@
 	// Accepted is the time of acceptance by the wall clock of the VM that accepted the job.
 	Accepted cs.Instant `cbor:"a"`
 	Items    []Item     `cbor:"i"`
+	// Workspace is the workspace that submitted the job, or empty.
+	Workspace cs.WorkspaceID `cbor:"w,omitempty"`
 }
 
 // Result is the final state of an item.
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -100,14 +100,20 @@
 	NoteDrainChanged
 	// NoteTickDelayed: a tick of the control loop began late, as on a machine without enough processor time.
 	NoteTickDelayed
+	// NoteShareExceeded: requests of a workspace are refused in an overload because it is beyond its fair share of the room.
+	NoteShareExceeded
+	// NoteShareRestored: no request of a workspace is refused for its share any more.
+	NoteShareRestored
 )
 
 // Note is one structured log line; fields that do not apply are zero and left out of the line.
 type Note struct {
 	Kind    NoteKind
 	Request cs.RequestID
-	Job     cs.JobID
-	Item    cs.ItemID
+	// Workspace is the one whose share is concerned.
+	Workspace cs.WorkspaceID
+	Job       cs.JobID
+	Item      cs.ItemID
 	// Content and Parts identify what a suspected request asks for.
 	Content cs.ContentHash
 	Parts   []cs.PromptPart
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayed"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedpartsChangeddrainChangedtickDelayedshareExceededshareRestored"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 528, 540, 551}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 528, 540, 551, 564, 577}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayed"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedpartschangeddrainchangedtickdelayedshareexceededsharerestored"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -67,9 +67,11 @@
 	_ = x[NotePartsChanged-(40)]
 	_ = x[NoteDrainChanged-(41)]
 	_ = x[NoteTickDelayed-(42)]
+	_ = x[NoteShareExceeded-(43)]
+	_ = x[NoteShareRestored-(44)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NotePartsChanged, NoteDrainChanged, NoteTickDelayed, NoteShareExceeded, NoteShareRestored}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -115,6 +117,8 @@
 	_NoteKindName[516:528]: NotePartsChanged,
 	_NoteKindName[528:540]: NoteDrainChanged,
 	_NoteKindName[540:551]: NoteTickDelayed,
+	_NoteKindName[551:564]: NoteShareExceeded,
+	_NoteKindName[564:577]: NoteShareRestored,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -161,6 +165,8 @@
 	_NoteKindLowerName[516:528]: NotePartsChanged,
 	_NoteKindLowerName[528:540]: NoteDrainChanged,
 	_NoteKindLowerName[540:551]: NoteTickDelayed,
+	_NoteKindLowerName[551:564]: NoteShareExceeded,
+	_NoteKindLowerName[564:577]: NoteShareRestored,
 }
 
 var _NoteKindNames = []string{
@@ -207,6 +213,8 @@
 	_NoteKindName[516:528],
 	_NoteKindName[528:540],
 	_NoteKindName[540:551],
+	_NoteKindName[551:564],
+	_NoteKindName[564:577],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	cs "github.com/crocusstile/crocusstile"
+	"github.com/crocusstile/crocusstile/fairness"
 	"github.com/crocusstile/crocusstile/fleet"
 )
 
@@ -39,7 +40,16 @@
 	DataCentres *fleet.Table[cs.DataCentreID, DataCentreState]
 	Forwards    *fleet.Table[ForwardID, Forward]
 	Demands     *fleet.Table[cs.ServiceID, ServiceDemand]
-	Suspects    *fleet.Table[SuspectKey, Suspect]
+	// Shares holds the accounts of workspaces in the division of the room of services. It is empty in a catalog without workspaces.
+	Shares *fleet.Table[ShareKey, WorkspaceShare]
+	// SharesSettledAt is when accounts without recent requests were last removed.
+	SharesSettledAt cs.Instant
+	// WorkMeans holds the mean time of requests at runners in milliseconds, in a catalog with workspaces.
+	WorkMeans *fleet.Table[WorkKey, float64]
+	// ItemShares holds the accounts of workspaces in the division of the runs of items.
+	ItemShares *fleet.Table[cs.WorkspaceID, fairness.Account]
+	ItemQueue  fairness.Queue
+	Suspects   *fleet.Table[SuspectKey, Suspect]
 	// BegunParts holds when a response to a prompt with a part last began, at any VM as far as this one knows.
 	BegunParts *fleet.Table[cs.PromptPart, cs.Instant]
 	Quarantine Quarantine
@@ -81,6 +91,9 @@
 		DataCentres:    fleet.NewTable[cs.DataCentreID, DataCentreState](),
 		Forwards:       fleet.NewTable[ForwardID, Forward](),
 		Demands:        fleet.NewTable[cs.ServiceID, ServiceDemand](),
+		Shares:         fleet.NewTable[ShareKey, WorkspaceShare](),
+		WorkMeans:      fleet.NewTable[WorkKey, float64](),
+		ItemShares:     fleet.NewTable[cs.WorkspaceID, fairness.Account](),
 		Suspects:       fleet.NewTable[SuspectKey, Suspect](),
 		BegunParts:     fleet.NewTable[cs.PromptPart, cs.Instant](),
 		Jobs:           fleet.NewTable[cs.JobID, Job](),
@@ -132,6 +145,9 @@
 // BootTime returns a time of this process on the clock that counts the time for which the machine was suspended.
 func (t *Tables) BootTime(at cs.Instant) cs.BootInstant { return cs.BootInstant(at.Add(t.Suspended)) }
 
+// DividesRoom reports whether capacity is divided between workspaces.
+func (t *Tables) DividesRoom() bool { return t.Catalog != nil && t.Catalog.RequiresKeys }
+
 // Drain is the progress of this VM's drain.
 type Drain struct {
 	Phase fleet.DrainPhase
