--- a/batchjob/builder.go
+++ b/batchjob/builder.go
@@ -116,7 +116,7 @@
 }
 
 // addJob adds the acceptance of a job. A job that is in the log already is confirmed, so that callers may
-// submit it again; one that exceeds the waiting tokens of its route is refused. It returns false while the
+// submit it again; one that exceeds the waiting tokens of its route, or of its workspace there, is refused. It returns false while the
 // log must be read before the job can be refused.
 func (b *appendBuilder) addJob(p gateway.ProposeJob) bool {
 	if b.t.Jobs.Get(p.Spec.ID) != nil {
@@ -128,7 +128,7 @@
 		b.proposals = append(b.proposals, p) // answered together with the first submission
 		return true
 	}
-	if waitingTokens, tokenLimit := b.waitingTokens(p.Spec.Route), b.tokenLimit(p.Spec.Route); tokenLimit > 0 && waitingTokens+jobTokens(p.Spec) > tokenLimit {
+	if waitingTokens, tokenLimit := b.waitingTokens(p.Spec), b.tokenLimit(p.Spec.Route); tokenLimit > 0 && waitingTokens+jobTokens(p.Spec) > tokenLimit {
 		refusal := refuseAsOf(b.t, p.Since, quotaRefusal(), b.now, b.out)
 		if refusal != nil {
 			refuseJob(p.Query, p.Spec.ID, b.now.Sub(p.Since), *refusal, b.out)
@@ -185,7 +185,7 @@
 	if tokenLimit == 0 {
 		return false
 	}
-	return b.t.Feeds[gateway.FeedJobs].Age(b.now) > maxQuotaReadAge || b.waitingTokens(job.Spec.Route)+conditionalMarginJobs*jobTokens(job.Spec) > tokenLimit
+	return b.t.Feeds[gateway.FeedJobs].Age(b.now) > maxQuotaReadAge || b.waitingTokens(job.Spec)+conditionalMarginJobs*jobTokens(job.Spec) > tokenLimit
 }
 
 // tokenLimit returns the number of tokens that may wait on a route; 0 means no limit.
@@ -199,12 +199,12 @@
 	return 0
 }
 
-// waitingTokens returns the tokens of a route's accepted items that have no result yet and whose job has
-// not ended.
-func (b *appendBuilder) waitingTokens(name cs.RouteName) cs.Tokens {
+// waitingTokens returns the tokens of the accepted items that count against the same limit as a job, have no result yet and belong to
+// jobs that have not ended.
+func (b *appendBuilder) waitingTokens(job gateway.JobSpec) cs.Tokens {
 	var sum cs.Tokens
 	for _, j := range b.t.Jobs.All() {
-		if j.Spec.Route != name || j.Ended {
+		if j.Ended || !b.shareLimit(&j.Spec, &job) {
 			continue
 		}
 		for i := range j.ItemWork {
@@ -213,14 +213,20 @@
 			}
 		}
 	}
-	for _, s := range b.openedJobs {
-		if s.Route == name {
-			sum += jobTokens(s)
+	for i := range b.openedJobs {
+		if b.shareLimit(&b.openedJobs[i], &job) {
+			sum += jobTokens(b.openedJobs[i])
 		}
 	}
 	return sum
 }
 
+// shareLimit reports whether two jobs count against the same limit: that of their route or, in a catalog with workspaces, that of their
+// workspace on the route.
+func (b *appendBuilder) shareLimit(x, y *gateway.JobSpec) bool {
+	return x.Route == y.Route && (x.Workspace == y.Workspace || !b.t.DividesRoom())
+}
+
 // jobTokens returns the tokens of all items of a job.
 func jobTokens(s gateway.JobSpec) cs.Tokens {
 	var sum cs.Tokens
--- a/batchjob/schedule.go
+++ b/batchjob/schedule.go
@@ -85,9 +85,7 @@
 		return
 	}
 	waiting := waitingItems(t, now, out)
-	slices.SortFunc(waiting, func(a, b candidate) int {
-		return cmp.Or(a.urgency.compareTo(b.urgency), cmp.Compare(a.key.Job, b.key.Job), cmp.Compare(a.key.Index, b.key.Index))
-	})
+	sortByUrgency(t, waiting, now)
 	t.Partitions.BatchDemand = batchDemand(waiting)
 	waiting = useGrants(t, waiting, now, out)
 	if len(waiting) == 0 || now < next {
@@ -253,6 +251,7 @@
 		t.RecordProbe(part, now, out)
 	}
 	t.RecordSend(r.Spec.DataCentre, now)
+	chargeItem(t, j, item, now)
 	load := r.Load()
 	r.Batch++
 	r.TakeToken(now)
