--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -31,24 +31,25 @@
 		f := arrived.Forward
 		f.Service = pickService(t, &f)
 		if t.ContentQuarantined(f.Content) {
-			refuse(now, &f, cs.Refusal{Reason: cs.ReasonQuarantined, Ran: cs.RanFailed, Message: "the request has crashed runners"}, out)
+			refuse(t, now, &f, cs.Refusal{Reason: cs.ReasonQuarantined, Ran: cs.RanFailed, Message: "the request has crashed runners"}, out)
 			continue
 		}
 		if part, ok := t.QuarantinedPart(f.Parts); ok {
 			if f.Probe = t.ClaimProbe(part, now); !f.Probe {
-				refuse(now, &f, quarantineRefusal(&f), out)
+				refuse(t, now, &f, quarantineRefusal(&f), out)
 				continue
 			}
 			f.NotBefore = t.ProbeSettledAt(now)
 		}
 		if t.Drain.Phase >= fleet.DrainFinishing {
-			refuse(now, &f, leavingRefusal(), out)
+			refuse(t, now, &f, leavingRefusal(), out)
 			continue
 		}
-		if t.Forwards.Len() >= maxWaitingRequests {
-			refuse(now, &f, cs.Refusal{Reason: cs.ReasonOverloaded, Message: "too many requests wait"}, out)
+		if t.Forwards.Len() >= maxWaitingRequests || t.DividesRoom() && exceedsRowShare(t, &f) {
+			refuse(t, now, &f, cs.Refusal{Reason: cs.ReasonOverloaded, Message: "too many requests wait"}, out)
 			continue
 		}
+		offerWork(t, &f, now)
 		t.Forwards.Insert(f.ID, f)
 	}
 }
@@ -81,12 +82,12 @@
 	for _, id := range waitingByRank(t, now) {
 		f := t.Forwards.Get(id)
 		if refusal := drainRefusal(t, f, now); refusal != nil {
-			refuse(now, f, *refusal, out)
+			refuse(t, now, f, *refusal, out)
 			done = append(done, id)
 			continue
 		}
 		if refusal := terminalRefusal(t, f, now); refusal != nil {
-			refuse(now, f, *refusal, out)
+			refuse(t, now, f, *refusal, out)
 			done = append(done, id)
 			continue
 		}
@@ -99,13 +100,13 @@
 			continue
 		}
 		if !estimate.servable {
-			refuse(now, f, unavailableRefusal(f, estimate), out)
+			refuse(t, now, f, unavailableRefusal(f, estimate), out)
 			done = append(done, id)
 			continue
 		}
 		estimate.waiting++
-		if shouldShed(f, now, estimate) || estimate.limitExceeded(now, f.Deadline) {
-			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: ranSoFar(f), Message: "the wait for a runner is too long"}, out)
+		if shouldShed(t, f, now, estimate) || estimate.limitExceeded(now, f.Deadline) {
+			refuse(t, now, f, overloadRefusal(t, f, now, out), out)
 			done = append(done, id)
 			continue
 		}
@@ -114,6 +115,7 @@
 	for _, id := range done {
 		t.Forwards.Delete(id)
 	}
+	settleShares(t, now, out)
 	updateDemand(t, now) // peers are sent the demand of the requests that still wait
 }
 
@@ -182,6 +184,7 @@
 	load := r.Load()
 	r.Online++
 	r.TakeToken(now)
+	sendWork(t, f, now)
 	f.Phase, f.Runner, f.SentAt = gateway.ForwardRunning, r.Spec.ID, now
 	f.Attempt++
 	sentBefore := slices.Contains(f.SentTo, r.Spec.ID)
@@ -238,8 +241,8 @@
 }
 
 // refuse answers a request with a refusal in place of a runner's response.
-func refuse(now cs.Instant, f *gateway.Forward, refusal cs.Refusal, out *gateway.Actions) {
-	out.Add(gateway.Refuse{ID: f.ID, Refusal: refusal, RetryAfter: retryAfter(refusal)})
+func refuse(t *gateway.Tables, now cs.Instant, f *gateway.Forward, refusal cs.Refusal, out *gateway.Actions) {
+	out.Add(gateway.Refuse{ID: f.ID, Refusal: refusal, RetryAfter: retryAfter(t, now, f, refusal)})
 	out.Note(gateway.Note{
 		Kind: gateway.NoteRequestRefused, Request: f.Request, Route: f.Route.Name, Runner: f.Runner, Attempt: f.Attempt,
 		Version: f.Version, Duration: now.Sub(f.Arrived), Outcome: refusal.Ran.String(), Reason: refusal.Message,
@@ -258,7 +261,7 @@
 )
 
 // retryAfter returns the retry delay to give to the caller of a refused request, or 0 for none.
-func retryAfter(refusal cs.Refusal) cs.Span {
+func retryAfter(t *gateway.Tables, now cs.Instant, f *gateway.Forward, refusal cs.Refusal) cs.Span {
 	switch {
 	case refusal.Ran != cs.RanNotRun:
 		return 0
@@ -266,6 +269,8 @@
 		return leavingRetryAfter
 	case refusal.Reason == cs.ReasonUnavailable:
 		return unavailableRetryAfter
+	case refusal.Reason == cs.ReasonOverloaded && t.DividesRoom():
+		return spreadRetryAfter(t, now, f)
 	case refusal.Reason == cs.ReasonOverloaded:
 		return overloadedRetryAfter
 	default:
--- a/forward/rank.go
+++ b/forward/rank.go
@@ -19,15 +19,31 @@
 	return f.LastEvent > 0 || f.Route.Target == 0 || now.Sub(f.Arrived) <= cs.Span(latestSendRatio*float64(f.Route.Target))
 }
 
-// sortByRank sorts requests by the priority of their route. Within a priority, requests that can
-// still meet their target come first, then older requests before newer ones.
+// priorityOf returns the priority of a request. In a catalog with workspaces that of its workspace comes before that of its route.
+func priorityOf(t *gateway.Tables, f *gateway.Forward) int {
+	if t.DividesRoom() {
+		return f.Priority
+	}
+	return f.Route.Priority
+}
+
+// sortByRank sorts requests by priority. Within a priority, requests that can still meet their target come first, then older requests
+// before newer ones. In a catalog with workspaces, the requests of each workspace keep this order, and those of different workspaces are
+// ordered by the room that their workspaces have had.
 func sortByRank(t *gateway.Tables, ids []gateway.ForwardID, now cs.Instant) {
+	class := func(x, y *gateway.Forward) int {
+		return cmp.Or(cmp.Compare(priorityOf(t, x), priorityOf(t, y)), compareBool(canMeetTarget(y, now), canMeetTarget(x, now)))
+	}
 	slices.SortFunc(ids, func(a, b gateway.ForwardID) int {
 		x, y := t.Forwards.Get(a), t.Forwards.Get(b)
-		return cmp.Or(
-			cmp.Compare(x.Route.Priority, y.Route.Priority), compareBool(canMeetTarget(y, now), canMeetTarget(x, now)),
-			cmp.Compare(x.Arrived, y.Arrived), cmp.Compare(a, b),
-		)
+		return cmp.Or(class(x, y), cmp.Compare(x.Arrived, y.Arrived), cmp.Compare(a, b))
+	})
+	if !t.DividesRoom() || len(ids) < 2 {
+		return
+	}
+	tags := startTags(t, ids)
+	slices.SortStableFunc(ids, func(a, b gateway.ForwardID) int {
+		return cmp.Or(class(t.Forwards.Get(a), t.Forwards.Get(b)), cmp.Compare(tags[a], tags[b]))
 	})
 }
 
