--- a/gateway/appendphase_enumer.go
+++ b/gateway/appendphase_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _AppendPhaseNoOp() {
 	var x [1]struct{}
-	_ = x[AppendSent-0]
-	_ = x[AppendUnsettled-1]
-	_ = x[AppendFencing-2]
-	_ = x[AppendFenced-3]
+	_ = x[AppendSent-(0)]
+	_ = x[AppendUnsettled-(1)]
+	_ = x[AppendFencing-(2)]
+	_ = x[AppendFenced-(3)]
 }
 
 var _AppendPhaseValues = []AppendPhase{AppendSent, AppendUnsettled, AppendFencing, AppendFenced}
--- a/gateway/forwardphase_enumer.go
+++ b/gateway/forwardphase_enumer.go
@@ -24,9 +24,9 @@
 // Re-run the stringer command to generate them again.
 func _ForwardPhaseNoOp() {
 	var x [1]struct{}
-	_ = x[ForwardWaiting-0]
-	_ = x[ForwardRequesting-1]
-	_ = x[ForwardRunning-2]
+	_ = x[ForwardWaiting-(0)]
+	_ = x[ForwardRequesting-(1)]
+	_ = x[ForwardRunning-(2)]
 }
 
 var _ForwardPhaseValues = []ForwardPhase{ForwardWaiting, ForwardRequesting, ForwardRunning}
--- a/gateway/joblogrole_enumer.go
+++ b/gateway/joblogrole_enumer.go
@@ -24,10 +24,10 @@
 // Re-run the stringer command to generate them again.
 func _JobLogRoleNoOp() {
 	var x [1]struct{}
-	_ = x[JobLogFollower-0]
-	_ = x[JobLogReader-1]
-	_ = x[JobLogResigning-2]
-	_ = x[JobLogNone-3]
+	_ = x[JobLogFollower-(0)]
+	_ = x[JobLogReader-(1)]
+	_ = x[JobLogResigning-(2)]
+	_ = x[JobLogNone-(3)]
 }
 
 var _JobLogRoleValues = []JobLogRole{JobLogFollower, JobLogReader, JobLogResigning, JobLogNone}
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedkeysRefusedkeysAcceptedpartsChangeddrainChangedrequestLimitedworkspaceLimitedworkspaceUnlimitedlimitOwnerMissinglimitOwnerFoundtickDelayedestimatesInaccurateestimatesAccurate"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedkeysRefusedkeysAcceptedpartsChangeddrainChangedrequestLimitedworkspaceLimitedworkspaceUnlimitedlimitOwnerMissinglimitOwnerFoundtickDelayedestimatesInaccurateestimatesAccurateshareExceededshareRestored"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 527, 539, 551, 563, 577, 593, 611, 628, 643, 654, 673, 690}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 527, 539, 551, 563, 577, 593, 611, 628, 643, 654, 673, 690, 703, 716}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedkeysrefusedkeysacceptedpartschangeddrainchangedrequestlimitedworkspacelimitedworkspaceunlimitedlimitownermissinglimitownerfoundtickdelayedestimatesinaccurateestimatesaccurate"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedkeysrefusedkeysacceptedpartschangeddrainchangedrequestlimitedworkspacelimitedworkspaceunlimitedlimitownermissinglimitownerfoundtickdelayedestimatesinaccurateestimatesaccurateshareexceededsharerestored"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -24,61 +24,63 @@
 // Re-run the stringer command to generate them again.
 func _NoteKindNoOp() {
 	var x [1]struct{}
-	_ = x[NoteRequestSent-0]
-	_ = x[NoteRequestRetried-1]
-	_ = x[NoteRequestRefused-2]
-	_ = x[NoteRequestRejected-3]
-	_ = x[NoteRequestAnswered-4]
-	_ = x[NoteRequestAbandoned-5]
-	_ = x[NoteJobAccepted-6]
-	_ = x[NoteJobRefused-7]
-	_ = x[NoteJobEnded-8]
-	_ = x[NoteQueryRefused-9]
-	_ = x[NoteJobCallForwarded-10]
-	_ = x[NoteJobLogRoleChanged-11]
-	_ = x[NoteItemStarted-12]
-	_ = x[NoteItemStopped-13]
-	_ = x[NoteItemReturned-14]
-	_ = x[NoteItemListed-15]
-	_ = x[NoteItemGivenUp-16]
-	_ = x[NoteJobLogGap-17]
-	_ = x[NoteAppendFailed-18]
-	_ = x[NoteAppendFenced-19]
-	_ = x[NoteAppendSetAside-20]
-	_ = x[NoteCatalogInForce-21]
-	_ = x[NoteStateAdopted-22]
-	_ = x[NoteRunnerAdded-23]
-	_ = x[NoteRunnerLeaving-24]
-	_ = x[NoteRunnerMissing-25]
-	_ = x[NoteRunnerRemoved-26]
-	_ = x[NoteRunnerAvoided-27]
-	_ = x[NoteRunnerDoubted-28]
-	_ = x[NoteDataCentreReached-29]
-	_ = x[NoteRunnerLimited-30]
-	_ = x[NoteRunnerUnlimited-31]
-	_ = x[NoteContentSuspected-32]
-	_ = x[NotePromptPartQuarantined-33]
-	_ = x[NotePromptPartProbed-34]
-	_ = x[NotePromptPartReleased-35]
-	_ = x[NotePeerFound-36]
-	_ = x[NotePeerLost-37]
-	_ = x[NoteFeedLost-38]
-	_ = x[NoteFeedRegained-39]
-	_ = x[NoteKeysRefused-40]
-	_ = x[NoteKeysAccepted-41]
-	_ = x[NotePartsChanged-42]
-	_ = x[NoteDrainChanged-43]
-	_ = x[NoteRequestLimited-44]
-	_ = x[NoteWorkspaceLimited-45]
-	_ = x[NoteWorkspaceUnlimited-46]
-	_ = x[NoteLimitOwnerMissing-47]
-	_ = x[NoteLimitOwnerFound-48]
-	_ = x[NoteTickDelayed-49]
-	_ = x[NoteEstimatesInaccurate-50]
-	_ = x[NoteEstimatesAccurate-51]
+	_ = x[NoteRequestSent-(0)]
+	_ = x[NoteRequestRetried-(1)]
+	_ = x[NoteRequestRefused-(2)]
+	_ = x[NoteRequestRejected-(3)]
+	_ = x[NoteRequestAnswered-(4)]
+	_ = x[NoteRequestAbandoned-(5)]
+	_ = x[NoteJobAccepted-(6)]
+	_ = x[NoteJobRefused-(7)]
+	_ = x[NoteJobEnded-(8)]
+	_ = x[NoteQueryRefused-(9)]
+	_ = x[NoteJobCallForwarded-(10)]
+	_ = x[NoteJobLogRoleChanged-(11)]
+	_ = x[NoteItemStarted-(12)]
+	_ = x[NoteItemStopped-(13)]
+	_ = x[NoteItemReturned-(14)]
+	_ = x[NoteItemListed-(15)]
+	_ = x[NoteItemGivenUp-(16)]
+	_ = x[NoteJobLogGap-(17)]
+	_ = x[NoteAppendFailed-(18)]
+	_ = x[NoteAppendFenced-(19)]
+	_ = x[NoteAppendSetAside-(20)]
+	_ = x[NoteCatalogInForce-(21)]
+	_ = x[NoteStateAdopted-(22)]
+	_ = x[NoteRunnerAdded-(23)]
+	_ = x[NoteRunnerLeaving-(24)]
+	_ = x[NoteRunnerMissing-(25)]
+	_ = x[NoteRunnerRemoved-(26)]
+	_ = x[NoteRunnerAvoided-(27)]
+	_ = x[NoteRunnerDoubted-(28)]
+	_ = x[NoteDataCentreReached-(29)]
+	_ = x[NoteRunnerLimited-(30)]
+	_ = x[NoteRunnerUnlimited-(31)]
+	_ = x[NoteContentSuspected-(32)]
+	_ = x[NotePromptPartQuarantined-(33)]
+	_ = x[NotePromptPartProbed-(34)]
+	_ = x[NotePromptPartReleased-(35)]
+	_ = x[NotePeerFound-(36)]
+	_ = x[NotePeerLost-(37)]
+	_ = x[NoteFeedLost-(38)]
+	_ = x[NoteFeedRegained-(39)]
+	_ = x[NoteKeysRefused-(40)]
+	_ = x[NoteKeysAccepted-(41)]
+	_ = x[NotePartsChanged-(42)]
+	_ = x[NoteDrainChanged-(43)]
+	_ = x[NoteRequestLimited-(44)]
+	_ = x[NoteWorkspaceLimited-(45)]
+	_ = x[NoteWorkspaceUnlimited-(46)]
+	_ = x[NoteLimitOwnerMissing-(47)]
+	_ = x[NoteLimitOwnerFound-(48)]
+	_ = x[NoteTickDelayed-(49)]
+	_ = x[NoteEstimatesInaccurate-(50)]
+	_ = x[NoteEstimatesAccurate-(51)]
+	_ = x[NoteShareExceeded-(52)]
+	_ = x[NoteShareRestored-(53)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NoteKeysRefused, NoteKeysAccepted, NotePartsChanged, NoteDrainChanged, NoteRequestLimited, NoteWorkspaceLimited, NoteWorkspaceUnlimited, NoteLimitOwnerMissing, NoteLimitOwnerFound, NoteTickDelayed, NoteEstimatesInaccurate, NoteEstimatesAccurate}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NoteKeysRefused, NoteKeysAccepted, NotePartsChanged, NoteDrainChanged, NoteRequestLimited, NoteWorkspaceLimited, NoteWorkspaceUnlimited, NoteLimitOwnerMissing, NoteLimitOwnerFound, NoteTickDelayed, NoteEstimatesInaccurate, NoteEstimatesAccurate, NoteShareExceeded, NoteShareRestored}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -133,6 +135,8 @@
 	_NoteKindName[643:654]: NoteTickDelayed,
 	_NoteKindName[654:673]: NoteEstimatesInaccurate,
 	_NoteKindName[673:690]: NoteEstimatesAccurate,
+	_NoteKindName[690:703]: NoteShareExceeded,
+	_NoteKindName[703:716]: NoteShareRestored,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -188,6 +192,8 @@
 	_NoteKindLowerName[643:654]: NoteTickDelayed,
 	_NoteKindLowerName[654:673]: NoteEstimatesInaccurate,
 	_NoteKindLowerName[673:690]: NoteEstimatesAccurate,
+	_NoteKindLowerName[690:703]: NoteShareExceeded,
+	_NoteKindLowerName[703:716]: NoteShareRestored,
 }
 
 var _NoteKindNames = []string{
@@ -243,6 +249,8 @@
 	_NoteKindName[643:654],
 	_NoteKindName[654:673],
 	_NoteKindName[673:690],
+	_NoteKindName[690:703],
+	_NoteKindName[703:716],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
