--- a/entry/entry.go
+++ b/entry/entry.go
@@ -138,8 +138,11 @@
 	v.peers = &http.Server{Addr: string(v.self.Address), Handler: peerHandler, ReadHeaderTimeout: readHeaderTimeout.Std()}
 	v.buildClientServers(clock)
 	if s.Listen.MetricsPort > 0 {
+		handler := http.NewServeMux()
+		handler.Handle("/", v.meter.Handler())
+		handler.Handle("GET "+platform.WherePath, platform.Where(clock, v.loop.View, v.batchjob.Ask))
 		v.metrics = &http.Server{
-			Addr: string(s.addressOf(s.Listen.MetricsPort)), Handler: v.meter.Handler(), ReadHeaderTimeout: readHeaderTimeout.Std(),
+			Addr: string(s.addressOf(s.Listen.MetricsPort)), Handler: handler, ReadHeaderTimeout: readHeaderTimeout.Std(),
 		}
 	}
 	v.loop.handlers = handlers{
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -44,9 +44,11 @@
 		allowance.Take,
 		forward.Dispatch,
 		allowance.Settle, // right after Dispatch, since a request that was sent may end in the next tick
+		forward.ExplainChoices,
 		batchjob.PreemptRuns,
 		batchjob.Schedule,
 		batchjob.HandleQueries,
+		batchjob.ExplainChoices,
 		batchjob.ExpireJobs,
 		batchjob.AppendProposals,
 		batchjob.HandOver,
@@ -175,6 +177,8 @@
 		h.batchjob.Answer(a.Query, a)
 	case gateway.AnswerBody:
 		h.batchjob.Answer(a.Query, a)
+	case gateway.AnswerPlacement:
+		h.batchjob.Answer(a.Query, a)
 	case gateway.SendReport:
 		h.sendReport(a)
 	case gateway.SendSlots:
