--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -89,6 +89,8 @@
 	timeline map[cs.Instant][]func()
 	lastID   gateway.ForwardID
 	route    cs.Route
+	// workspace is that of the requests, or empty.
+	workspace cs.WorkspaceID
 	// deadly is a part that crashes each runner that begins a response to a prompt with it, or 0.
 	deadly cs.PromptPart
 
@@ -213,7 +215,7 @@
 	v.requests[f.lastID], v.arrived[f.lastID] = parts, f.now
 	v.inbox = append(v.inbox, gateway.ForwardArrived{Forward: gateway.Forward{
 		ID: f.lastID, Request: cs.RequestID(fmt.Sprint(f.lastID)), Route: f.route, Content: cs.ContentHash(f.lastID) + 1<<40, Parts: parts,
-		Arrived: f.now, Deadline: f.now.Add(f.route.Timeout),
+		Workspace: f.workspace, Arrived: f.now, Deadline: f.now.Add(f.route.Timeout),
 	}})
 }
 
@@ -260,6 +262,8 @@
 			f.report(v, a)
 		case gateway.SendSlots:
 			f.sendSlots(v, a)
+		case gateway.SendAllowance:
+			f.sendAllowance(v, a)
 		case gateway.RunItem:
 			f.batch.run(f, v, a)
 		case gateway.StopItem:
