--- a/entry/loop.go
+++ b/entry/loop.go
@@ -163,16 +163,8 @@
 		h.leaveGroup()
 	case gateway.SetJobLogRole:
 		h.setJobLogRole(a.Role)
-	case gateway.AnswerJob:
-		h.batchjob.Answer(a.Query, a)
-	case gateway.AnswerResults:
-		h.batchjob.Answer(a.Query, a)
-	case gateway.AnswerJobPeer:
-		h.batchjob.Answer(a.Query, a)
-	case gateway.AnswerBody:
-		h.batchjob.Answer(a.Query, a)
-	case gateway.AnswerPlacement:
-		h.batchjob.Answer(a.Query, a)
+	case gateway.AnswerJob, gateway.AnswerResults, gateway.AnswerJobPeer, gateway.AnswerBody, gateway.AnswerPlacement:
+		h.answerQuery(a)
 	case gateway.SendReport:
 		h.sendReport(a)
 	case gateway.SendSlots:
@@ -194,6 +186,23 @@
 	}
 }
 
+// answerQuery passes the answer to a query to the goroutine that waits for it.
+func (h *handlers) answerQuery(a gateway.Action) {
+	switch a := a.(type) {
+	case gateway.AnswerJob:
+		h.batchjob.Answer(a.Query, a)
+	case gateway.AnswerResults:
+		h.batchjob.Answer(a.Query, a)
+	case gateway.AnswerJobPeer:
+		h.batchjob.Answer(a.Query, a)
+	case gateway.AnswerBody:
+		h.batchjob.Answer(a.Query, a)
+	case gateway.AnswerPlacement:
+		h.batchjob.Answer(a.Query, a)
+	default:
+	}
+}
+
 // useJobLog executes the actions that read the job log or append to it.
 func (h *handlers) useJobLog(a gateway.Action) {
 	switch a := a.(type) {
