--- a/allowance/refuse.go
+++ b/allowance/refuse.go
@@ -36,7 +36,7 @@
 	var rest []gateway.ForwardID
 	for _, id := range ids {
 		f := t.Forwards.Get(id)
-		if due := f.PermitWantedAt.Add(maxOwnerWait); now < due {
+		if due := f.PermitWantedAt.Add(ownerWait(f)); now < due {
 			out.WakeAt(due)
 			rest = append(rest, id)
 			continue
@@ -47,7 +47,7 @@
 			out.Note(gateway.Note{Kind: gateway.NoteLimitOwnerMissing, Workspace: w.ID, Count: partition, Reason: missingReason(t, partition)})
 		}
 		refusal := cs.Refusal{Reason: cs.ReasonUnavailable, Message: "no VM decides on the limit of the workspace"}
-		out.Add(gateway.Refuse{ID: id, Refusal: refusal, RetryAfter: ownerRetryAfter})
+		out.Add(gateway.Refuse{ID: id, Refusal: refusal, RetryAfter: ownerRetryAfter(t, partition)})
 		out.Note(gateway.Note{
 			Kind: gateway.NoteRequestRefused, Request: f.Request, Workspace: w.ID, Route: f.Route.Name, Version: f.Version,
 			Duration: now.Sub(f.Arrived), Outcome: cs.RanNotRun.String(), Reason: refusal.Message,
@@ -57,6 +57,22 @@
 	return rest
 }
 
+// ownerWait returns how long a request waits for an owner that decides on it.
+func ownerWait(f *gateway.Forward) cs.Span {
+	if f.Route.Target <= 0 {
+		return maxOwnerWait
+	}
+	return min(maxOwnerWait, cs.Span(ownerWaitRatio*float64(f.Route.Target)))
+}
+
+// ownerRetryAfter returns the retry delay to give to callers while nobody decides on the limits of a partition.
+func ownerRetryAfter(t *gateway.Tables, partition int) cs.Span {
+	if len(t.LimitOwners(partition)) == 0 {
+		return missingOwnerRetryAfter
+	}
+	return silentOwnerRetryAfter
+}
+
 // missingReason returns why there is no decision on the limits of a partition.
 func missingReason(t *gateway.Tables, partition int) string {
 	if len(t.LimitOwners(partition)) == 0 {
--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	cs "github.com/crocusstile/crocusstile"
 	"github.com/crocusstile/crocusstile/allowance"
--- a/allowance/take.go
+++ b/allowance/take.go
@@ -12,11 +12,14 @@
 const (
 	// askInterval is the time after which permits are requested again if there is no owner or no reply.
 	askInterval = 25 * cs.Millisecond
-	// maxOwnerWait is how long a request waits for an owner that decides on it.
-	maxOwnerWait = 300 * cs.Millisecond
-	// ownerRetryAfter is the retry delay given to callers when no owner decides; a new owner is there after the session timeout of
-	// the group, 2 s, and another VM may reach the present one at once.
-	ownerRetryAfter = 400 * cs.Millisecond
+	// maxOwnerWait is how long a request waits for an owner that decides on it, and ownerWaitRatio the share of its route's target
+	// after which it is refused sooner: the caller has time to try again, and an owner that is lost is replaced only after seconds.
+	maxOwnerWait   = 300 * cs.Millisecond
+	ownerWaitRatio = 0.25
+	// silentOwnerRetryAfter is the retry delay given to callers when the owner does not reply: another VM may reach it at once.
+	// missingOwnerRetryAfter is the one without an owner: a new one is there after the session timeout of the group, 2 s.
+	silentOwnerRetryAfter  = 400 * cs.Millisecond
+	missingOwnerRetryAfter = 1500 * cs.Millisecond
 	// demandPeriod is the period of the moving average of the requests of a workspace.
 	demandPeriod = 500 * cs.Millisecond
 	// reserveRatio is the number of permits that are requested ahead, as a share of the requests expected in the lifetime of a
