--- a/entry/notelog.go
+++ b/entry/notelog.go
@@ -68,7 +68,6 @@
 		{"peer", string(n.Peer)},
 		{"feed", n.Feed},
 		{"route", string(n.Route)},
-		{"workspace", string(n.Workspace)},
 		{"outcome", n.Outcome},
 		{"reason", n.Reason},
 	} {
--- a/forward/capacity.go
+++ b/forward/capacity.go
@@ -64,39 +64,19 @@
 	for _, demand := range t.Demands.All() {
 		demand.Own = 0
 	}
-	resetWaiting(t)
 	late := make(map[cs.ServiceID]int)
 	for _, f := range t.Forwards.All() {
 		if f.Phase != gateway.ForwardWaiting {
 			continue
 		}
 		demand := demandOf(t, f.Service)
-		switch {
-		case beyondShare(t, f, now):
-			if canMeetTarget(f, now) {
-				shareOf(t, f).Waiting++
-			}
-		case canMeetTarget(f, now):
+		if canMeetTarget(f, now) {
 			demand.Own++
-			countDemand(t, f)
-		default:
+		} else {
 			late[f.Service]++
 		}
 	}
-	for id, demand := range t.Demands.All() {
-		demand.Own += lateDemand(t, late[id])
+	for id, n := range late {
+		t.Demands.Get(id).Own += (n + lateRequestsPerDemandUnit - 1) / lateRequestsPerDemandUnit
 	}
 }
-
-// lateDemand returns the demand of late requests. In a catalog with workspaces it is rounded at random: rounded up, the late requests of
-// one workspace, of which each VM has some, would count as many that are not late.
-func lateDemand(t *gateway.Tables, n int) int {
-	if !t.DividesRoom() {
-		return (n + lateRequestsPerDemandUnit - 1) / lateRequestsPerDemandUnit
-	}
-	demand := n / lateRequestsPerDemandUnit
-	if n > 0 && t.Rand.IntN(lateRequestsPerDemandUnit) < n%lateRequestsPerDemandUnit {
-		demand++
-	}
-	return demand
-}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -35,25 +35,24 @@
 		}
 		f.Service = pickService(t, &f)
 		if t.ContentQuarantined(f.Content) {
-			refuse(t, now, &f, cs.Refusal{Reason: cs.ReasonQuarantined, Ran: cs.RanFailed, Message: "the request has crashed runners"}, out)
+			refuse(now, &f, cs.Refusal{Reason: cs.ReasonQuarantined, Ran: cs.RanFailed, Message: "the request has crashed runners"}, out)
 			continue
 		}
 		if part, ok := t.QuarantinedPart(f.Parts); ok {
 			if f.Probe = t.ClaimProbe(part, now); !f.Probe {
-				refuse(t, now, &f, quarantineRefusal(&f), out)
+				refuse(now, &f, quarantineRefusal(&f), out)
 				continue
 			}
 			f.NotBefore = t.ProbeSettledAt(now)
 		}
 		if t.Drain.Phase >= fleet.DrainFinishing {
-			refuse(t, now, &f, leavingRefusal(), out)
+			refuse(now, &f, leavingRefusal(), out)
 			continue
 		}
-		if t.Forwards.Len() >= maxWaitingRequests || t.DividesRoom() && exceedsRowShare(t, &f) {
-			refuse(t, now, &f, cs.Refusal{Reason: cs.ReasonOverloaded, Message: "too many requests wait"}, out)
+		if t.Forwards.Len() >= maxWaitingRequests {
+			refuse(now, &f, cs.Refusal{Reason: cs.ReasonOverloaded, Message: "too many requests wait"}, out)
 			continue
 		}
-		offerWork(t, &f, now)
 		t.Forwards.Insert(f.ID, f)
 	}
 }
@@ -87,17 +86,17 @@
 	for _, id := range waitingByRank(t, now) {
 		f := t.Forwards.Get(id)
 		if refusal := drainRefusal(t, f, now); refusal != nil {
-			refuse(t, now, f, *refusal, out)
+			refuse(now, f, *refusal, out)
 			done = append(done, id)
 			continue
 		}
 		if refusal := withdrawnRefusal(t, f); refusal != nil {
-			refuse(t, now, f, *refusal, out)
+			refuse(now, f, *refusal, out)
 			done = append(done, id)
 			continue
 		}
 		if refusal := terminalRefusal(t, f, now); refusal != nil {
-			refuse(t, now, f, *refusal, out)
+			refuse(now, f, *refusal, out)
 			done = append(done, id)
 			continue
 		}
@@ -117,13 +116,13 @@
 			wantPermit(t, f, now, out)
 		}
 		if !estimate.servable {
-			refuse(t, now, f, unavailableRefusal(f, estimate), out)
+			refuse(now, f, unavailableRefusal(f, estimate), out)
 			done = append(done, id)
 			continue
 		}
 		estimate.waiting++
-		if shouldShed(t, f, now, estimate) || estimate.limitExceeded(now, f.Deadline) {
-			refuse(t, now, f, overloadRefusal(t, f, now, out), out)
+		if shouldShed(f, now, estimate) || estimate.limitExceeded(now, f.Deadline) {
+			refuse(now, f, cs.Refusal{Reason: cs.ReasonOverloaded, Ran: ranSoFar(f), Message: "the wait for a runner is too long"}, out)
 			done = append(done, id)
 			continue
 		}
@@ -132,7 +131,6 @@
 	for _, id := range done {
 		t.Forwards.Delete(id)
 	}
-	settleShares(t, now, out)
 	updateDemand(t, now) // peers are sent the demand of the requests that still wait
 }
 
@@ -210,7 +208,6 @@
 	load := r.Load()
 	r.Online++
 	r.TakeToken(now)
-	sendWork(t, f, now)
 	f.Phase, f.Runner, f.SentAt = gateway.ForwardRunning, r.Spec.ID, now
 	estimateAttempt(t, f, r, load, now)
 	f.Attempt++
@@ -268,8 +265,8 @@
 }
 
 // refuse answers a request with a refusal in place of a runner's response.
-func refuse(t *gateway.Tables, now cs.Instant, f *gateway.Forward, refusal cs.Refusal, out *gateway.Actions) {
-	refuseAfter(now, f, refusal, retryAfter(t, now, f, refusal), out)
+func refuse(now cs.Instant, f *gateway.Forward, refusal cs.Refusal, out *gateway.Actions) {
+	refuseAfter(now, f, refusal, retryAfter(refusal), out)
 }
 
 // refuseAfter answers a request with a refusal and a retry delay.
@@ -293,7 +290,7 @@
 )
 
 // retryAfter returns the retry delay to give to the caller of a refused request, or 0 for none.
-func retryAfter(t *gateway.Tables, now cs.Instant, f *gateway.Forward, refusal cs.Refusal) cs.Span {
+func retryAfter(refusal cs.Refusal) cs.Span {
 	switch {
 	case refusal.Ran != cs.RanNotRun:
 		return 0
@@ -301,8 +298,6 @@
 		return leavingRetryAfter
 	case refusal.Reason == cs.ReasonUnavailable:
 		return unavailableRetryAfter
-	case refusal.Reason == cs.ReasonOverloaded && t.DividesRoom():
-		return spreadRetryAfter(t, now, f)
 	case refusal.Reason == cs.ReasonOverloaded:
 		return overloadedRetryAfter
 	default:
--- a/forward/rank.go
+++ b/forward/rank.go
@@ -20,22 +20,14 @@
 }
 
 // sortByRank sorts requests by the priority of their workspace or, without one, of their route. Within a priority, requests that can
-// still meet their target come first, then older requests before newer ones. In a catalog with workspaces, the requests of each
-// workspace keep this order, and those of different workspaces are ordered by the room that their workspaces have had.
+// still meet their target come first, then older requests before newer ones.
 func sortByRank(t *gateway.Tables, ids []gateway.ForwardID, now cs.Instant) {
-	class := func(x, y *gateway.Forward) int {
-		return cmp.Or(cmp.Compare(x.Priority, y.Priority), compareBool(canMeetTarget(y, now), canMeetTarget(x, now)))
-	}
 	slices.SortFunc(ids, func(a, b gateway.ForwardID) int {
 		x, y := t.Forwards.Get(a), t.Forwards.Get(b)
-		return cmp.Or(class(x, y), cmp.Compare(x.Arrived, y.Arrived), cmp.Compare(a, b))
-	})
-	if !t.DividesRoom() || len(ids) < 2 {
-		return
-	}
-	tags := startTags(t, ids)
-	slices.SortStableFunc(ids, func(a, b gateway.ForwardID) int {
-		return cmp.Or(class(t.Forwards.Get(a), t.Forwards.Get(b)), cmp.Compare(tags[a], tags[b]))
+		return cmp.Or(
+			cmp.Compare(x.Priority, y.Priority), compareBool(canMeetTarget(y, now), canMeetTarget(x, now)),
+			cmp.Compare(x.Arrived, y.Arrived), cmp.Compare(a, b),
+		)
 	})
 }
 
--- a/forward/shed.go
+++ b/forward/shed.go
@@ -19,9 +19,6 @@
 	// then no longer wait ahead of new ones, so that the estimate stays below latestSendRatio in
 	// any overload.
 	maxWaitRatio = 0.2
-	// maxWaitRatioWithinShare replaces maxWaitRatio for requests of workspaces that have not had their fair share. As long as refusing
-	// the others bounds the wait, none of these is refused.
-	maxWaitRatioWithinShare = 0.35
 	// minTimeLeftRatio is the share of the route's time limit that a caller must have had on
 	// arrival to be refused for overload. A caller that arrives with less may have been refused
 	// before and may have no time to retry.
@@ -36,7 +33,6 @@
 		demand.ServiceTimeMs = initialServiceTimeMs
 	}
 	demand.ServiceTimeMs += serviceTimeWeight * (float64(now.Sub(f.SentAt)) - demand.ServiceTimeMs)
-	observeWork(t, f, now)
 }
 
 // demandOf returns the demand row of a service and inserts it if there is none.
@@ -55,8 +51,6 @@
 	limited bool
 	// estimatedWaitMs is the estimated time until all requests that wait now have been sent.
 	estimatedWaitMs float64
-	// waitMsPerRequest is what each waiting request of a VM adds to the wait.
-	waitMsPerRequest float64
 	// limitRate is the rate at which this VM and others may send to the runners that name a limit, if the
 	// service has no others, and 0 otherwise.
 	limitRate cs.PerSecond
@@ -71,17 +65,12 @@
 }
 
 // maxWaitRatio returns the estimated wait, as a share of a route's target, above which a request is
-// refused. A wait for the limits of runners is known, so that it may take until latestSendRatio. Requests of a workspace that has not had
-// its share are refused last.
-func (e *waitEstimate) maxWaitRatio(withinShare bool) float64 {
-	switch {
-	case e.limitRate > 0:
+// refused. A wait for the limits of runners is known, so that it may take until latestSendRatio.
+func (e *waitEstimate) maxWaitRatio() float64 {
+	if e.limitRate > 0 {
 		return latestSendRatio
-	case withinShare:
-		return maxWaitRatioWithinShare
-	default:
-		return maxWaitRatio
 	}
+	return maxWaitRatio
 }
 
 // serviceCapacity is what the reachable runners of a service can take.
@@ -125,7 +114,6 @@
 	// A runner that names a limit stands for the slots that this many requests a second occupy.
 	slots := max(float64(capacity.slots)+float64(capacity.limitRate)*serviceTimeMs/1000, 1)
 	estimate.estimatedWaitMs = float64(demand.Own+demand.Peers) * serviceTimeMs / slots
-	estimate.waitMsPerRequest = serviceTimeMs / slots
 	return estimate
 }
 
@@ -163,23 +151,13 @@
 
 // shouldShed reports whether to refuse a request for overload: it has only just arrived, the
 // estimated wait is too long for its target, and its caller has time to retry.
-func shouldShed(t *gateway.Tables, f *gateway.Forward, now cs.Instant, estimate *waitEstimate) bool {
+func shouldShed(f *gateway.Forward, now cs.Instant, estimate *waitEstimate) bool {
 	switch target := f.Route.Target; {
 	case target == 0 || f.Attempt > 0 || now.Sub(f.Arrived) > cs.Span(shedWindowRatio*float64(target)):
 		return false
-	case f.Route.Timeout == 0 || wasRefusedBefore(f):
+	case f.Route.Timeout == 0 || float64(f.Deadline.Sub(f.Arrived)) < minTimeLeftRatio*float64(f.Route.Timeout):
 		return false
-	case farBeyondShare(t, f, now):
-		return estimate.estimatedWaitMs+waitBehindOwn(t, f, estimate) > estimate.maxWaitRatio(false)*float64(target)/excess(t, f, now)
-	case t.DividesRoom():
-		return estimate.estimatedWaitMs > estimate.maxWaitRatio(true)*float64(target)
 	default:
-		return estimate.estimatedWaitMs > estimate.maxWaitRatio(false)*float64(target)
+		return estimate.estimatedWaitMs > estimate.maxWaitRatio()*float64(target)
 	}
 }
-
-// waitBehindOwn returns how long a request waits for other requests of its workspace, which is beyond its fair share, if as many wait at
-// each VM as at this one.
-func waitBehindOwn(t *gateway.Tables, f *gateway.Forward, estimate *waitEstimate) float64 {
-	return float64(max(shareOf(t, f).Waiting-1, 0)*t.LiveVMs()) * estimate.waitMsPerRequest
-}
--- a/forward/slots.go
+++ b/forward/slots.go
@@ -26,10 +26,6 @@
 		}
 	}
 	f.Allocator = ""
-	if pausedUntil := sharePause(t, f, now); now < pausedUntil {
-		out.WakeAt(pausedUntil)
-		return false
-	}
 	onlyAllocated := !mayDispatch(t, f.Service, now, out)
 	for len(f.DeniedBy) < maxSlotRequests {
 		r := pickRunner(t, f, now, onlyAllocated)
@@ -43,7 +39,7 @@
 			}
 			return true
 		}
-		id, granted := t.RequestSlot(r, slotUse(t, f, r, now), now, out)
+		id, granted := t.RequestSlot(r, slotUse(f, r, now), now, out)
 		if id != 0 {
 			f.Phase, f.Runner, f.SlotRequest, f.RequestedAt = gateway.ForwardRequesting, r.Spec.ID, id, now
 			return true
@@ -57,20 +53,18 @@
 	}
 	if len(f.DeniedBy) > 0 {
 		f.DeniedBy, f.NotBefore = nil, now.Add(slotRetryDelay)
-		pauseShare(t, f, now)
 		out.WakeAt(f.NotBefore)
 	}
 	return false
 }
 
 // slotUse returns what a slot of a runner is requested for. While runners seem to have free slots, a request gets one of those.
-// One that can no longer meet its target is not queued at a runner, nor one of a workspace beyond its fair share: the places of the queues
-// are left to the requests that come before it, also those of other VMs.
-func slotUse(t *gateway.Tables, f *gateway.Forward, r *gateway.Runner, now cs.Instant) gateway.SlotUse {
+// One that can no longer meet its target is not queued at a runner.
+func slotUse(f *gateway.Forward, r *gateway.Runner, now cs.Instant) gateway.SlotUse {
 	switch denials := len(f.DeniedBy); {
 	case denials < maxFreeRequests && r.Load() < r.Spec.Slots:
 		return gateway.SlotFree
-	case (denials > maxFreeRequests || r.OnlineLoad() >= r.Spec.Slots) && canMeetTarget(f, now) && !beyondShare(t, f, now):
+	case (denials > maxFreeRequests || r.OnlineLoad() >= r.Spec.Slots) && canMeetTarget(f, now):
 		return gateway.SlotQueued
 	default:
 		return gateway.SlotOnline
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	cs "github.com/crocusstile/crocusstile"
-	"github.com/crocusstile/crocusstile/fairness"
-)
+import cs "github.com/crocusstile/crocusstile"
 
 // ServiceDemand describes the online requests that wait for the runners of a service. While requests wait at
 // several VMs, each VM takes a share of the service's free capacity in proportion to its demand.
@@ -18,13 +15,6 @@
 	// ServiceTimeMs is the moving average of the time that a request spends at a runner, in milliseconds, or
 	// 0 before the first one has ended.
 	ServiceTimeMs float64
-	// Queue divides the service's room between workspaces.
-	Queue fairness.Queue
-	// Level is the fair share of a workspace in the room of late, as of LevelAt.
-	Level   fairness.Work
-	LevelAt cs.Instant
-	// ReturnAt is when the request that was refused last for an overload may come back, or 0.
-	ReturnAt cs.Instant
 }
 
 // DemandReport is one VM's demand for the free capacity of a service, as reported to peers.
--- a/gateway/note.go
+++ b/gateway/note.go
@@ -118,10 +118,6 @@
 	NoteEstimatesInaccurate
 	// NoteEstimatesAccurate: this has ended.
 	NoteEstimatesAccurate
-	// NoteShareExceeded: requests of a workspace are refused in an overload because it is beyond its fair share of the room.
-	NoteShareExceeded
-	// NoteShareRestored: no request of a workspace is refused for its share any more.
-	NoteShareRestored
 )
 
 // Note is one structured log line; fields that do not apply are zero and left out of the line.
--- a/gateway/notekind_enumer.go
+++ b/gateway/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedkeysRefusedkeysAcceptedpartsChangeddrainChangedrequestLimitedworkspaceLimitedworkspaceUnlimitedlimitOwnerMissinglimitOwnerFoundtickDelayedestimatesInaccurateestimatesAccurateshareExceededshareRestored"
+const _NoteKindName = "requestSentrequestRetriedrequestRefusedrequestRejectedrequestAnsweredrequestAbandonedjobAcceptedjobRefusedjobEndedqueryRefusedjobCallForwardedjobLogRoleChangeditemStarteditemStoppeditemReturneditemListeditemGivenUpjobLogGapappendFailedappendFencedappendSetAsidecatalogInForcestateAdoptedrunnerAddedrunnerLeavingrunnerMissingrunnerRemovedrunnerAvoidedrunnerDoubteddataCentreReachedrunnerLimitedrunnerUnlimitedcontentSuspectedpromptPartQuarantinedpromptPartProbedpromptPartReleasedpeerFoundpeerLostfeedLostfeedRegainedkeysRefusedkeysAcceptedpartsChangeddrainChangedrequestLimitedworkspaceLimitedworkspaceUnlimitedlimitOwnerMissinglimitOwnerFoundtickDelayedestimatesInaccurateestimatesAccurate"
 
-var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 527, 539, 551, 563, 577, 593, 611, 628, 643, 654, 673, 690, 703, 716}
+var _NoteKindIndex = [...]uint16{0, 11, 25, 39, 54, 69, 85, 96, 106, 114, 126, 142, 159, 170, 181, 193, 203, 214, 223, 235, 247, 261, 275, 287, 298, 311, 324, 337, 350, 363, 380, 393, 408, 424, 445, 461, 479, 488, 496, 504, 516, 527, 539, 551, 563, 577, 593, 611, 628, 643, 654, 673, 690}
 
-const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedkeysrefusedkeysacceptedpartschangeddrainchangedrequestlimitedworkspacelimitedworkspaceunlimitedlimitownermissinglimitownerfoundtickdelayedestimatesinaccurateestimatesaccurateshareexceededsharerestored"
+const _NoteKindLowerName = "requestsentrequestretriedrequestrefusedrequestrejectedrequestansweredrequestabandonedjobacceptedjobrefusedjobendedqueryrefusedjobcallforwardedjoblogrolechangeditemstarteditemstoppeditemreturneditemlisteditemgivenupjobloggapappendfailedappendfencedappendsetasidecataloginforcestateadoptedrunneraddedrunnerleavingrunnermissingrunnerremovedrunneravoidedrunnerdoubteddatacentrereachedrunnerlimitedrunnerunlimitedcontentsuspectedpromptpartquarantinedpromptpartprobedpromptpartreleasedpeerfoundpeerlostfeedlostfeedregainedkeysrefusedkeysacceptedpartschangeddrainchangedrequestlimitedworkspacelimitedworkspaceunlimitedlimitownermissinglimitownerfoundtickdelayedestimatesinaccurateestimatesaccurate"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -76,11 +76,9 @@
 	_ = x[NoteTickDelayed-(49)]
 	_ = x[NoteEstimatesInaccurate-(50)]
 	_ = x[NoteEstimatesAccurate-(51)]
-	_ = x[NoteShareExceeded-(52)]
-	_ = x[NoteShareRestored-(53)]
 }
 
-var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NoteKeysRefused, NoteKeysAccepted, NotePartsChanged, NoteDrainChanged, NoteRequestLimited, NoteWorkspaceLimited, NoteWorkspaceUnlimited, NoteLimitOwnerMissing, NoteLimitOwnerFound, NoteTickDelayed, NoteEstimatesInaccurate, NoteEstimatesAccurate, NoteShareExceeded, NoteShareRestored}
+var _NoteKindValues = []NoteKind{NoteRequestSent, NoteRequestRetried, NoteRequestRefused, NoteRequestRejected, NoteRequestAnswered, NoteRequestAbandoned, NoteJobAccepted, NoteJobRefused, NoteJobEnded, NoteQueryRefused, NoteJobCallForwarded, NoteJobLogRoleChanged, NoteItemStarted, NoteItemStopped, NoteItemReturned, NoteItemListed, NoteItemGivenUp, NoteJobLogGap, NoteAppendFailed, NoteAppendFenced, NoteAppendSetAside, NoteCatalogInForce, NoteStateAdopted, NoteRunnerAdded, NoteRunnerLeaving, NoteRunnerMissing, NoteRunnerRemoved, NoteRunnerAvoided, NoteRunnerDoubted, NoteDataCentreReached, NoteRunnerLimited, NoteRunnerUnlimited, NoteContentSuspected, NotePromptPartQuarantined, NotePromptPartProbed, NotePromptPartReleased, NotePeerFound, NotePeerLost, NoteFeedLost, NoteFeedRegained, NoteKeysRefused, NoteKeysAccepted, NotePartsChanged, NoteDrainChanged, NoteRequestLimited, NoteWorkspaceLimited, NoteWorkspaceUnlimited, NoteLimitOwnerMissing, NoteLimitOwnerFound, NoteTickDelayed, NoteEstimatesInaccurate, NoteEstimatesAccurate}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:11]:    NoteRequestSent,
@@ -135,8 +133,6 @@
 	_NoteKindName[643:654]: NoteTickDelayed,
 	_NoteKindName[654:673]: NoteEstimatesInaccurate,
 	_NoteKindName[673:690]: NoteEstimatesAccurate,
-	_NoteKindName[690:703]: NoteShareExceeded,
-	_NoteKindName[703:716]: NoteShareRestored,
 }
 
 var _NoteKindLowerNameToValueMap = map[string]NoteKind{
@@ -192,8 +188,6 @@
 	_NoteKindLowerName[643:654]: NoteTickDelayed,
 	_NoteKindLowerName[654:673]: NoteEstimatesInaccurate,
 	_NoteKindLowerName[673:690]: NoteEstimatesAccurate,
-	_NoteKindLowerName[690:703]: NoteShareExceeded,
-	_NoteKindLowerName[703:716]: NoteShareRestored,
 }
 
 var _NoteKindNames = []string{
@@ -249,8 +243,6 @@
 	_NoteKindName[643:654],
 	_NoteKindName[654:673],
 	_NoteKindName[673:690],
-	_NoteKindName[690:703],
-	_NoteKindName[703:716],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -45,12 +45,6 @@
 	DataCentres *fleet.Table[cs.DataCentreID, DataCentreState]
 	Forwards    *fleet.Table[ForwardID, Forward]
 	Demands     *fleet.Table[cs.ServiceID, ServiceDemand]
-	// Shares holds the accounts of workspaces in the division of the room of services. It is empty in a catalog without workspaces.
-	Shares *fleet.Table[ShareKey, WorkspaceShare]
-	// SharesSettledAt is when accounts without recent requests were last removed.
-	SharesSettledAt cs.Instant
-	// WorkMeans holds the mean time of requests at runners in milliseconds, in a catalog with workspaces.
-	WorkMeans *fleet.Table[WorkKey, float64]
 	// ItemShares holds the accounts of workspaces in the division of the runs of items.
 	ItemShares *fleet.Table[cs.WorkspaceID, fairness.Account]
 	ItemQueue  fairness.Queue
@@ -104,8 +98,6 @@
 		DataCentres:    fleet.NewTable[cs.DataCentreID, DataCentreState](),
 		Forwards:       fleet.NewTable[ForwardID, Forward](),
 		Demands:        fleet.NewTable[cs.ServiceID, ServiceDemand](),
-		Shares:         fleet.NewTable[ShareKey, WorkspaceShare](),
-		WorkMeans:      fleet.NewTable[WorkKey, float64](),
 		ItemShares:     fleet.NewTable[cs.WorkspaceID, fairness.Account](),
 		Suspects:       fleet.NewTable[SuspectKey, Suspect](),
 		BegunParts:     fleet.NewTable[cs.PromptPart, cs.Instant](),
