--- a/forward/access.go
+++ b/forward/access.go
@@ -35,9 +35,20 @@
 }
 
 // withdrawnRefusal returns the refusal of a request that waits for a runner and whose key was withdrawn since it was admitted, or nil.
-// On a public route such a request is sent without its workspace.
-func withdrawnRefusal(t *gateway.Tables, f *gateway.Forward) *cs.Refusal {
-	if f.Workspace == "" || t.Catalog == nil || !t.Catalog.RequiresKeys || t.HasWorkspaceKey(f) {
+// On a public route such a request is sent without its workspace. A request that was admitted before keys were required is decided on
+// again.
+func withdrawnRefusal(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) *cs.Refusal {
+	if t.Catalog == nil || !t.Catalog.RequiresKeys || f.Workspace == "" && f.Route.Public {
+		return nil
+	}
+	if f.Workspace == "" {
+		if refusal := authorize(t, f, now); refusal != nil {
+			return &cs.Refusal{Reason: refusal.Reason, Ran: ranSoFar(f), Message: refusal.Message}
+		}
+		out.WakeAt(now) // the workspace may be limited
+		return nil
+	}
+	if t.HasWorkspaceKey(f) {
 		return nil
 	}
 	if f.Route.Public {
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -90,7 +90,7 @@
 			done = append(done, id)
 			continue
 		}
-		if refusal := withdrawnRefusal(t, f); refusal != nil {
+		if refusal := withdrawnRefusal(t, f, now, out); refusal != nil {
 			refuse(now, f, *refusal, out)
 			done = append(done, id)
 			continue
