--- a/allowance/take.go
+++ b/allowance/take.go
@@ -27,6 +27,9 @@
 	reserveRatio = 0.25
 	// maxReserve bounds the permits that are requested ahead.
 	maxReserve = 32
+	// maxDecisionAge is the time after which the owner of a limit is asked again although it expected to have no permit yet: at a low
+	// rate it may expect none for minutes, and the limit may have been raised since.
+	maxDecisionAge = cs.Second
 	// limitEndDelay is the time without a refusal after which a workspace is no longer taken to be limited.
 	limitEndDelay = 2 * cs.Second
 )
@@ -123,7 +126,7 @@
 		findOwner(t, partition, "", now, out)
 		rest = assign(t, use, rest, now)
 	}
-	if t.BootTime(now) < use.RefuseUntil {
+	if boot := t.BootTime(now); boot < use.RefuseUntil && boot.Sub(use.DecidedAt) < maxDecisionAge {
 		refuseLimited(t, use, g.workspace, rest, now, out)
 		return
 	}
@@ -241,7 +244,7 @@
 // back.
 func refuseUntil(t *gateway.Tables, use *gateway.WorkspaceUse, w *cs.Workspace, next, retry cs.Span, now cs.Instant) {
 	boot := t.BootTime(now)
-	use.RefuseUntil, use.RetryAt = boot.Add(next), boot.Add(retry-gateway.RetryStep(w, 1))
+	use.RefuseUntil, use.DecidedAt, use.RetryAt = boot.Add(next), boot, boot.Add(retry-gateway.RetryStep(w, 1))
 }
 
 // expireRequests removes the requests for permits of which a reply would come too late.
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -57,8 +57,8 @@
 	// Demand is a moving average of the requests per millisecond, as of DemandAt.
 	Demand   float64
 	DemandAt cs.BootInstant
-	// RefuseUntil is the time before which the owner expects to have no permit.
-	RefuseUntil cs.BootInstant
+	// RefuseUntil is the time before which the owner expects to have no permit, and DecidedAt when it said so.
+	RefuseUntil, DecidedAt cs.BootInstant
 	// RetryAt is the time for which the last refused request was told to come back.
 	RetryAt cs.BootInstant
 	// AskAt is the earliest time of the next request for permits, and Unanswered the number of requests without a usable reply
