--- a/entry/callers.go
+++ b/entry/callers.go
@@ -116,7 +116,12 @@
 		tracked.mu.Lock()
 		tracked.unansweredBytes, tracked.newUntil = state == http.StateActive, time.Time{}
 		tracked.mu.Unlock()
-		if state == http.StateIdle && tracked.holder != nil {
+		switch {
+		case tracked.holder == nil:
+		case state == http.StateActive:
+			// net/http next reads a byte in another goroutine, which must not be counted as one of the header.
+			tracked.holder.Enter(budget.PhaseServing, c.clock.Now())
+		default:
 			tracked.endRequest()
 			tracked.holder.Enter(budget.PhaseIdle, c.clock.Now())
 		}
