--- a/budget/rules.go
+++ b/budget/rules.go
@@ -71,6 +71,7 @@
 		holder *Holder
 		weight int64
 	}
+	observeReaders(t, now)
 	var candidates []candidate
 	for _, h := range t.holders {
 		if h.held[s] == 0 || h == asking {
@@ -128,6 +129,7 @@
 // receive or send without progress, then idle ones. Those of an address that has more than half of the pool come before others, and
 // such an address displaces only its own idle connections.
 func (t *Tables) worst(asking *Holder, now cs.Instant) *Holder {
+	observeReaders(t, now)
 	var worst *Holder
 	var worstRank int
 	var worstWeight int64
@@ -201,8 +203,15 @@
 	}
 }
 
+// observeInterval is the least time between two looks at the readers: each is a system call for each of them.
+const observeInterval = 100 * cs.Millisecond
+
 // observeReaders notes the progress of the readers of responses that have been waited for since before now.
 func observeReaders(t *Tables, now cs.Instant) {
+	if now.Sub(t.observedAt) < observeInterval {
+		return
+	}
+	t.observedAt = now
 	for _, h := range t.holders {
 		began := h.writing.Load()
 		if began == 0 || cs.Instant(began) >= now {
--- a/budget/tables.go
+++ b/budget/tables.go
@@ -46,6 +46,8 @@
 	// limitedAt is when a share last had too little room, or 0 if it is not limited.
 	limitedAt [shareCount]cs.Instant
 	counts    Counts
+	// observedAt is when the progress of readers was last noted.
+	observedAt cs.Instant
 }
 
 // pool is the use of a pool.
