--- a/cost/runner.go
+++ b/cost/runner.go
@@ -57,9 +57,10 @@
 	return 1 + trust*(r.pace.Value-1)
 }
 
-// ReadFigure records the fourth figure of Server-Load.
+// ReadFigure records the fourth figure of Server-Load. One below the usual value counts as that: responses only show whether a high one is
+// true, and a false low one would draw all requests.
 func (r *Runner) ReadFigure(figure float64, now cs.Instant) {
-	r.figure, r.figureAt = min(figure, maxFigure)/usualFigure, now
+	r.figure, r.figureAt = min(max(figure, usualFigure), maxFigure)/usualFigure, now
 }
 
 // excess returns by how much more than usual work now takes on the machine of the runner, as a share, by its last figure alone.
