--- a/budget/rules.go
+++ b/budget/rules.go
@@ -174,11 +174,12 @@
 	return t.pools[h.Pool].addresses[h.Address] > t.limits.Connections[h.Pool]/2
 }
 
-// EndStalled stops the connections whose body or whose reader has made too little progress within the window, and ends limits that
+// EndStalled stops the connections whose body or whose reader has made too little progress within the window, also those that were stopped
+// while they were idle and whose next request came at that moment, and ends limits that
 // are no longer met.
 func EndStalled(t *Tables, now cs.Instant, out *Actions) {
 	for _, h := range t.holders {
-		if h.Stopped() {
+		if h.Stopped() && h.stoppedIn == h.Phase() {
 			continue
 		}
 		switch h.Phase() {
--- a/budget/tables.go
+++ b/budget/tables.go
@@ -25,7 +25,9 @@
 	held [shareCount]cs.Bytes
 	// stopped means that the connection is being ended.
 	stopped atomic.Bool
-	index   int
+	// stoppedIn is the phase in which it was last stopped.
+	stoppedIn Phase
+	index     int
 
 	phase atomic.Int32
 	// since is the last instant at which ProgressBytes had been moved since the instant before it, or the phase began.
@@ -104,10 +106,12 @@
 
 // stop marks a connection as being ended.
 func (t *Tables) stop(h *Holder, out *Actions) {
-	h.stopped.Store(true)
-	t.pools[h.Pool].stopping++
-	t.counts.Stopped++
-	*out = append(*out, StopConnection{Holder: h, Phase: h.Phase()})
+	h.stoppedIn = h.Phase()
+	if !h.stopped.Swap(true) {
+		t.pools[h.Pool].stopping++
+		t.counts.Stopped++
+	}
+	*out = append(*out, StopConnection{Holder: h, Phase: h.stoppedIn})
 }
 
 // Phase returns what the connection is doing.
