--- a/cost/estimates.go
+++ b/cost/estimates.go
@@ -136,7 +136,7 @@
 			row.observeStream(o)
 		}
 	} else {
-		row.callMs.Add(float64(o.Total), routeWindow)
+		row.callMs.Add(bounded(float64(o.Total), row.callMs), routeWindow)
 		r.observe(min(float64(o.Total)/row.callMs.Value, maxPace))
 	}
 	s.observeError(o)
@@ -146,7 +146,7 @@
 func (s *Service) observeStream(r *Runner, o Response) {
 	s.units.Add(o.Units, serviceWindow)
 	if unitMs := unitTime(o); unitMs > 0 {
-		s.unitMs.Add(unitMs, serviceWindow)
+		s.unitMs.Add(bounded(unitMs, s.unitMs), serviceWindow)
 		r.observe(min(unitMs/s.unitMs.Value, maxPace))
 		if o.Prompt && o.Read > 0 {
 			s.readMs.Add(max(float64(o.First)-unitMs, 0)/float64(o.Read), serviceWindow)
@@ -167,6 +167,9 @@
 	}
 }
 
+// bounded bounds a time by which a mean is corrected, like the pace of a runner: a stream takes minutes if its caller reads slowly.
+func bounded(ms float64, mean Average) float64 { return min(ms, maxPace*mean.Or(ms)) }
+
 // minRunUnits is the number of events of a run of an item by which its runner is timed: the time includes that of the prompt.
 const minRunUnits = 30
 
@@ -178,7 +181,7 @@
 	}
 	s.tokens.Add(float64(tokens), serviceWindow)
 	unitMs := float64(total) / units
-	s.unitMs.Add(unitMs, serviceWindow)
+	s.unitMs.Add(bounded(unitMs, s.unitMs), serviceWindow)
 	r.observe(min(unitMs/s.unitMs.Value, maxPace))
 }
 
