--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -253,3 +253,21 @@
 	c.Check(kinds[gateway.NoteWorkspaceUnlimited], qt.Equals, 1)
 	c.Check(b.t.Allowance.Uses.Len()+b.t.Allowance.Buckets.Len(), qt.Equals, 0)
 }
+
+// Guards against a limit under which nothing runs: without an overshoot, a permit has ended when it is granted.
+func TestLimitWithoutOvershootServesRequests(t *testing.T) {
+	c := qt.New(t)
+	config := testConfig()
+	config.Quota.Overshoot = 0
+	b := newBench(config)
+	b.t.Catalog = cs.NewCatalog(1, nil, nil, cs.CallerLimits{}).WithWorkspaces([]cs.Workspace{
+		{ID: "w", Rate: 10, Burst: 20, Keys: []cs.KeyDigest{cs.DigestKey("w")}},
+	})
+	total, refused := 0, 0
+	for i := range 20 { // 2 s
+		assigned := gateway.PartitionsAssigned{Partitions: []int{0, 1, 2}, SentAt: b.t.BootTime(b.now)}
+		sends, refusals, _ := count(b.tick(100, assigned, b.arrive(gateway.ForwardID(i+1), "w")))
+		total, refused = total+sends, refused+refusals
+	}
+	c.Check(total > 10, qt.IsTrue, qt.Commentf("%d sent, %d refused", total, refused))
+}
--- a/forward/access.go
+++ b/forward/access.go
@@ -17,7 +17,7 @@
 	}
 	feed := t.Feeds[gateway.FeedCatalog]
 	switch a := gateway.Authorize(&gateway.AccessRequest{
-		Catalog: t.Catalog, Key: f.Key, Public: f.Route.Public, Age: feed.Age(now), BootAge: f.ArrivedBoot.Sub(feed.ConfirmedAt),
+		Catalog: t.Catalog, Key: f.Key, Public: isPublic(t.Catalog, &f.Route), Age: feed.Age(now), BootAge: f.ArrivedBoot.Sub(feed.ConfirmedAt),
 		Unreadable: feed.Unreadable, RevokeBound: t.Config.RevokeBound,
 	}).(type) {
 	case gateway.AccessDenied:
@@ -34,11 +34,20 @@
 	return nil
 }
 
+// isPublic reports whether the requests of a route need no key by the newest catalog. A request keeps the route by which it arrived if
+// that was removed since.
+func isPublic(catalog *cs.Catalog, route *cs.Route) bool {
+	if newest := catalog.Route(route.Name); newest != nil {
+		return newest.Public
+	}
+	return route.Public
+}
+
 // withdrawnRefusal returns the refusal of a request that waits for a runner and whose key was withdrawn since it was admitted, or nil.
 // On a public route such a request is sent without its workspace. A request that was admitted before keys were required is decided on
 // again.
 func withdrawnRefusal(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) *cs.Refusal {
-	if t.Catalog == nil || !t.Catalog.RequiresKeys || f.Workspace == "" && f.Route.Public {
+	if t.Catalog == nil || !t.Catalog.RequiresKeys || f.Workspace == "" && isPublic(t.Catalog, &f.Route) {
 		return nil
 	}
 	if f.Workspace == "" {
@@ -51,7 +60,7 @@
 	if t.HasWorkspaceKey(f) {
 		return nil
 	}
-	if f.Route.Public {
+	if isPublic(t.Catalog, &f.Route) {
 		f.Workspace = ""
 		return nil
 	}
--- a/forward/access_test.go
+++ b/forward/access_test.go
@@ -129,3 +129,19 @@
 	c.Assert(refusals[0].Refusal.Reason, qt.Equals, cs.ReasonUnavailable)
 	c.Assert(refusals[0].Refusal.Ran, qt.Equals, cs.RanNotRun)
 }
+
+// Guards against a request without a key on a route that the newest version no longer makes public.
+func TestRouteThatIsNoLongerPublicNeedsKey(t *testing.T) {
+	c := qt.New(t)
+	vm := newTestVM()
+	vm.addRunner("a1", "a")
+	route := onceRoute
+	route.Host = "h"
+	vm.Catalog = cs.NewCatalog(2, []cs.Route{route}, nil, cs.CallerLimits{}).WithWorkspaces([]cs.Workspace{{ID: "w", Keys: []cs.KeyDigest{cs.DigestKey("k")}}})
+	vm.tick(vm.confirm())
+	old := route
+	old.Public = true
+	dispatches, refusals := vm.tick(vm.keyedArrival(1, old, ""))
+	c.Check(dispatches, qt.HasLen, 0)
+	c.Check(refusals, qt.HasLen, 1)
+}
--- a/gateway/allowance.go
+++ b/gateway/allowance.go
@@ -112,9 +112,19 @@
 	}
 }
 
-// PermitLifetime returns the time from the request for a permit to its end: half of the overshoot of a window.
+// minPermitLifetime is the least lifetime of a permit, in which a reply arrives that takes some milliseconds.
+const minPermitLifetime = 25 * cs.Millisecond
+
+// PermitLifetime returns the time from the request for a permit to its end: half of the overshoot of a window, or more if that is
+// too short to use a permit.
 func (q *Quota) PermitLifetime() cs.Span {
-	return cs.Span(float64(q.Overshoot) * float64(q.Window) / 2)
+	return max(cs.Span(float64(q.Overshoot)*float64(q.Window)/2), minPermitLifetime)
+}
+
+// fillRatio returns the share of its rate at which a bucket fills, so that what fills in a window and the lifetime of a permit is
+// within the rate and the overshoot of a window. It is 1 unless the overshoot is too small for minPermitLifetime.
+func (q *Quota) fillRatio() float64 {
+	return min(float64(q.Window)*(1+float64(q.Overshoot))/float64(q.Window+q.PermitLifetime()), 1)
 }
 
 // handoverRate returns the permits per millisecond that a bucket gets beyond its rate within handoverTime of its start. All owners
@@ -240,8 +250,8 @@
 // fill adds to a bucket what it has got since it was last filled.
 func (t *Tables) fill(b *Bucket, w *cs.Workspace, now cs.Instant) {
 	boot := max(t.BootTime(now), b.FilledAt)
-	b.Level += float64(w.Rate) * float64(boot.Sub(b.FilledAt)) / float64(cs.Second)
 	quota := &t.Config.Quota
+	b.Level += float64(w.Rate) * quota.fillRatio() * float64(boot.Sub(b.FilledAt)) / float64(cs.Second)
 	startEnd := b.GainedAt.Add(quota.handoverTime())
 	if extra := min(boot, startEnd).Sub(b.FilledAt); extra > 0 {
 		b.Level += quota.handoverRate() * float64(extra)
