--- a/allowance/decision_test.go
+++ b/allowance/decision_test.go
@@ -1,6 +1,8 @@
 package allowance_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -38,3 +40,30 @@
 	c.Check(asked > 0, qt.IsTrue)
 	c.Check(refused <= 10, qt.IsTrue, qt.Commentf("%d of 50 requests refused", refused))
 }
+
+// Guards against requests for permits that are never sent, since a message with long names of workspaces exceeds the limit of datagrams.
+func TestRequestsWithLongNamesFitIntoDatagrams(t *testing.T) {
+	c := qt.New(t)
+	config := testConfig()
+	config.PartitionCount = 1
+	b := newBench(config)
+	var workspaces []cs.Workspace
+	var events []gateway.Event
+	for i := range 200 {
+		name := fmt.Sprintf("%03d", i) + strings.Repeat("w", 500)
+		workspaces = append(workspaces, cs.Workspace{ID: cs.WorkspaceID(name), Rate: 10, Keys: []cs.KeyDigest{cs.DigestKey(name)}})
+		events = append(events, b.arrive(gateway.ForwardID(i+1), cs.WorkspaceID(name)))
+	}
+	b.t.Catalog = cs.NewCatalog(1, nil, nil, cs.CallerLimits{}).WithWorkspaces(workspaces)
+	_, _, messages := count(b.tick(1, events...))
+	requests := 0
+	for _, m := range messages {
+		size := 0
+		for _, r := range m.Requests {
+			size += len(r.Workspace)
+		}
+		c.Check(size < 15<<10, qt.IsTrue, qt.Commentf("%d bytes of names", size))
+		requests += len(m.Requests)
+	}
+	c.Check(requests, qt.Equals, 200)
+}
--- a/allowance/take.go
+++ b/allowance/take.go
@@ -30,6 +30,10 @@
 	// maxDecisionAge is the time after which the owner of a limit is asked again although it expected to have no permit yet: at a low
 	// rate it may expect none for minutes, and the limit may have been raised since.
 	maxDecisionAge = cs.Second
+	// maxMessageBytes bounds the requests in a message, so that it stays below the limit of datagrams between VMs (16 KB), and
+	// requestBytes is what a request takes beside the ID of its workspace.
+	maxMessageBytes = 8 << 10
+	requestBytes    = 24
 	// limitEndDelay is the time without a refusal after which a workspace is no longer taken to be limited.
 	limitEndDelay = 2 * cs.Second
 )
@@ -206,14 +210,28 @@
 		if p == nil {
 			continue
 		}
-		for some := range slices.Chunk(requests, gateway.MaxAllowanceRequests) {
+		for len(requests) > 0 {
+			n := messageLength(requests)
 			out.Add(gateway.SendAllowance{
-				To: p.VM.Address, Message: gateway.AllowanceMessage{From: t.Self.ID, Incarnation: t.Self.Incarnation, Requests: some},
+				To: p.VM.Address, Message: gateway.AllowanceMessage{From: t.Self.ID, Incarnation: t.Self.Incarnation, Requests: requests[:n:n]},
 			})
+			requests = requests[n:]
 		}
 	}
 }
 
+// messageLength returns how many of some requests fit into one message, at least one.
+func messageLength(requests []gateway.AllowanceRequest) int {
+	size := cs.Bytes(0)
+	for i, r := range requests {
+		size += cs.Bytes(len(r.Workspace)) + requestBytes
+		if i > 0 && size > maxMessageBytes || i == gateway.MaxAllowanceRequests {
+			return i
+		}
+	}
+	return len(requests)
+}
+
 // applyReply applies the reply of an owner. Each request for permits has one reply that counts.
 func applyReply(t *gateway.Tables, reply gateway.AllowanceReply, now cs.Instant, out *gateway.Actions) {
 	request := t.Allowance.Requests.Get(reply.ID)
