--- a/entry/allowance_test.go
+++ b/entry/allowance_test.go
@@ -33,9 +33,9 @@
 func newLimitedFleet(vms int) *limitedFleet {
 	f := &limitedFleet{
 		simFleet: newSimFleet(1, vms, 20), quota: gateway.Quota{Window: 5 * cs.Second, Overshoot: 0.1, Slack: 20},
-		workspace: cs.Workspace{ID: "w", Rate: 40, Burst: 20},
+		workspace: cs.Workspace{ID: "w", Rate: 40, Burst: 20, Keys: []cs.KeyDigest{cs.DigestKey("w")}},
 	}
-	f.simFleet.workspace = "w"
+	f.key = cs.DigestKey("w")
 	for _, v := range f.vms {
 		v.tables.Config.Quota, v.tables.Config.GroupTimeout, v.tables.Config.PartitionCount = f.quota, 2*cs.Second, 4
 		v.inbox = append(v.inbox, gateway.JobsRead{Snapshot: true})
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -89,8 +89,8 @@
 	timeline map[cs.Instant][]func()
 	lastID   gateway.ForwardID
 	route    cs.Route
-	// workspace is that of the requests, or empty.
-	workspace cs.WorkspaceID
+	// key is the digest of the key of the requests, or zero.
+	key cs.KeyDigest
 	// deadly is a part that crashes each runner that begins a response to a prompt with it, or 0.
 	deadly cs.PromptPart
 
@@ -217,7 +217,7 @@
 	v.requests[f.lastID], v.arrived[f.lastID] = parts, f.now
 	v.inbox = append(v.inbox, gateway.ForwardArrived{Forward: gateway.Forward{
 		ID: f.lastID, Request: cs.RequestID(fmt.Sprint(f.lastID)), Route: f.route, Content: cs.ContentHash(f.lastID) + 1<<40, Parts: parts,
-		Workspace: f.workspace, Arrived: f.now, Deadline: f.now.Add(f.route.Timeout),
+		Key: f.key, Arrived: f.now, Deadline: f.now.Add(f.route.Timeout),
 	}})
 }
 
