--- a/forward/access_test.go
+++ b/forward/access_test.go
@@ -145,3 +145,22 @@
 	c.Check(dispatches, qt.HasLen, 0)
 	c.Check(refusals, qt.HasLen, 1)
 }
+
+// Guards against a request without a key that is sent after the version that requires keys is in force, and against one with a key that
+// is sent without its workspace.
+func TestWaitingRequestsAreJudgedWhenKeysAreRequired(t *testing.T) {
+	c := qt.New(t)
+	vm := newTestVM()
+	vm.addRunner("a1", "a").Online = 10
+	vm.tick(gateway.CatalogRead{Catalog: cs.NewCatalog(1, nil, nil, cs.CallerLimits{})}, vm.confirm())
+	dispatches, refusals := vm.tick(vm.keyedArrival(1, onceRoute, ""), vm.keyedArrival(2, onceRoute, "k"))
+	c.Assert(dispatches, qt.HasLen, 0)
+	c.Assert(refusals, qt.HasLen, 0)
+	vm.Runners.Get("a1").Online = 0
+	dispatches, refusals = vm.tick(gateway.CatalogRead{Catalog: vm.requireKeys(2, "k")}, vm.confirm())
+	c.Assert(refusals, qt.HasLen, 1)
+	c.Check(refusals[0].ID, qt.Equals, gateway.ForwardID(1))
+	c.Check(refusals[0].Refusal.Reason, qt.Equals, cs.ReasonUnauthorized)
+	c.Assert(dispatches, qt.HasLen, 1)
+	c.Check(dispatches[0].Access, qt.Equals, gateway.RunnerAccess{RequiresKeys: true, Workspace: "w"})
+}
