--- a/budget/budget.go
+++ b/budget/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	cs "github.com/crocusstile/crocusstile"
@@ -30,11 +31,15 @@
 	// freed is closed when bytes are given back while a goroutine waits for them.
 	freed   chan struct{}
 	waiting int
+	// progress is ProgressBytes of the limits, which is read for each part of a body.
+	progress atomic.Int64
 }
 
 // New returns a budget of which nothing is taken.
 func New(c Config) *Budget {
-	return &Budget{cfg: c, tables: newTables(c.Limits), freed: make(chan struct{})}
+	b := &Budget{cfg: c, tables: newTables(c.Limits), freed: make(chan struct{})}
+	b.progress.Store(int64(c.Limits.ProgressBytes))
+	return b
 }
 
 // SetLimits replaces the limits. What is held beyond them is kept until it is given back.
@@ -42,6 +47,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tables.limits = l
+	b.progress.Store(int64(l.ProgressBytes))
 }
 
 // Run ends connections without progress until ctx ends.
@@ -123,7 +129,7 @@
 
 // Received notes bytes that a client has sent.
 func (b *Budget) Received(h *Holder, n int) {
-	h.Received(cs.Bytes(n), b.cfg.Limits.ProgressBytes, b.cfg.Clock.Now())
+	h.Received(cs.Bytes(n), cs.Bytes(b.progress.Load()), b.cfg.Clock.Now())
 }
 
 // Take takes n bytes of a share for the client of ctx, of an object that will have size bytes. It waits for room for at most
