--- a/forward/pick.go
+++ b/forward/pick.go
@@ -96,7 +96,7 @@
 		return 0, "its allocator has denied a slot"
 	case r.OnlineLoad() >= r.Spec.Slots+c.maxQueued:
 		return 0, "it is full"
-	case c.work.service != nil && !r.HasMemory(c.work.limit, c.work.memory, c.work.meanMemory):
+	case c.work.service != nil && !r.HasOnlineMemory(c.work.limit, c.work.memory, c.work.meanMemory):
 		return 0, "its memory would be exceeded"
 	}
 	reach := t.Reach(r.Spec.DataCentre, now)
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -61,14 +61,24 @@
 // OnlineLoad returns the online requests in flight on the runner.
 func (r *Runner) OnlineLoad() cs.Slots { return r.Online + max(r.PeerOnline, r.Allocation.Online) }
 
-// HasMemory reports whether a runner that can hold so many tokens, 0 if that is not known, has room for a request, as far as this VM
+// HasMemory reports whether a runner that can hold so many tokens, 0 if that is not known, has room for an item, as far as this VM
 // knows: other VMs' requests count with the mean that requests hold. A runner without any request takes each.
-func (r *Runner) HasMemory(limit, request cs.Tokens, mean float64) bool {
+func (r *Runner) HasMemory(limit, item cs.Tokens, mean float64) bool {
 	if limit == 0 || r.Load() == 0 {
 		return true
 	}
 	others := float64(r.Load()-r.Online-r.Batch) * mean
-	return others+float64(r.Cost.Held)+float64(r.Batch)*float64(r.Cost.Item)+float64(request) <= float64(limit)
+	return others+float64(r.Cost.Held)+float64(r.Batch)*float64(r.Cost.Item)+float64(item) <= float64(limit)
+}
+
+// HasOnlineMemory is HasMemory for an online request. Items do not count, since they are stopped when online requests need slots: a
+// few large ones would otherwise keep online requests from a runner for good.
+func (r *Runner) HasOnlineMemory(limit, request cs.Tokens, mean float64) bool {
+	if limit == 0 || r.OnlineLoad() == 0 {
+		return true
+	}
+	others := float64(r.OnlineLoad()-r.Online) * mean
+	return others+float64(r.Cost.Held)+float64(request) <= float64(limit)
 }
 
 const (
