--- a/batchjob/builder.go
+++ b/batchjob/builder.go
@@ -224,7 +224,7 @@
 // shareLimit reports whether two jobs count against the same limit: that of their route or, in a catalog with workspaces, that of their
 // workspace on the route.
 func (b *appendBuilder) shareLimit(x, y *gateway.JobSpec) bool {
-	return x.Route == y.Route && (x.Workspace == y.Workspace || !b.t.DividesRoom())
+	return x.Route == y.Route && (x.Workspace == y.Workspace || !b.t.HasWorkspaces())
 }
 
 // jobTokens returns the tokens of all items of a job.
--- a/batchjob/fair.go
+++ b/batchjob/fair.go
@@ -20,7 +20,7 @@
 	slices.SortFunc(waiting, func(a, b candidate) int {
 		return cmp.Or(a.urgency.compareTo(b.urgency), cmp.Compare(a.key.Job, b.key.Job), cmp.Compare(a.key.Index, b.key.Index))
 	})
-	if !t.DividesRoom() {
+	if !t.HasWorkspaces() {
 		return
 	}
 	forgetAccounts(t, now)
@@ -57,7 +57,7 @@
 
 // chargeItem charges the account of a job's workspace for a run of an item.
 func chargeItem(t *gateway.Tables, j *gateway.Job, item gateway.Item, now cs.Instant) {
-	if t.DividesRoom() {
+	if t.HasWorkspaces() {
 		t.ItemQueue.Send(accountOf(t, j.Spec.Workspace), itemWork(item), now)
 	}
 }
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -154,8 +154,8 @@
 // BootTime returns a time of this process on the clock that counts the time for which the machine was suspended.
 func (t *Tables) BootTime(at cs.Instant) cs.BootInstant { return cs.BootInstant(at.Add(t.Suspended)) }
 
-// DividesRoom reports whether capacity is divided between workspaces.
-func (t *Tables) DividesRoom() bool { return t.Catalog != nil && t.Catalog.RequiresKeys }
+// HasWorkspaces reports whether the catalog keeps workspaces apart.
+func (t *Tables) HasWorkspaces() bool { return t.Catalog != nil && t.Catalog.RequiresKeys }
 
 // Drain is the progress of this VM's drain.
 type Drain struct {
