--- a/forward/access.go
+++ b/forward/access.go
@@ -45,9 +45,9 @@
 
 // withdrawnRefusal returns the refusal of a request that waits for a runner and whose key was withdrawn since it was admitted, or nil.
 // On a public route such a request is sent without its workspace. A request that was admitted before keys were required is decided on
-// again.
+// again. One whose response has begun is not refused: its caller sent it while the key was in force, and would get a part of the response.
 func withdrawnRefusal(t *gateway.Tables, f *gateway.Forward, now cs.Instant, out *gateway.Actions) *cs.Refusal {
-	if t.Catalog == nil || !t.Catalog.RequiresKeys || f.Workspace == "" && isPublic(t.Catalog, &f.Route) {
+	if f.Begun || t.Catalog == nil || !t.Catalog.RequiresKeys || f.Workspace == "" && isPublic(t.Catalog, &f.Route) {
 		return nil
 	}
 	if f.Workspace == "" {
--- a/forward/access_test.go
+++ b/forward/access_test.go
@@ -164,3 +164,28 @@
 	c.Assert(dispatches, qt.HasLen, 1)
 	c.Check(dispatches[0].Access, qt.Equals, gateway.RunnerAccess{RequiresKeys: true, Workspace: "w"})
 }
+
+// Guards against a stream that is cut in the middle of its response, since its key was withdrawn while it waited to be resumed.
+func TestBegunStreamIsResumedAfterWithdrawalOfItsKey(t *testing.T) {
+	c := qt.New(t)
+	vm := newTestVM()
+	vm.addRunner("a1", "a")
+	vm.addRunner("a2", "a")
+	vm.tick(gateway.CatalogRead{Catalog: vm.requireKeys(1, "k")}, vm.confirm())
+	resumable := onceRoute
+	resumable.Kind, resumable.Resumable, resumable.MaxAttempts = cs.RouteStreaming, true, 3
+	dispatches, _ := vm.tick(vm.keyedArrival(1, resumable, "k"))
+	c.Assert(dispatches, qt.HasLen, 1)
+	vm.tick(gateway.ForwardStarted{ID: 1, Attempt: 1})
+	vm.tick(gateway.CatalogRead{Catalog: vm.requireKeys(2, "l2")}, vm.confirm())
+	sent, refusals := vm.tick(gateway.ForwardEnded{ID: 1, Attempt: 1, Outcome: gateway.OutcomeInterrupted{Error: "timed out", TimedOut: true, LastEvent: 3}})
+	for range 20 {
+		if len(sent)+len(refusals) > 0 {
+			break
+		}
+		vm.now = vm.now.Add(50)
+		sent, refusals = vm.tick()
+	}
+	c.Check(refusals, qt.HasLen, 0)
+	c.Check(sent, qt.HasLen, 1)
+}
