--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -36,5 +36,5 @@
 
 // cases are the drivers by name.
 var cases = map[string]func(*rig) (broken bool, err error){
-	"items": items, "memory": memory, "unframed": unframed,
+	"items": items, "lines": lines, "memory": memory, "unframed": unframed,
 }
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -159,7 +159,7 @@
 			unread = unread[1:]
 			continue
 		}
-		r.note("job %s cannot be read at %s: status %d %s", unread[0], v.name, status, page)
+		r.note("job %s cannot be read at %s: status %d %s", unread[0], v.name, status, page[:min(len(page), 80)])
 		unread = append(unread[1:], unread[0])
 		time.Sleep(200 * time.Millisecond)
 	}
@@ -182,7 +182,7 @@
 	if err != nil {
 		return 0, err.Error()
 	}
-	return resp.StatusCode, strings.TrimSpace(string(page[:min(len(page), 80)]))
+	return resp.StatusCode, strings.TrimSpace(string(page))
 }
 
 // enforceMemory kills a process that exceeds the memory of its machine, and starts it again.
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -18,6 +18,8 @@
 	events int
 	pause  time.Duration
 	framed bool
+	// shape is that of the data of events.
+	shape string
 }
 
 // serveRunner serves requests until the process is killed.
@@ -28,6 +30,7 @@
 	flags.StringVar(&p.id, "id", "", "instance id")
 	flags.IntVar(&p.events, "events", 20, "events of a stream")
 	flags.DurationVar(&p.pause, "pause", 50*time.Millisecond, "time between events")
+	flags.StringVar(&p.shape, "shape", "plain", "data of the events: plain or paragraphs")
 	flags.BoolVar(&p.framed, "framed", false, "answers have chunks")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -70,7 +73,7 @@
 func (p *runnerProcess) stream(w *bufio.Writer, id string, last int) {
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\nConnection: close\r\n\r\n", id, p.id)
 	for n := last + 1; n <= p.events; n++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
+		_, _ = w.WriteString(encodeEvent(n, eventData(p.shape, n)))
 		if err := w.Flush(); err != nil {
 			fmt.Printf("%s runner %s cannot send event %d of %s\n", timestamp(), p.id, n, id)
 			return
@@ -86,7 +89,7 @@
 	w.Header().Set("Response-Signature", "sig-"+p.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= p.events; n++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
+		_, _ = io.WriteString(w, encodeEvent(n, eventData(p.shape, n)))
 		if err := http.NewResponseController(w).Flush(); err != nil || r.Context().Err() != nil {
 			return
 		}
