review: bound the time of the submissions of case 6

Tried: the script on a loaded machine took up to 71 s. Follows: submissions end after 30 s, so that the script ends within 120 s on a slower machine.

--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -30,6 +30,8 @@
 	memoryEnds = 3
 	// restartDelay is the pause of the platform before it starts a process again.
 	restartDelay = 500 * time.Millisecond
+	// submitTime bounds the time in which jobs are submitted.
+	submitTime = 30 * time.Second
 	// watchTime is the time for batch jobs after the end of the traffic (finish_s).
 	watchTime = 18 * time.Second
 	// readTime bounds the reads of the accepted jobs.
@@ -86,7 +88,11 @@
 		items, headers = 100, 1000
 	}
 	var accepted []string
+	until := time.Now().Add(submitTime)
 	for i := range memoryJobs {
+		if time.Now().After(until) {
+			break
+		}
 		id := fmt.Sprintf("7c41e09b52d6%04x", i)
 		body := jobBody(id, items, headers)
 		if i == 0 {
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// weightVersion is the version of the weights that runners have.
+const weightVersion = "1"
+
 // runnerProcess is a runner with the protocol of the platform's pages. Its answers are streams of numbered events. Unless they are
 // framed, they have neither a length nor chunks: they end when the runner closes the connection.
 type runnerProcess struct {
@@ -18,6 +21,8 @@
 	events int
 	pause  time.Duration
 	framed bool
+	// recorded means that the runs of framed answers are written to standard output.
+	recorded bool
 	// shape is that of the data of events.
 	shape string
 }
@@ -30,6 +35,7 @@
 	flags.StringVar(&p.id, "id", "", "instance id")
 	flags.IntVar(&p.events, "events", 20, "events of a stream")
 	flags.DurationVar(&p.pause, "pause", 50*time.Millisecond, "time between events")
+	flags.BoolVar(&p.recorded, "recorded", false, "writes the runs of framed answers")
 	flags.StringVar(&p.shape, "shape", "plain", "data of the events: plain or paragraphs")
 	flags.BoolVar(&p.framed, "framed", false, "answers have chunks")
 	if err := flags.Parse(args); err != nil {
@@ -52,6 +58,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if expected := r.Header.Get("Expect-Version"); expected != "" && expected != weightVersion {
+		fmt.Printf("%s runner %s refuses request %s (421): it expects version %s of the weights\n", timestamp(), p.id, id, expected)
+		w.Header().Set("Request-Id", id)
+		w.Header().Set("Instance-Id", p.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -88,6 +101,11 @@
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Signature", "sig-"+p.id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Weight-Versions", weightVersion)
+	if p.recorded {
+		fmt.Printf("%s runner %s runs request %s after event %d\n", timestamp(), p.id, id, last)
+		defer func() { fmt.Printf("%s runner %s ends request %s\n", timestamp(), p.id, id) }()
+	}
 	for n := last + 1; n <= p.events; n++ {
 		_, _ = io.WriteString(w, encodeEvent(n, eventData(p.shape, n)))
 		if err := http.NewResponseController(w).Flush(); err != nil || r.Context().Err() != nil {
