--- a/review/rig2/unframed.go
+++ b/review/rig2/unframed.go
@@ -29,7 +29,7 @@
 func unframed(r *rig) (bool, error) {
 	r.store.Put("keyed.op", "config", []byte(unframedConfig))
 	runners := make(map[string]*exec.Cmd)
-	for _, id := range []string{"i-7f3a91c2", "i-2b80d4e7", "i-c95e1a06"} {
+	for _, id := range []string{"i-7f3a91c2", "i-2b80d4e7", "i-c95e1a06", "i-05d7b3f8", "i-e41c6a92", "i-68f20b7d"} {
 		c, err := r.startRunner(id, "-events", fmt.Sprint(unframedEvents), "-pause", "50ms")
 		if err != nil {
 			return false, err
