--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -35,7 +35,9 @@
 	// watchTime is the time for batch jobs after the end of the traffic (finish_s).
 	watchTime = 18 * time.Second
 	// readTime bounds the reads of the accepted jobs.
-	readTime = 20 * time.Second
+	readTime = 40 * time.Second
+	// readTimeout is the time that a read may take: clients wait 1.5 s longer than they allow, which is 1 s with Wait-Ms.
+	readTimeout = 2500 * time.Millisecond
 )
 
 // memory submits jobs of legal size whose items have many short headers. As the platform does, it kills a process that exceeds its
@@ -179,7 +181,7 @@
 		return 0, err.Error()
 	}
 	req.Host, req.Close = "ficu95.example", true
-	resp, err := (&http.Client{Timeout: time.Second}).Do(req)
+	resp, err := (&http.Client{Timeout: readTimeout}).Do(req)
 	if err != nil {
 		return 0, err.Error()
 	}
