Keep the line feeds at which the data of an event begins

An event that is one line feed became empty.

Cause: EventReader took nil data for "no data field yet". Appending an empty first value leaves a nil slice nil, so that the line feed before the second value was left out.

Evidence: the reader alone returns the wrong data, and with it corrected the case passes, so that the joins of events and runs, the job log and the page of results are not at fault. All of them go by the ID of the last event and not by the text.

Change: the reader records that there is a data field apart from its value.

--- a/forward/event.go
+++ b/forward/event.go
@@ -36,8 +36,8 @@
 	ID cs.EventID
 	// Data holds the values of the event's data fields, joined by line feeds.
 	Data []byte
-	// hasField means that there is a line that is no comment.
-	hasField bool
+	// hasField means that there is a line that is no comment, and hasData that one of them is a data field, which may be empty.
+	hasField, hasData bool
 }
 
 // EventReader splits a text/event-stream into events.
@@ -133,10 +133,10 @@
 		}
 		e.ID = cs.EventID(n)
 	case "data":
-		if e.Data != nil {
+		if e.hasData {
 			e.Data = append(e.Data, '\n')
 		}
-		e.Data = append(e.Data, value...)
+		e.Data, e.hasData = append(e.Data, value...), true
 	}
 	return nil
 }
