Confirm the end of a caller's stream that ends with its connection

Cause: the system of a killed process closes its connections.

Change: the end is an outcome of its own, after which the request is resumed like an interrupted one, within the attempts of its route. It is complete when the next run ends after the same event, or when no attempt is left and none has brought more events.

--- a/entry/closed_test.go
+++ b/entry/closed_test.go
@@ -71,3 +71,23 @@
 	s.Check(a.status, qt.Equals, http.StatusBadGateway)
 	s.Check(runner.sendsOf("r2") > 1, qt.IsTrue)
 }
+
+// Guards against a stream that reaches its caller as complete although its runner crashed between two events (review/9). The end of
+// a stream that may not be resumed cannot be confirmed.
+func TestCrashBetweenEventsCompletesNoStream(t *testing.T) {
+	s, m, runner := startScripted(t, 4, func(r *scriptedRunner, conn *scriptedConn, req *http.Request) {
+		id := req.Header.Get("Request-Id")
+		last := 4
+		if req.URL.Path == "/ask/crash" && r.sendsOf(id) == 1 {
+			last = 2
+		}
+		conn.send(streamHead(id) + eventsFrom(lastEvent(req)+1, last))
+		_ = conn.Close()
+	})
+	s.Check(s.exchange(m, "/ask/crash", "c1"), qt.Equals, answer{http.StatusOK, eventsFrom(1, 4), true})
+	s.Check(runner.sendsOf("c1"), qt.Equals, 3)
+	s.Check(s.exchange(m, "/ask/whole", "c2"), qt.Equals, answer{http.StatusOK, eventsFrom(1, 4), true})
+	s.Check(runner.sendsOf("c2"), qt.Equals, 2)
+	s.Check(s.exchange(m, "/quiz/whole", "c3"), qt.Equals, answer{http.StatusOK, eventsFrom(1, 4), true})
+	s.Check(runner.sendsOf("c3"), qt.Equals, 1)
+}
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -157,6 +157,8 @@
 		h.forward.Deliver(a.ID, a)
 	case gateway.StopForward:
 		h.forward.Stop(a.ID)
+	case gateway.Complete:
+		h.forward.Deliver(a.ID, a)
 	case gateway.Refuse:
 		h.forward.Deliver(a.ID, a)
 	case gateway.RunItem:
--- a/forward/outcomes.go
+++ b/forward/outcomes.go
@@ -19,6 +19,9 @@
 	maxRunnerRefusals = 12
 )
 
+// streamStatus is the status of all streams.
+const streamStatus = 200
+
 // ApplyOutcomes applies the first bytes, results and caller disconnects that the sessions reported.
 func ApplyOutcomes(t *gateway.Tables, now cs.Instant, out *gateway.Actions) {
 	for _, e := range t.Events {
@@ -91,14 +94,15 @@
 	case gateway.OutcomeAnswered:
 		note.Kind, note.Count = gateway.NoteRequestAnswered, o.Status
 		out.Note(note)
-		if runner != nil {
-			runner.ResetFailures()
-			t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
-		}
-		observeServiceTime(t, f, now)
-		observeCost(t, f, runner, o, now)
+		recordAnswer(t, f, runner, o, now, out)
 		t.Forwards.Delete(e.ID)
 		return
+	case gateway.OutcomeEndedWithConnection:
+		observeServiceTime(t, f, now)
+		observeCost(t, f, runner, gateway.OutcomeAnswered{Status: streamStatus, LastEvent: o.LastEvent}, now)
+		awaitResumption(f, o.LastEvent, now)
+		f.EndUnconfirmed = true
+		note.Reason, note.Outcome = "the stream ended with its connection", cs.RanUnknown.String()
 	case gateway.OutcomeNotRun:
 		note.Reason, note.Outcome = o.Reason, cs.RanNotRun.String()
 		f.NotBefore = now.Add(notRunRetryDelay)
@@ -115,25 +119,54 @@
 			t.RecordDataCentreResponse(runner.Spec.DataCentre, now, out)
 		}
 	case gateway.OutcomeInterrupted:
-		f.MayHaveRun = true
-		f.LastEvent = o.LastEvent
-		f.Tried = append(f.Tried, f.Runner)
-		f.NotBefore = now.Add(resumeDelay)
 		note.Reason, note.Outcome = o.Error, cs.RanUnknown.String()
-		if o.Disconnected {
-			t.RecordConnectionLoss(runner, now, note.Reason, out)
-			t.RecordPossibleCrash(runner, gateway.PossibleCrash{
-				Content: f.Content, Parts: f.Parts, Begun: f.Begun, Request: f.Request, At: now,
-			})
-		}
-		if o.TimedOut {
-			t.TimedOut(runner, now, note.Reason, out)
-		}
+		recordInterruption(t, f, runner, o, now, out)
+	}
+	if f.EndUnconfirmed && !hasAttemptsLeft(f) {
+		note.Kind, note.Count = gateway.NoteRequestAnswered, streamStatus
+		out.Note(note)
+		out.Add(gateway.Complete{ID: f.ID})
+		t.Forwards.Delete(f.ID)
+		return
 	}
 	note.Kind = gateway.NoteRequestRetried
 	out.Note(note)
 }
 
+// recordAnswer records that a runner has sent a complete response.
+func recordAnswer(t *gateway.Tables, f *gateway.Forward, r *gateway.Runner, o gateway.OutcomeAnswered, now cs.Instant, out *gateway.Actions) {
+	if r != nil {
+		r.ResetFailures()
+		t.RecordDataCentreResponse(r.Spec.DataCentre, now, out)
+	}
+	if o.LastEvent == 0 || o.LastEvent > f.LastEvent { // a run that only confirms the end of a stream is no sample
+		observeServiceTime(t, f, now)
+		observeCost(t, f, r, o, now)
+	}
+}
+
+// recordInterruption records an interrupted attempt and its cause at the runner.
+func recordInterruption(t *gateway.Tables, f *gateway.Forward, r *gateway.Runner, o gateway.OutcomeInterrupted, now cs.Instant, out *gateway.Actions) {
+	f.EndUnconfirmed = f.EndUnconfirmed && o.LastEvent == f.LastEvent
+	awaitResumption(f, o.LastEvent, now)
+	if o.Disconnected && !f.EndUnconfirmed { // a runner may close the connection if it has no more events
+		t.RecordConnectionLoss(r, now, o.Error, out)
+		t.RecordPossibleCrash(r, gateway.PossibleCrash{
+			Content: f.Content, Parts: f.Parts, Begun: f.Begun, Request: f.Request, At: now,
+		})
+	}
+	if o.TimedOut {
+		t.TimedOut(r, now, o.Error, out)
+	}
+}
+
+// awaitResumption lets a request that a runner may have run wait until it can be resumed after an event.
+func awaitResumption(f *gateway.Forward, last cs.EventID, now cs.Instant) {
+	f.MayHaveRun, f.LastEvent = true, last
+	f.Tried = append(f.Tried, f.Runner)
+	f.NotBefore = now.Add(resumeDelay)
+}
+
 // hasAttemptsLeft reports whether a request may be sent again. If no runner can have run it, only
 // the number of refusals counts; otherwise the route must allow another attempt.
 func hasAttemptsLeft(f *gateway.Forward) bool {
--- a/forward/session.go
+++ b/forward/session.go
@@ -28,6 +28,8 @@
 	started bool
 	// lastEvent is the last event that the caller has: received from here, or named as such in its request.
 	lastEvent cs.EventID
+	// unconfirmedEnd is the event after which a run ended with its connection, or 0.
+	unconfirmedEnd cs.EventID
 	// heldError is a complete response with an error status, which is sent to the caller if no
 	// further attempt follows.
 	heldError *bufferedResponse
@@ -54,9 +56,10 @@
 				outcome := s.sendOnce(s.attempts, a)
 				s.post(gateway.ForwardEnded{ID: a.ID, Attempt: a.Attempt, Outcome: outcome})
 				if _, ok := outcome.(gateway.OutcomeAnswered); ok {
-					s.traffic.cfg.ObserveDuration(s.forward.Route.Name, s.traffic.cfg.Clock.Now().Sub(s.forward.Arrived))
-					return EndAnswered{}
+					return s.finishAnswered()
 				}
+			case gateway.Complete:
+				return s.finishAnswered()
 			case gateway.Refuse:
 				return s.finishRefused(a)
 			}
@@ -64,6 +67,12 @@
 	}
 }
 
+// finishAnswered ends a request whose caller has received a complete response.
+func (s *session) finishAnswered() End {
+	s.traffic.cfg.ObserveDuration(s.forward.Route.Name, s.traffic.cfg.Clock.Now().Sub(s.forward.Arrived))
+	return EndAnswered{}
+}
+
 // finishRefused ends a request that gets no further attempt. The caller receives the held error
 // response of a runner if there is one, and otherwise a refusal.
 func (s *session) finishRefused(a gateway.Refuse) End {
@@ -215,8 +224,20 @@
 			s.lastEvent, received = e.ID, true
 		}
 	}
-	if s.lastEvent == s.forward.LastEvent || !received && response.EndsWithConnection {
+	return s.endStream(ctx, response, received)
+}
+
+// endStream returns the outcome of a stream that ended between two events. An end with its connection may be that of a runner that
+// crashed, until another run ends after the same event.
+func (s *session) endStream(ctx context.Context, response *RunnerResponse, received bool) gateway.Outcome {
+	unconfirmed := response.EndsWithConnection && s.unconfirmedEnd != s.lastEvent
+	switch {
+	case s.lastEvent == s.forward.LastEvent || unconfirmed && !received:
 		return s.failure(ctx, &InterruptedError{Cause: errors.New("stream ended before its first event"), Disconnected: response.EndsWithConnection})
+	case unconfirmed:
+		s.unconfirmedEnd = s.lastEvent
+		return gateway.OutcomeEndedWithConnection{LastEvent: s.lastEvent}
+	default:
+		return gateway.OutcomeAnswered{Status: response.Status, LastEvent: s.lastEvent}
 	}
-	return gateway.OutcomeAnswered{Status: response.Status, LastEvent: s.lastEvent}
 }
--- a/forward/session_test.go
+++ b/forward/session_test.go
@@ -93,6 +93,8 @@
 			switch a := decide(e).(type) {
 			case gateway.Dispatch:
 				traffic.Deliver(a.ID, a)
+			case gateway.Complete:
+				traffic.Deliver(a.ID, a)
 			case gateway.Refuse:
 				traffic.Deliver(a.ID, a)
 			default:
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -40,6 +40,8 @@
 	// StopForward cancels the attempt of a request that is in progress, and with it the runner's work. A ForwardEnded event
 	// reports how the attempt ended.
 	StopForward struct{ ID ForwardID }
+	// Complete ends a stream that ended with the connection of its runner, and for which the route allows no further attempt.
+	Complete struct{ ID ForwardID }
 	// Refuse ends a request for which there will be no further attempt. The caller gets the refusal if no
 	// part of a response has been passed on and no runner has responded with an error, which is passed on
 	// instead.
@@ -205,6 +207,7 @@
 
 func (Dispatch) isAction()            {}
 func (StopForward) isAction()         {}
+func (Complete) isAction()            {}
 func (Refuse) isAction()              {}
 func (RunItem) isAction()             {}
 func (StopItem) isAction()            {}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -80,6 +80,8 @@
 	NotBefore cs.Instant
 	// LastEvent is the id of the last event that was passed to the caller.
 	LastEvent cs.EventID
+	// EndUnconfirmed means that a run ended with its connection after LastEvent, and that no later run has continued the stream.
+	EndUnconfirmed bool
 }
 
 // ForwardEstimate is what an attempt is expected to cost at its runner. It is zero for a service whose requests are placed by their
@@ -120,6 +122,9 @@
 		Status    int
 		LastEvent cs.EventID
 	}
+	// OutcomeEndedWithConnection means that a stream ended between two events because its runner closed the connection, as the
+	// system of a runner that crashes does. Another attempt shows whether there are more events.
+	OutcomeEndedWithConnection struct{ LastEvent cs.EventID }
 	// OutcomeFailed means that the runner responded with a server error, which has not been passed to the
 	// caller, since another attempt may follow.
 	OutcomeFailed struct{ Status int }
@@ -135,7 +140,8 @@
 	}
 )
 
-func (OutcomeNotRun) isOutcome()      {}
-func (OutcomeAnswered) isOutcome()    {}
-func (OutcomeFailed) isOutcome()      {}
-func (OutcomeInterrupted) isOutcome() {}
+func (OutcomeNotRun) isOutcome()              {}
+func (OutcomeAnswered) isOutcome()            {}
+func (OutcomeEndedWithConnection) isOutcome() {}
+func (OutcomeFailed) isOutcome()              {}
+func (OutcomeInterrupted) isOutcome()         {}
