--- a/forward/closed_test.go
+++ b/forward/closed_test.go
@@ -22,7 +22,7 @@
 	}
 }
 
-// serveClosed serves a stream by the real decisions at a VM with three runners, and returns how it ended.
+// serveClosed serves a stream as the systems of the VM decide, and returns how it ended.
 func serveClosed(c *qt.C, vm *testVM, runs []func(context.Context) (*forward.RunnerResponse, error), route cs.Route, caller *recordingCaller) forward.End {
 	ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
 	defer cancel()
