review: case 14, a crowd of unfinished bodies

800 connections whose bodies of legal size stop one byte short of their end fill the receive buffers of one machine. Case 12 hands its jobs in during the restarts now.

--- a/review/rig3/attempts.go
+++ b/review/rig3/attempts.go
@@ -21,7 +21,7 @@
 
 // playAttempts hands in jobs whose items fail at each run. With trouble, the machines are stopped and started in turn.
 func playAttempts(p *platform, trouble bool) (bool, error) {
-	const jobs, machines, gap = 24, 12, 1500 * time.Millisecond
+	const jobs, machines, gap = 60, 12, 1500 * time.Millisecond
 	runners, err := p.startFleet(machines, 164, 6, 20, 5*time.Millisecond, 2_300_000)
 	if err != nil {
 		return false, err
@@ -45,9 +45,12 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
-	for i := range jobs {
-		p.submit(newJob(fmt.Sprintf("7c41e09b52d6%04x", i), 1, 1500), i, 3)
-	}
+	go func() {
+		for i := range jobs {
+			go p.submit(newJob(fmt.Sprintf("7c41e09b52d6%04x", i), 1, 1500), i, 4)
+			time.Sleep(150 * time.Millisecond)
+		}
+	}()
 	if trouble {
 		p.rollTerm(gap)
 	} else {
--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -222,7 +222,8 @@
 	return 0
 }
 
-// enforceMemory kills each process that exceeds the memory of its machine, as DEPLOY.md says, until the platform stops.
+// enforceMemory kills each process that exceeds the memory of its machine, as DEPLOY.md says, until done is closed: "Bytes that have been
+// received and not yet read count toward this limit."
 func (p *platform) enforceMemory(done <-chan struct{}) {
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
@@ -233,13 +234,14 @@
 		case <-ticker.C:
 		}
 		for _, v := range p.vms {
-			if mb := v.rss(); mb > v.memoryMB {
+			anonymous, queued := v.rss(), unread(v.callers)
+			if mb := anonymous + queued; mb > v.memoryMB {
 				v.mu.Lock()
 				v.kills++
 				n, ended := v.kills, v.ended
 				_ = v.cmd.Process.Kill()
 				v.mu.Unlock()
-				p.record.add("%s: %d MB of memory are over the %d MB of the machine, kill %d", v.name, mb, v.memoryMB, n)
+				p.record.add("%s: %d MB of memory and %d MB received and not read are over the %d MB of the machine, kill %d", v.name, anonymous, queued, v.memoryMB, n)
 				<-ended
 			}
 		}
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -25,6 +25,8 @@
 	runs map[string]int
 	// arrived is when each request ran first.
 	arrived map[string]time.Time
+	// finished are the times at which runs ended after their last event.
+	finished []time.Time
 	// fails says whether a request fails at each run, and may be nil.
 	fails func(id string) bool
 }
@@ -131,6 +133,9 @@
 		case <-time.After(r.pause):
 		}
 	}
+	r.mu.Lock()
+	r.finished = append(r.finished, time.Now())
+	r.mu.Unlock()
 }
 
 func eventText(n int) string { return "event " + strconv.Itoa(n) }
