--- a/review/rig3/platform.go
+++ b/review/rig3/platform.go
@@ -33,6 +33,8 @@
 	record  *record
 	// tenants are those of the config, or nil.
 	tenants []map[string]any
+	// hasRootRoute adds a route with the prefix "/" to the config.
+	hasRootRoute bool
 }
 
 // record writes the lines of record.txt.
@@ -61,8 +63,15 @@
 
 // configure writes the operator's configuration.
 func (p *platform) configure(version, maxTokens int) {
+	routes := defaultRoutes(maxTokens)
+	if p.hasRootRoute {
+		routes = append(routes, map[string]any{
+			"name": "r-all", "host": host, "path_prefix": "/", "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 300,
+			"priority": 0, "service": engines, "max_attempts": 2, "session_affinity": true, "resumable": true, "gap_target_ms": 400,
+		})
+	}
 	config := map[string]any{
-		"version": version, "routes": defaultRoutes(maxTokens),
+		"version": version, "routes": routes,
 		"services": []map[string]any{{
 			"name": engines, "health_path": "/health", "max_conns": 498, "protocol": "h1", "tls": false,
 			"engine": map[string]any{"slots": 8, "kv_cache_tokens": 147261, "models": []map[string]string{{"name": "m"}}},
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// requestTarget is where a request went, as the runner got it.
+type requestTarget struct{ target, host string }
+
 // runner is a sound model runner with eight slots and a short queue. It keeps its entry in the store alive.
 type runner struct {
 	id, zone, address string
@@ -25,6 +28,8 @@
 	runs map[string]int
 	// arrived is when each request ran first.
 	arrived map[string]time.Time
+	// targets are the request lines' targets and the hosts of the requests that ran.
+	targets map[string]requestTarget
 	// finished are the times at which runs ended after their last event.
 	finished []time.Time
 	// fails says whether a request fails at each run, and may be nil.
@@ -39,7 +44,7 @@
 	}
 	r := &runner{
 		id: id, zone: zone, address: l.Addr().String(), events: events, pause: pause, platform: p, slots: make(chan struct{}, 8),
-		born: time.Now().UnixMilli(), runs: make(map[string]int), arrived: make(map[string]time.Time),
+		born: time.Now().UnixMilli(), runs: make(map[string]int), arrived: make(map[string]time.Time), targets: make(map[string]requestTarget),
 	}
 	go func() { _ = http.Serve(l, r) }()
 	r.beat()
@@ -99,6 +104,7 @@
 	r.mu.Lock()
 	r.runs[id]++
 	n := r.runs[id]
+	r.targets[id] = requestTarget{q.RequestURI, q.Host}
 	if n == 1 {
 		r.arrived[id] = time.Now()
 	}
