--- a/review/rig3/crowd.go
+++ b/review/rig3/crowd.go
@@ -37,39 +37,45 @@
 	return int(sum >> 20)
 }
 
-// playCrowd sends bodies of legal size to a machine, many at once, that stop just short of their end. Without trouble as many clients
-// send small bodies.
+// playCrowd sends bodies of legal size to two machines, many at once, that stop just short of their end, and again after the processes
+// have been started again. Without trouble as many clients send small bodies.
 func playCrowd(p *platform, trouble bool) (bool, error) {
-	const clients = 800
+	const clients, waves = 800, 5
 	if _, err := p.startFleet(3, 164, 6, 20, 5*time.Millisecond, 2_300_000); err != nil {
 		return false, err
 	}
 	done := make(chan struct{})
 	defer close(done)
 	go p.enforceMemory(done)
-	v, size := p.vms[0], 1500
+	size := 1500
 	if trouble {
 		size = 4_000_000
 	}
-	for i := range clients {
-		go p.sendShort(v, fmt.Sprintf("9c41d07b%08x", i), size)
-	}
 	served, lost := 0, 0
-	for i, end := 0, time.Now().Add(20*time.Second); time.Now().Before(end); i++ {
-		id := fmt.Sprintf("9c41d07be2a3%04x", i)
-		status, _ := call(http.MethodPost, v.callers, streamPrefix+"2f", map[string]string{"Request-Id": id, "Deadline-Ms": "5000"}, []byte("x"), 6*time.Second)
-		if i%10 == 0 || status != http.StatusOK {
-			p.record.add("client: ordinary request %s at %s: %d; its process has %d MB, and %d MB are received and not read", id, v.name, status, v.rss(), unread(v.callers))
+	for wave := range waves {
+		for m, v := range p.vms[:2] {
+			for i := range clients {
+				go p.sendShort(v, fmt.Sprintf("9c41d07b%x%x%06x", wave, m, i), size)
+			}
 		}
-		if status == http.StatusOK {
-			served++
-		} else {
-			lost++
+		for i, end := 0, time.Now().Add(5*time.Second); time.Now().Before(end); i++ {
+			v, id := p.vms[i%2], fmt.Sprintf("9c41d07be2%02x%04x", wave, i)
+			status, _ := call(http.MethodPost, v.callers, streamPrefix+"2f", map[string]string{"Request-Id": id, "Deadline-Ms": "2000"}, []byte("x"), 3*time.Second)
+			if i%10 == 0 || status != http.StatusOK {
+				p.record.add("client: ordinary request %s at %s: %d; its process has %d MB, and %d MB are received and not read", id, v.name, status, v.rss(), unread(v.callers))
+			}
+			if status == http.StatusOK {
+				served++
+			} else {
+				lost++
+			}
+			time.Sleep(50 * time.Millisecond)
 		}
-		time.Sleep(50 * time.Millisecond)
+		p.waitReady(3 * time.Second)
 	}
-	p.record.add("%d clients; %d ordinary requests served, %d not; the process was over its memory %d times", clients, served, lost, v.kills)
-	return v.kills > 0, nil
+	p.record.add("%d waves of %d clients; %d ordinary requests served, %d not; the processes were over their memory %d and %d times", waves, clients, served, lost,
+		p.vms[0].kills, p.vms[1].kills)
+	return p.vms[0].kills >= 3 && p.vms[1].kills >= 3, nil
 }
 
 // sendShort sends all but the last byte of a body and keeps the connection open until it is answered or 10 s have passed.
