--- a/review/rig3/quota.go
+++ b/review/rig3/quota.go
@@ -71,7 +71,7 @@
 		}
 		if now := time.Now(); trouble && now.After(next) {
 			p.store.rebalance(int(xxhash.Sum64String(tenantName) % partitions))
-			next = now.Add(900*time.Millisecond + rand.N(200*time.Millisecond))
+			next = now.Add(650*time.Millisecond + rand.N(200*time.Millisecond))
 		}
 		for i, v := range p.vms {
 			id := fmt.Sprintf("9c41d07b%04x%04x", n, i)
