review: case 15 counts answers of 500, and only from a settled owner

The check counted runs, also those whose answer was cut off, and took the owner by the store for the sender right after a hand-over. Both made it stricter than the rule.

--- a/review/rig3/attempts.go
+++ b/review/rig3/attempts.go
@@ -16,6 +16,8 @@
 	maxErrors   = 3 * maxAttempts
 	// contact is contact_ms.
 	contact = 3 * time.Second
+	// settled is how long a machine must have owned the partition to be taken for the sender: the one before it learns of its loss within 0.7 s.
+	settled = time.Second
 	grace   = 8 * time.Second
 )
 
@@ -27,22 +29,27 @@
 		return false, err
 	}
 	var mu sync.Mutex
-	runs, late := make(map[string]int), 0
+	runs, answers, late := make(map[string]int), make(map[string]int), 0
 	for _, r := range runners {
 		r.fails = func(id string) bool {
 			mu.Lock()
 			defer mu.Unlock()
 			runs[id]++
-			if n := runs[id]; n > maxErrors {
-				member := p.store.ownerOf(id[:16])
+			if n := answers[id]; n >= maxErrors {
+				member, held := p.store.ownerOf(id[:16])
 				calm := p.calmTime(member)
-				p.record.add("item %s reaches a runner again after %d answers of 500; its owner %s has been undisturbed for %s", id, n-1, member, calm)
-				if calm > contact {
+				p.record.add("item %s reaches a runner again after %d answers of 500; its owner %s, for %s, has been undisturbed for %s", id, n, member, held, calm)
+				if calm > contact && held > settled {
 					late++
 				}
 			}
 			return true
 		}
+		r.failed = func(id string) {
+			mu.Lock()
+			defer mu.Unlock()
+			answers[id]++
+		}
 	}
 	time.Sleep(3 * time.Second)
 	go func() {
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -34,6 +34,8 @@
 	finished []time.Time
 	// fails says whether a request fails at each run, and may be nil.
 	fails func(id string) bool
+	// failed is told that a failing run was answered on a connection that was still open.
+	failed func(id string)
 }
 
 // addRunner starts a runner that answers with a stream of events.
@@ -114,6 +116,9 @@
 		time.Sleep(20 * time.Millisecond)
 		w.Header().Set("Response-Signature", "3e1b.07."+r.id)
 		http.Error(w, "the run has failed", http.StatusInternalServerError)
+		if q.Context().Err() == nil {
+			r.failed(id)
+		}
 		return
 	}
 	r.stream(w, q)
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -365,11 +365,12 @@
 // give makes a member the owner of a partition.
 func (g *group) give(p int, to string) { g.owners[p], g.since[p] = to, time.Now() }
 
-// ownerOf returns the member that owns the partition of a job, by the hash that the project uses.
-func (s *store) ownerOf(job string) string {
+// ownerOf returns the member that owns the partition of a job, by the hash that the project uses, and for how long it has.
+func (s *store) ownerOf(job string) (string, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.group.owners[xxhash.Sum64String(job)%partitions]
+	p := xxhash.Sum64String(job) % partitions
+	return s.group.owners[p], time.Since(s.group.since[p])
 }
 
 // rebalance reassigns all partitions at once without any request, when the member that gets a partition joins next.
